--- /dev/null
+++ b/crates/notchwalk_bundle/src/bundle.rs
@@ -0,0 +1,475 @@
+//! The content of a bundle.
+
+use std::{collections::HashMap, fmt, str::FromStr};
+
+use notchwalk_core::Findings;
+use serde::{Deserialize, Serialize};
+
+use crate::{reader::IniFile, sign::check_public_key, BundleError};
+
+/// The parts of a bundle, by concern.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PartName {
+    /// Operators and their public keys.
+    Operators,
+    /// Models, their limits, adapters and versions.
+    Models,
+    /// Plain services.
+    Services,
+    /// Workspaces: shares, priorities, limits and what they may reach.
+    Workspaces,
+    /// How requests are scheduled.
+    Policy,
+}
+
+/// All parts, in the order in which they are listed and checked.
+pub const PART_NAMES: [PartName; 5] = [
+    PartName::Operators,
+    PartName::Models,
+    PartName::Services,
+    PartName::Workspaces,
+    PartName::Policy,
+];
+
+impl fmt::Display for PartName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Operators => "operators",
+            Self::Models => "models",
+            Self::Services => "services",
+            Self::Workspaces => "workspaces",
+            Self::Policy => "policy",
+        })
+    }
+}
+
+impl PartName {
+    /// Returns the part's file name in a bundle folder.
+    pub fn file_name(self) -> String {
+        format!("{self}.ini")
+    }
+}
+
+/// One part's text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Which part.
+    pub name: PartName,
+    /// Its INI text.
+    pub text: String,
+}
+
+impl Part {
+    /// Returns the digest under which the part is stored, in hex.
+    pub fn digest(&self) -> String {
+        blake3::hash(self.text.as_bytes()).to_hex().to_string()
+    }
+}
+
+macro_rules! arena_key {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub u32);
+
+        impl $name {
+            /// Returns the place in the bundle's list.
+            pub fn index(self) -> usize {
+                self.0 as usize
+            }
+        }
+    };
+}
+
+arena_key! {
+    /// Names a workspace of one bundle.
+    WorkspaceKey
+}
+arena_key! {
+    /// Names a model of one bundle.
+    ModelKey
+}
+arena_key! {
+    /// Names a plain service of one bundle.
+    ServiceKey
+}
+
+/// A group that shares the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Workspace {
+    /// The name.
+    pub name: String,
+    /// The share of the fleet, relative to the other workspaces.
+    pub weight: f64,
+    /// The highest priority its requests may ask for, 0 to 9.
+    pub priority_max: u8,
+    /// The models it may reach.
+    pub models: Vec<ModelKey>,
+    /// The plain services it may reach.
+    pub services: Vec<ServiceKey>,
+    /// Requests it may have running on one entry.
+    pub max_in_flight: u32,
+    /// Requests it may have waiting on one entry.
+    pub max_queued: u32,
+}
+
+/// A model that engines serve.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Model {
+    /// The name callers use.
+    pub name: String,
+    /// The largest prompt with answer, in tokens.
+    pub context_tokens: u64,
+    /// Adapters that may be asked for as `MODEL:ADAPTER`.
+    pub adapters: Vec<String>,
+    /// Versions that may be asked for as `MODEL@VERSION`; the first is the
+    /// default.
+    pub versions: Vec<String>,
+}
+
+/// An application service beside the engines.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlainService {
+    /// The name in the path.
+    pub name: String,
+    /// How long a call may take, in milliseconds.
+    pub timeout_ms: u64,
+    /// Methods whose calls may be repeated after a failure.
+    pub repeatable_methods: Vec<String>,
+}
+
+/// Someone who may sign bundles.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Operator {
+    /// The name.
+    pub name: String,
+    /// The ed25519 public key, in hex.
+    pub public_key: String,
+    /// May propose changes.
+    pub author: bool,
+    /// May sign off the changes of others.
+    pub reviewer: bool,
+}
+
+/// How requests are ordered and placed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PolicyKind {
+    /// One queue in the order of arrival; a baseline.
+    Fifo,
+    /// At once to the server with the least reported load; a baseline.
+    LeastLoaded,
+    /// Weighted fair sharing with length classes and reservations.
+    #[default]
+    Fair,
+}
+
+impl FromStr for PolicyKind {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "fifo" => Ok(Self::Fifo),
+            "least_loaded" => Ok(Self::LeastLoaded),
+            "fair" => Ok(Self::Fair),
+            _ => Err("the kinds are fifo, least_loaded and fair"),
+        }
+    }
+}
+
+/// The policy's settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Policy {
+    /// The kind.
+    pub kind: PolicyKind,
+    /// Requests one entry may hold, waiting and running.
+    pub max_requests: u32,
+    /// The timeout of a request that names none, in milliseconds.
+    pub default_timeout_ms: u64,
+    /// The longest timeout a request may ask for, in milliseconds.
+    pub max_timeout_ms: u64,
+    /// The part of an engine's memory that long work never takes, in percent.
+    pub short_room_percent: u64,
+    /// How long long work waits before an engine is kept free for it, in
+    /// milliseconds.
+    pub ageing_ms: u64,
+    /// Further attempts allowed for each hundred requests.
+    pub retry_percent: u64,
+    /// How long the outcome of a call with an idempotency key is kept, in
+    /// seconds.
+    pub outcome_ttl_s: u64,
+}
+
+/// A parsed and checked bundle.
+#[derive(Clone, Debug)]
+pub struct Bundle {
+    /// The version; 0 before any was accepted.
+    pub version: u64,
+    /// The workspaces; [`WorkspaceKey`]s index them.
+    pub workspaces: Vec<Workspace>,
+    /// The models; [`ModelKey`]s index them.
+    pub models: Vec<Model>,
+    /// The plain services; [`ServiceKey`]s index them.
+    pub services: Vec<PlainService>,
+    /// The policy.
+    pub policy: Policy,
+    operators: Vec<Operator>,
+    workspace_by_key: HashMap<String, WorkspaceKey>,
+    workspace_by_name: HashMap<String, WorkspaceKey>,
+    model_by_name: HashMap<String, ModelKey>,
+    service_by_name: HashMap<String, ServiceKey>,
+}
+
+impl Bundle {
+    /// Parses the parts and checks each and how they fit together.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings.
+    pub fn parse(version: u64, parts: &[Part]) -> Result<Self, BundleError> {
+        let mut build = Builder::default();
+        for name in PART_NAMES {
+            match parts.iter().find(|part| part.name == name) {
+                Some(part) => build.read(part),
+                None => build
+                    .findings
+                    .add(&name.file_name(), "", "", "the part is missing"),
+            }
+        }
+        build.finish(version).map_err(BundleError::Faulty)
+    }
+
+    /// Returns the workspace of a caller's key.
+    pub fn workspace_of_key(&self, key: &str) -> Option<WorkspaceKey> {
+        self.workspace_by_key.get(&crate::key_hash(key)).copied()
+    }
+
+    /// Returns a workspace's data.
+    pub fn workspace(&self, key: WorkspaceKey) -> &Workspace {
+        &self.workspaces[key.index()]
+    }
+
+    /// Finds a workspace by name.
+    pub fn workspace_named(&self, name: &str) -> Option<WorkspaceKey> {
+        self.workspace_by_name.get(name).copied()
+    }
+
+    /// Finds a model by name.
+    pub fn model_named(&self, name: &str) -> Option<ModelKey> {
+        self.model_by_name.get(name).copied()
+    }
+
+    /// Finds a plain service by name.
+    pub fn service_named(&self, name: &str) -> Option<ServiceKey> {
+        self.service_by_name.get(name).copied()
+    }
+
+    /// Finds an operator by name.
+    pub fn operator(&self, name: &str) -> Option<&Operator> {
+        self.operators.iter().find(|o| o.name == name)
+    }
+}
+
+#[derive(Default)]
+struct Builder {
+    findings: Findings,
+    operators: Vec<Operator>,
+    models: Vec<Model>,
+    services: Vec<PlainService>,
+    workspaces: Vec<Workspace>,
+    policy: Option<Policy>,
+    key_hashes: HashMap<String, WorkspaceKey>,
+}
+
+impl Builder {
+    fn read(&mut self, part: &Part) {
+        let file = part.name.file_name();
+        let ini = match IniFile::parse(&file, &part.text) {
+            Ok(ini) => ini,
+            Err(findings) => return self.findings.0.extend(findings.0),
+        };
+        match part.name {
+            PartName::Operators => self.read_operators(&ini, &file),
+            PartName::Models => self.read_models(&ini),
+            PartName::Services => self.read_services(&ini),
+            PartName::Workspaces => self.read_workspaces(&ini),
+            PartName::Policy => self.read_policy(&ini),
+        }
+        if let Err(findings) = ini.finish() {
+            self.findings.0.extend(findings.0);
+        }
+    }
+
+    fn read_operators(&mut self, ini: &IniFile, file: &str) {
+        for (name, section) in ini.sections_of("operator") {
+            let public_key: String = section.required("public_key").unwrap_or_default();
+            if !public_key.is_empty() {
+                let title = format!("operator {name}");
+                check_public_key(&public_key, file, &title, &mut self.findings);
+            }
+            let roles = section.list("roles");
+            for role in &roles {
+                if role != "author" && role != "reviewer" {
+                    section.add(
+                        "roles",
+                        format!("{role:?}: the roles are author and reviewer"),
+                    );
+                }
+            }
+            self.operators.push(Operator {
+                name,
+                public_key,
+                author: roles.iter().any(|r| r == "author"),
+                reviewer: roles.iter().any(|r| r == "reviewer"),
+            });
+        }
+        let authors = self.operators.iter().filter(|o| o.author).count();
+        let signers = self.operators.len();
+        if authors == 0 || signers < 2 || !self.operators.iter().any(|o| o.reviewer) {
+            ini.add(
+                "",
+                "",
+                "an author and another operator as reviewer are needed",
+            );
+        }
+    }
+
+    fn read_models(&mut self, ini: &IniFile) {
+        for (name, section) in ini.sections_of("model") {
+            if name.contains(['@', ':', ' ']) {
+                section.add("", "a model's name holds no '@', ':' or space");
+            }
+            let mut versions = section.list("versions");
+            if versions.is_empty() {
+                versions.push("1".to_owned());
+            }
+            self.models.push(Model {
+                name,
+                context_tokens: section.within("context_tokens", 131_072, 1, 16_000_000),
+                adapters: section.list("adapters"),
+                versions,
+            });
+        }
+        if self.models.is_empty() {
+            ini.add("", "", "there is no model");
+        }
+    }
+
+    fn read_services(&mut self, ini: &IniFile) {
+        for (name, section) in ini.sections_of("service") {
+            let mut methods = section.list("repeatable_methods");
+            if methods.is_empty() {
+                methods = vec!["GET".into(), "HEAD".into()];
+            }
+            self.services.push(PlainService {
+                name,
+                timeout_ms: section.within("timeout_ms", 10_000, 1, 3_600_000),
+                repeatable_methods: methods,
+            });
+        }
+    }
+
+    fn read_workspaces(&mut self, ini: &IniFile) {
+        for (name, section) in ini.sections_of("workspace") {
+            let key = WorkspaceKey(self.workspaces.len() as u32);
+            for hash in section.list("key_hashes") {
+                let is_hash = hash.len() == 64 && hash.bytes().all(|b| b.is_ascii_hexdigit());
+                if !is_hash {
+                    section.add(
+                        "key_hashes",
+                        format!("{hash:?} is no hash of 64 hex digits"),
+                    );
+                } else if self.key_hashes.insert(hash.to_lowercase(), key).is_some() {
+                    section.add("key_hashes", "another workspace has the same key");
+                }
+            }
+            let models = section.list("models");
+            let models = lookup(
+                &models,
+                &self.models,
+                |m| &m.name,
+                |reason| {
+                    section.add("models", reason);
+                },
+            );
+            let services = section.list("services");
+            let services = lookup(
+                &services,
+                &self.services,
+                |s| &s.name,
+                |reason| {
+                    section.add("services", reason);
+                },
+            );
+            self.workspaces.push(Workspace {
+                weight: section.within("weight", 1.0, 0.001, 1_000_000.0),
+                priority_max: section.within("priority_max", 5, 0, 9),
+                models: models.into_iter().map(ModelKey).collect(),
+                services: services.into_iter().map(ServiceKey).collect(),
+                max_in_flight: section.within("max_in_flight", 256, 1, 1_000_000),
+                max_queued: section.within("max_queued", 1_024, 0, 1_000_000),
+                name,
+            });
+        }
+    }
+
+    fn read_policy(&mut self, ini: &IniFile) {
+        let section = ini.section("policy");
+        let policy = Policy {
+            kind: section.or("kind", PolicyKind::Fair),
+            max_requests: section.within("max_requests", 20_000, 1, 1_000_000),
+            default_timeout_ms: section.within("default_timeout_ms", 120_000, 1, 86_400_000),
+            max_timeout_ms: section.within("max_timeout_ms", 3_600_000, 1, 86_400_000),
+            short_room_percent: section.within("short_room_percent", 25, 0, 90),
+            ageing_ms: section.within("ageing_ms", 10_000, 1, 3_600_000),
+            retry_percent: section.within("retry_percent", 20, 0, 1_000),
+            outcome_ttl_s: section.within("outcome_ttl_s", 86_400, 1, 31_536_000),
+        };
+        if policy.default_timeout_ms > policy.max_timeout_ms {
+            section.add("default_timeout_ms", "is longer than max_timeout_ms");
+        }
+        self.policy = Some(policy);
+    }
+
+    fn finish(self, version: u64) -> Result<Bundle, Findings> {
+        let Some(policy) = self.policy else {
+            return Err(self.findings);
+        };
+        fn index<T, K>(list: &[T], name: fn(&T) -> &str, key: fn(u32) -> K) -> HashMap<String, K> {
+            let pairs = list.iter().enumerate();
+            pairs
+                .map(|(i, item)| (name(item).to_owned(), key(i as u32)))
+                .collect()
+        }
+        let bundle = Bundle {
+            version,
+            workspace_by_name: index(&self.workspaces, |w| &w.name, WorkspaceKey),
+            model_by_name: index(&self.models, |m| &m.name, ModelKey),
+            service_by_name: index(&self.services, |s| &s.name, ServiceKey),
+            workspace_by_key: self.key_hashes,
+            workspaces: self.workspaces,
+            models: self.models,
+            services: self.services,
+            policy,
+            operators: self.operators,
+        };
+        self.findings.or_ok(bundle)
+    }
+}
+
+/// Finds the places of `names` in `list` and reports those that aren't there.
+fn lookup<T>(
+    names: &[String],
+    list: &[T],
+    name_of: fn(&T) -> &String,
+    mut fault: impl FnMut(String),
+) -> Vec<u32> {
+    let mut found = Vec::new();
+    for name in names {
+        match list.iter().position(|item| name_of(item) == name) {
+            Some(i) => found.push(i as u32),
+            None => fault(format!("{name:?} isn't in the bundle")),
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/notchwalk_bundle/src/lib.rs
@@ -0,0 +1,18 @@
+//! The settings bundle: what operators decide about workspaces, models,
+//! services and policy. Parsing, checking, comparing, signing and digests;
+//! no I/O.
+
+mod bundle;
+mod error;
+mod reader;
+mod sign;
+
+pub mod prelude;
+
+pub use bundle::{
+    Bundle, Model, ModelKey, Operator, Part, PartName, PlainService, Policy, PolicyKind,
+    ServiceKey, Workspace, WorkspaceKey, PART_NAMES,
+};
+pub use error::BundleError;
+pub use reader::{IniFile, SectionReader};
+pub use sign::{key_hash, new_signing_key, Manifest, Signature, SigningKey};
--- /dev/null
+++ b/crates/notchwalk_bundle/src/reader.rs
@@ -0,0 +1,205 @@
+//! Reads INI text and collects every fault with its place. Unknown keys and
+//! sections are faults, since they are most often typing errors.
+
+use std::{cell::RefCell, collections::BTreeSet, fmt::Display, str::FromStr};
+
+use ini::{Ini, ParseOption, Properties};
+use notchwalk_core::Findings;
+
+/// A parsed INI file.
+pub struct IniFile {
+    name: String,
+    ini: Ini,
+    findings: RefCell<Findings>,
+    used_sections: RefCell<BTreeSet<String>>,
+}
+
+impl IniFile {
+    /// Parses `text`; `name` stands in the findings.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text is no INI at all.
+    pub fn parse(name: &str, text: &str) -> Result<Self, Findings> {
+        let option = ParseOption {
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        let ini = Ini::load_from_str_opt(text, option).map_err(|e| {
+            let mut findings = Findings::default();
+            findings.add(name, "", "", format!("line {}: {}", e.line + 1, e.msg));
+            findings
+        })?;
+        Ok(Self {
+            name: name.to_owned(),
+            ini,
+            findings: RefCell::default(),
+            used_sections: RefCell::default(),
+        })
+    }
+
+    /// Returns the section with exactly this name.
+    pub fn section(&self, name: &str) -> SectionReader<'_> {
+        self.used_sections.borrow_mut().insert(name.to_owned());
+        SectionReader::new(self, name, self.ini.section(Some(name)))
+    }
+
+    /// Returns the sections named `KIND NAME`, with their `NAME`s, in order.
+    pub fn sections_of(&self, kind: &str) -> Vec<(String, SectionReader<'_>)> {
+        let mut found = Vec::new();
+        let mut seen = BTreeSet::new();
+        for (title, properties) in self.ini.iter() {
+            let Some(title) = title else { continue };
+            let Some((its_kind, name)) = title.split_once(' ') else {
+                continue;
+            };
+            if its_kind != kind {
+                continue;
+            }
+            self.used_sections.borrow_mut().insert(title.to_owned());
+            let name = name.trim().to_owned();
+            if !seen.insert(name.clone()) {
+                self.add(title, "", "the section stands twice");
+                continue;
+            }
+            found.push((name, SectionReader::new(self, title, Some(properties))));
+        }
+        found
+    }
+
+    /// Records a fault.
+    pub fn add(&self, section: &str, key: &str, reason: impl Into<String>) {
+        let mut findings = self.findings.borrow_mut();
+        findings.add(&self.name, section, key, reason);
+    }
+
+    /// Ends the reading.
+    ///
+    /// # Errors
+    ///
+    /// Returns all faults, unknown sections among them.
+    pub fn finish(self) -> Result<(), Findings> {
+        for (title, properties) in self.ini.iter() {
+            match title {
+                None if properties.is_empty() => {}
+                None => self.add("", "", "keys stand before the first section"),
+                Some(title) if !self.used_sections.borrow().contains(title) => {
+                    self.add(title, "", "unknown section");
+                }
+                Some(_) => {}
+            }
+        }
+        self.findings.into_inner().or_ok(())
+    }
+}
+
+/// Reads the keys of one section; dropping it reports the unknown ones.
+pub struct SectionReader<'a> {
+    file: &'a IniFile,
+    title: String,
+    properties: Option<&'a Properties>,
+    used: RefCell<BTreeSet<String>>,
+}
+
+impl<'a> SectionReader<'a> {
+    fn new(file: &'a IniFile, title: &str, properties: Option<&'a Properties>) -> Self {
+        Self {
+            file,
+            title: title.to_owned(),
+            properties,
+            used: RefCell::default(),
+        }
+    }
+
+    /// Tells whether the section stands in the file.
+    pub fn exists(&self) -> bool {
+        self.properties.is_some()
+    }
+
+    /// Records a fault of a key.
+    pub fn add(&self, key: &str, reason: impl Into<String>) {
+        self.file.add(&self.title, key, reason);
+    }
+
+    /// Returns a key's text, if it is there.
+    pub fn text(&self, key: &str) -> Option<&'a str> {
+        self.used.borrow_mut().insert(key.to_owned());
+        let properties = self.properties?;
+        if properties.get_all(key).count() > 1 {
+            self.add(key, "the key stands twice");
+        }
+        properties.get(key).map(str::trim)
+    }
+
+    /// Returns a key's value, if it is there and readable.
+    pub fn optional<T: FromStr>(&self, key: &str) -> Option<T>
+    where
+        T::Err: Display,
+    {
+        let text = self.text(key)?;
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(e) => {
+                self.add(key, format!("can't read {text:?}: {e}"));
+                None
+            }
+        }
+    }
+
+    /// Returns a key's value, or `default` if it isn't there.
+    pub fn or<T: FromStr>(&self, key: &str, default: T) -> T
+    where
+        T::Err: Display,
+    {
+        self.optional(key).unwrap_or(default)
+    }
+
+    /// Returns a number that must lie within `min..=max`.
+    pub fn within<T>(&self, key: &str, default: T, min: T, max: T) -> T
+    where
+        T: FromStr + PartialOrd + Display + Copy,
+        T::Err: Display,
+    {
+        let value = self.or(key, default);
+        if value < min || value > max {
+            self.add(key, format!("{value} lies outside {min} to {max}"));
+            return default;
+        }
+        value
+    }
+
+    /// Returns a value that must be there.
+    pub fn required<T: FromStr>(&self, key: &str) -> Option<T>
+    where
+        T::Err: Display,
+    {
+        let missing = self.text(key).is_none();
+        if missing {
+            self.add(key, "the key is missing");
+        }
+        self.optional(key)
+    }
+
+    /// Returns a comma-separated list; empty if the key isn't there.
+    pub fn list(&self, key: &str) -> Vec<String> {
+        let text = self.text(key).unwrap_or("");
+        let items = text.split(',').map(str::trim);
+        items
+            .filter(|item| !item.is_empty())
+            .map(str::to_owned)
+            .collect()
+    }
+}
+
+impl Drop for SectionReader<'_> {
+    fn drop(&mut self) {
+        let Some(properties) = self.properties else {
+            return;
+        };
+        for (key, _) in properties.iter() {
+            if !self.used.borrow().contains(key) {
+                self.add(key, "unknown key");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -0,0 +1,90 @@
+//! Numbered log events. `docs/EVENTS.md` catalogues them; a test holds the two
+//! together.
+
+use log::Level;
+
+/// Declares the events once: name, number, level and the catalogue's text.
+macro_rules! log_events {
+    ($($name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        /// What happened, by name.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum LogEventKind {
+            $(#[doc = $text] $name,)*
+        }
+
+        impl LogEventKind {
+            /// Returns the event's number in the catalogue.
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)* }
+            }
+
+            /// Returns the level it is logged at.
+            pub const fn level(self) -> Level {
+                match self { $(Self::$name => Level::$level,)* }
+            }
+
+            /// Returns the catalogue's one-line text.
+            pub const fn text(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+        }
+
+        /// Every event, in the catalogue's order.
+        pub const ALL_LOG_EVENTS: &[LogEventKind] = &[$(LogEventKind::$name,)*];
+    };
+}
+
+log_events! {
+    DaemonStarted = 1001, Info, "the daemon listens on its addresses";
+    DaemonReady = 1002, Info, "a bundle is in force; the daemon is ready";
+    DrainStarted = 1003, Info, "the daemon was told to stop and drains";
+    DaemonStopped = 1004, Info, "the last request ended; the daemon ends";
+    RequestPanicked = 1005, Error, "a task panicked; its request failed and the daemon goes on";
+    BundleInForce = 2001, Info, "a bundle version came into force";
+    BundleRefused = 2002, Warn, "an offered bundle was refused: older, unsigned or faulty";
+    PlatformDown = 2003, Warn, "a call to the platform failed";
+    PlatformUp = 2004, Info, "the platform answers again";
+    PeerAlive = 3001, Info, "a peer daemon answers";
+    PeerSuspect = 3002, Info, "a peer's heartbeat is late; others are asked";
+    PeerDead = 3003, Warn, "a peer daemon is taken for dead";
+    PeerRejected = 3004, Warn, "a connection failed to prove itself with a peer key";
+    PeerGarbage = 3005, Warn, "a peer sent a frame that can't be read; the connection was closed";
+    ServerLeaving = 4001, Info, "a backend server leaves; it gets no new work";
+    CircuitOpened = 4002, Warn, "a backend server failed repeatedly; it gets no work for a while";
+    CircuitClosed = 4003, Info, "a backend server serves again";
+    MemorySwept = 4004, Info, "memory of ended requests was freed on an engine";
+    AttemptRetried = 5001, Info, "an attempt broke; the request goes on with another";
+    RequestTimedOut = 5002, Info, "a request reached its deadline";
+    RequestRefused = 5003, Debug, "a request was refused before it ran";
+    ClaimUnknown = 5004, Warn, "a claim's fate could not be learned in time";
+    FrameDropped = 5005, Info, "a late or crossed frame was dropped";
+    OrderSent = 6001, Info, "an order went to an engine";
+    OrderRefused = 6002, Warn, "an engine refused an order";
+    LeaseHeld = 6003, Info, "this daemon holds the order lease";
+    LeaseLost = 6004, Warn, "the order lease lapsed or was taken";
+}
+
+/// One event to log: its kind and the facts that belong to it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogEvent {
+    /// What happened.
+    pub kind: LogEventKind,
+    /// The facts, as `key=value` pairs.
+    pub facts: String,
+}
+
+impl LogEvent {
+    /// Builds an event.
+    pub fn new(kind: LogEventKind, facts: impl Into<String>) -> Self {
+        Self {
+            kind,
+            facts: facts.into(),
+        }
+    }
+
+    /// Writes the event to the process's log.
+    pub fn emit(&self) {
+        let number = self.kind.number();
+        log::log!(target: "notchwalk", self.kind.level(), "NW{number} {} {}", self.kind.text(), self.facts);
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_decide/src/admission.rs
@@ -0,0 +1,207 @@
+//! Admission: what is refused at the door, before it costs anything.
+
+use std::time::Duration;
+
+use notchwalk_bundle::PolicyKind;
+use notchwalk_core::{Attempt, RequestId, Tokens};
+use notchwalk_wire::OutcomeWord;
+use rand::Rng;
+
+use crate::{
+    catalog::{GroupKey, WorkspaceSlot},
+    claim, credit,
+    effect::{Effect, Failure, FailureCode},
+    event::{Arrival, Work},
+    lane::Lane,
+    node::{Cx, Node},
+    request::{Phase, Request},
+    schedule,
+    timer::TimerKind,
+};
+
+/// The shortest time to come back after, in milliseconds.
+const MIN_RETRY_AFTER_MS: u64 = 200;
+/// The longest.
+const MAX_RETRY_AFTER_MS: u64 = 60_000;
+/// The priority of a request that asks for none.
+const DEFAULT_PRIORITY: u8 = 5;
+
+/// Returns a jittered time to come back after, around `ms`.
+pub(crate) fn retry_after(node: &mut Node, ms: u64) -> Option<u64> {
+    let ms = ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+    Some(node.rng.random_range(ms * 3 / 4..=ms * 5 / 4))
+}
+
+struct Sized {
+    group: GroupKey,
+    lane: Lane,
+    /// The least time it needs alone, in microseconds.
+    alone_us: u64,
+}
+
+/// Admits a request or refuses it as not run.
+pub(crate) fn on_arrive(node: &mut Node, cx: &mut Cx<'_>, arrival: Arrival) {
+    node.counters.arrived += 1;
+    let caller = arrival.caller;
+    if let Err((code, retry_ms)) = admit(node, cx, arrival) {
+        node.counters.refused += 1;
+        let retry_after_ms = retry_ms.and_then(|ms| retry_after(node, ms));
+        let failure = Failure {
+            code,
+            outcome: OutcomeWord::NotRun,
+            retry_after_ms,
+        };
+        cx.emit(Effect::Refuse { caller, failure });
+    }
+}
+
+fn admit(
+    node: &mut Node,
+    cx: &mut Cx<'_>,
+    arrival: Arrival,
+) -> Result<(), (FailureCode, Option<u64>)> {
+    const SOON_MS: u64 = 1_000;
+    let Some(bundle) = node.catalog.bundle.clone() else {
+        return Err((FailureCode::NotReady, Some(SOON_MS)));
+    };
+    if node.drain.refuses(cx.now) {
+        return Err((FailureCode::Draining, Some(SOON_MS)));
+    }
+    let workspace = bundle.workspace(arrival.workspace);
+    let slot = node.catalog.slot(arrival.workspace);
+    let policy = &bundle.policy;
+    if node.requests.len() >= policy.max_requests as usize {
+        let wait = waiting_ms(node, cx, None, slot, workspace.weight);
+        return Err((FailureCode::EntryFull, Some(wait.max(SOON_MS))));
+    }
+    if let Work::Generate(work) = &arrival.work {
+        let model = &bundle.models[work.model.index()];
+        let whole = work.prompt_tokens + Tokens::from(work.max_tokens);
+        if whole > model.context_tokens {
+            return Err((FailureCode::ContextExceeded, None));
+        }
+    }
+    let sized = size_up(node, &arrival.work);
+    let state = node.catalog.workspace(slot);
+    if state.queued >= workspace.max_queued && state.in_flight >= workspace.max_in_flight
+        || state.queued > workspace.max_queued
+    {
+        let wait = waiting_ms(node, cx, Some(sized.group), slot, workspace.weight);
+        return Err((FailureCode::WorkspaceQueueFull, Some(wait.max(SOON_MS))));
+    }
+    let timeout_ms = arrival.timeout_ms.unwrap_or(policy.default_timeout_ms);
+    let timeout_ms = timeout_ms.clamp(1, policy.max_timeout_ms);
+    if policy.kind == PolicyKind::Fair {
+        let wait = waiting_ms(node, cx, Some(sized.group), slot, workspace.weight);
+        if wait + sized.alone_us / 1_000 > timeout_ms {
+            return Err((FailureCode::DeadlineTooClose, Some(wait.max(SOON_MS))));
+        }
+    }
+    let priority = arrival.priority.unwrap_or(DEFAULT_PRIORITY);
+    let seq = node.next_seq;
+    node.next_seq += 1;
+    let request = Request {
+        id: RequestId {
+            vm: node.cfg.vm,
+            boot: node.cfg.boot,
+            seq,
+        },
+        caller: arrival.caller,
+        workspace: slot,
+        group: sized.group,
+        lane: sized.lane,
+        seq,
+        priority: priority.min(workspace.priority_max),
+        arrived: cx.now,
+        deadline: cx.now.after(Duration::from_millis(timeout_ms)),
+        phase: Phase::Queued,
+        running: None,
+        attempt: Attempt(0),
+        delivered: 0,
+        sent: false,
+        failures: 0,
+        avoid: None,
+        charged_us: 0,
+        claim: claim::new_claim(&arrival, &bundle),
+        queued_at: None,
+        plan: None,
+        work: arrival.work,
+    };
+    enter(node, cx, request);
+    Ok(())
+}
+
+fn enter(node: &mut Node, cx: &mut Cx<'_>, request: Request) {
+    let (id, caller, deadline) = (request.id, request.caller, request.deadline);
+    let (slot, group) = (request.workspace, request.group);
+    let claims = request.claim.is_some();
+    let key = node.requests.insert(request);
+    node.by_seq.insert(id.seq, key);
+    node.timers.set(deadline, key, TimerKind::Deadline);
+    credit::work_came(node, slot, group);
+    cx.emit(Effect::Admitted {
+        caller,
+        request: key,
+        id,
+    });
+    if claims {
+        claim::start(node, cx, key);
+        return;
+    }
+    schedule::enqueue(node, key);
+}
+
+fn size_up(node: &mut Node, work: &Work) -> Sized {
+    match work {
+        Work::Call(call) => Sized {
+            group: node.catalog.service_group(call.service),
+            lane: Lane::Short,
+            alone_us: 0,
+        },
+        Work::Generate(work) => {
+            let group = node.catalog.model_group(work.model);
+            let cached = best_cached(node, group, &work.prefix);
+            let cost = &node.costs[group.index()];
+            let uncached = work.prompt_tokens.saturating_sub(cached);
+            Sized {
+                group,
+                lane: Lane::of(uncached),
+                alone_us: cost.prompt_us(uncached),
+            }
+        }
+    }
+}
+
+/// Returns the most tokens of a prompt that any engine is believed to cache.
+fn best_cached(node: &Node, group: GroupKey, prefix: &[u64]) -> Tokens {
+    if prefix.is_empty() {
+        return 0;
+    }
+    let servers = node.servers.of_group(group).iter();
+    let cached = servers.map(|key| node.servers.arena[*key].prefix.cached_tokens(prefix));
+    cached.max().unwrap_or(0)
+}
+
+/// Estimates how long a workspace's next request will wait, in milliseconds:
+/// what it has waiting, served at its share of what this entry's shares of the
+/// engines do.
+pub(crate) fn waiting_ms(
+    node: &mut Node,
+    cx: &Cx<'_>,
+    group: Option<GroupKey>,
+    slot: WorkspaceSlot,
+    weight: f64,
+) -> u64 {
+    let Some(group) = group else {
+        return MIN_RETRY_AFTER_MS;
+    };
+    let ahead = node.queue.group_cost_us(group);
+    if ahead == 0 {
+        return 0;
+    }
+    let engines = credit::shares_of_group(node, cx.now, group).max(0.05);
+    let own = node.queue.workspace_cost_us(slot) as f64;
+    let active = node.queue.active_weight().max(weight);
+    let fair = own * active / weight;
+    (fair.min(ahead as f64) / engines / 1_000.0) as u64
+}
--- /dev/null
+++ b/crates/notchwalk_http/src/client.rs
@@ -0,0 +1,322 @@
+//! An HTTP client with a pool of idle connections for each address.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{header, HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use monoio::net::TcpStream;
+use serde::{de::DeserializeOwned, Serialize};
+
+use crate::{request_head, BodyReader, Connection, HttpError};
+
+/// Idle connections kept for each address.
+const MAX_IDLE: usize = 256;
+/// How long a connection may lie idle. Servers here close after a longer time.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// How long connecting may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest chunk of a response.
+const MAX_CHUNK_BYTES: usize = 16 << 20;
+/// Bodies up to this size are written together with the head.
+const JOIN_BYTES: usize = 64 * 1024;
+
+/// Whether a pooled connection may carry the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// A pooled connection may be used; it can turn out to be closed.
+    Pooled,
+    /// Only a fresh connection, so that a refused one proves that nothing was
+    /// sent.
+    Fresh,
+}
+
+/// A request about to be sent.
+pub struct OutgoingRequest {
+    /// The method.
+    pub method: Method,
+    /// The path with its query.
+    pub path: String,
+    /// Headers besides host and framing.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// Whether a pooled connection may carry it.
+    pub reuse: Reuse,
+}
+
+impl OutgoingRequest {
+    /// Builds a request without a body.
+    pub fn new(method: Method, path: impl Into<String>) -> Self {
+        Self {
+            method,
+            path: path.into(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            reuse: Reuse::Pooled,
+        }
+    }
+
+    /// Adds a header.
+    pub fn with_header(mut self, name: HeaderName, value: HeaderValue) -> Self {
+        self.headers.insert(name, value);
+        self
+    }
+
+    /// Sets the body.
+    pub fn with_body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Sets a JSON body.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the value can't be written as JSON, which no message type of
+    /// ours does.
+    pub fn with_json<T: Serialize>(self, value: &T) -> Self {
+        let json = HeaderValue::from_static("application/json");
+        let body = serde_json::to_vec(value).expect("message types serialize");
+        self.with_header(header::CONTENT_TYPE, json).with_body(body)
+    }
+
+    /// Sets whether a pooled connection may be used.
+    pub fn with_reuse(mut self, reuse: Reuse) -> Self {
+        self.reuse = reuse;
+        self
+    }
+}
+
+/// A response whose body was read whole.
+pub struct WholeResponse {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl WholeResponse {
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is something else.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, serde_json::Error> {
+        serde_json::from_slice(&self.body)
+    }
+}
+
+struct Idle {
+    conn: Connection,
+    since: Instant,
+}
+
+type Pool = Rc<RefCell<HashMap<SocketAddr, Vec<Idle>>>>;
+
+/// A client; clones share the pool.
+#[derive(Clone, Default)]
+pub struct Client {
+    pool: Pool,
+}
+
+impl Client {
+    /// Builds a client with an empty pool.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    async fn connect(addr: SocketAddr) -> Result<Connection, HttpError> {
+        let connect = TcpStream::connect_addr(addr);
+        let stream = match monoio::time::timeout(CONNECT_TIMEOUT, connect).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(HttpError::Connect(e)),
+            Err(_) => return Err(HttpError::Connect(std::io::ErrorKind::TimedOut.into())),
+        };
+        Connection::new(stream).map_err(HttpError::Connect)
+    }
+
+    /// Takes a pooled connection that can still be used.
+    async fn idle_connection(&self, addr: SocketAddr) -> Option<Connection> {
+        loop {
+            let idle = self.pool.borrow_mut().get_mut(&addr)?.pop();
+            let mut idle = idle?;
+            if idle.since.elapsed() < IDLE_TIMEOUT && !idle.conn.is_stale().await {
+                return Some(idle.conn);
+            }
+        }
+    }
+
+    /// Returns a connection to `addr`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be made.
+    pub async fn connection(
+        &self,
+        addr: SocketAddr,
+        reuse: Reuse,
+    ) -> Result<Connection, HttpError> {
+        if reuse == Reuse::Pooled {
+            if let Some(conn) = self.idle_connection(addr).await {
+                return Ok(conn);
+            }
+        }
+        Self::connect(addr).await
+    }
+
+    /// Sends a request and reads the response's head.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the connection does; [`HttpError::nothing_sent`] tells whether
+    /// the server can have seen the request.
+    pub async fn stream(
+        &self,
+        addr: SocketAddr,
+        req: OutgoingRequest,
+    ) -> Result<StreamedResponse, HttpError> {
+        let mut conn = self.connection(addr, req.reuse).await?;
+        let host = addr.to_string();
+        let length = Some(req.body.len());
+        let mut head = request_head(&req.method, &req.path, &host, &req.headers, length);
+        if req.body.len() <= JOIN_BYTES {
+            head.extend_from_slice(&req.body);
+            conn.write_all(&head).await?;
+        } else {
+            conn.write_all(&head).await?;
+            conn.write_all(&req.body).await?;
+        }
+        self.receive(addr, conn, &req.method).await
+    }
+
+    /// Reads the head of the response on a connection whose request was
+    /// written by the caller.
+    ///
+    /// # Errors
+    ///
+    /// Fails on malformed heads and closed connections.
+    pub async fn receive(
+        &self,
+        addr: SocketAddr,
+        mut conn: Connection,
+        method: &Method,
+    ) -> Result<StreamedResponse, HttpError> {
+        let head = conn.read_response_head().await?;
+        let body = match *method {
+            Method::HEAD => BodyReader::Done,
+            _ => BodyReader::for_response(head.status, &head.headers)?,
+        };
+        let close = head.headers.get(header::CONNECTION);
+        let close = close.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+        Ok(StreamedResponse {
+            status: head.status,
+            reusable: !close && !matches!(body, BodyReader::UntilClose),
+            headers: head.headers,
+            conn,
+            body,
+            addr,
+            pool: self.pool.clone(),
+        })
+    }
+
+    /// Sends a request and reads the whole response, at most `limit` bytes,
+    /// within `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::stream`] does and when time runs out.
+    pub async fn send(
+        &self,
+        addr: SocketAddr,
+        req: OutgoingRequest,
+        timeout: Duration,
+        limit: usize,
+    ) -> Result<WholeResponse, HttpError> {
+        let exchange = async { self.stream(addr, req).await?.whole(limit).await };
+        match monoio::time::timeout(timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(HttpError::TimedOut),
+        }
+    }
+}
+
+/// A response whose body is still to be read.
+pub struct StreamedResponse {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    conn: Connection,
+    body: BodyReader,
+    addr: SocketAddr,
+    pool: Pool,
+    reusable: bool,
+}
+
+impl StreamedResponse {
+    /// Reads the next piece of the body; `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails on malformed framing and when the connection closes early.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, HttpError> {
+        if self.body.is_done() {
+            return Ok(None);
+        }
+        let piece = self
+            .conn
+            .read_piece(&mut self.body, MAX_CHUNK_BYTES)
+            .await?;
+        Ok((!piece.is_empty()).then_some(piece))
+    }
+
+    /// Returns a further piece if one has already arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails on malformed framing.
+    pub fn buffered(&mut self) -> Result<Option<Bytes>, HttpError> {
+        let piece = self.conn.buffered_piece(&mut self.body)?;
+        Ok(piece.filter(|p| !p.is_empty()))
+    }
+
+    /// Reads the rest of the body, at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the connection does.
+    pub async fn whole(mut self, limit: usize) -> Result<WholeResponse, HttpError> {
+        let body = self.conn.read_body(&mut self.body, limit).await?;
+        let (status, headers) = (self.status, std::mem::take(&mut self.headers));
+        self.release();
+        Ok(WholeResponse {
+            status,
+            headers,
+            body,
+        })
+    }
+
+    /// Gives the connection back to the pool if its body was read whole, and
+    /// closes it otherwise.
+    pub fn release(self) {
+        if !self.reusable || !self.body.is_done() {
+            return;
+        }
+        let mut pool = self.pool.borrow_mut();
+        let idle = pool.entry(self.addr).or_default();
+        if idle.len() < MAX_IDLE {
+            idle.push(Idle {
+                conn: self.conn,
+                since: Instant::now(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_http/src/connection.rs
@@ -0,0 +1,224 @@
+//! One TCP connection that carries HTTP messages, with a bounded read buffer.
+
+use std::{future::Future, io, pin::Pin, task::Poll};
+
+use bytes::{Bytes, BytesMut};
+use monoio::{
+    io::IntoPollIo,
+    net::{tcp::stream_poll::TcpStreamPoll, TcpStream},
+};
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::{
+    common::{request::RequestHead, response::ResponseHead},
+    h1::codec::decoder::{DecodeError, RequestHeadDecoder, ResponseHeadDecoder},
+};
+use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+use crate::{BodyReader, HttpError};
+
+/// The largest head accepted, in bytes.
+pub const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Bytes read at a time.
+const READ_BYTES: usize = 16 * 1024;
+/// Bytes a peer may send ahead while its last request is still being served.
+const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+
+/// A connection and what was read from it but not yet decoded.
+pub struct Connection {
+    io: TcpStreamPoll,
+    rbuf: BytesMut,
+}
+
+impl Connection {
+    /// Wraps a connected stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket can't be set up.
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        Ok(Self {
+            io: stream.into_poll_io()?,
+            rbuf: BytesMut::new(),
+        })
+    }
+
+    /// Reads more bytes; returns how many, 0 at the end of the stream. Safe to
+    /// cancel.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the socket.
+    pub async fn read_more(&mut self) -> io::Result<usize> {
+        self.rbuf.reserve(READ_BYTES);
+        self.io.read_buf(&mut self.rbuf).await
+    }
+
+    /// Waits until at least one byte of the next message is there; `false`
+    /// means that the peer closed.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the socket.
+    pub async fn wait_readable(&mut self) -> io::Result<bool> {
+        Ok(!self.rbuf.is_empty() || self.read_more().await? > 0)
+    }
+
+    /// Reads a request head.
+    ///
+    /// # Errors
+    ///
+    /// Fails on malformed or oversized heads and closed connections.
+    pub async fn read_request_head(&mut self) -> Result<RequestHead, HttpError> {
+        self.read_head(RequestHeadDecoder).await
+    }
+
+    /// Reads a response head, passing over interim responses.
+    ///
+    /// # Errors
+    ///
+    /// Fails on malformed or oversized heads and closed connections.
+    pub async fn read_response_head(&mut self) -> Result<ResponseHead, HttpError> {
+        loop {
+            let head = self.read_head(ResponseHeadDecoder).await?;
+            if !head.status.is_informational() {
+                return Ok(head);
+            }
+        }
+    }
+
+    async fn read_head<D>(&mut self, mut decoder: D) -> Result<D::Item, HttpError>
+    where
+        D: Decoder<Error = DecodeError>,
+    {
+        loop {
+            match decoder.decode(&mut self.rbuf) {
+                Ok(Decoded::Some(head)) => return Ok(head),
+                Ok(_) => {}
+                Err(e) => return Err(HttpError::Head(e.to_string())),
+            }
+            if self.rbuf.len() > MAX_HEAD_BYTES {
+                return Err(HttpError::HeadTooLarge(MAX_HEAD_BYTES));
+            }
+            if self.read_more().await? == 0 {
+                return Err(HttpError::Closed);
+            }
+        }
+    }
+
+    /// Reads the next piece of a body, an empty one at its end. A chunk larger
+    /// than `max_piece` bytes is refused.
+    ///
+    /// # Errors
+    ///
+    /// Fails on malformed framing, oversized chunks and closed connections.
+    pub async fn read_piece(
+        &mut self,
+        body: &mut BodyReader,
+        max_piece: usize,
+    ) -> Result<Bytes, HttpError> {
+        loop {
+            if let Some(piece) = body.decode(&mut self.rbuf)? {
+                return Ok(piece);
+            }
+            if self.rbuf.len() > max_piece + READ_BYTES {
+                return Err(HttpError::BodyTooLarge(max_piece));
+            }
+            if self.read_more().await? > 0 {
+                continue;
+            }
+            if matches!(body, BodyReader::UntilClose) {
+                *body = BodyReader::Done;
+                return Ok(Bytes::new());
+            }
+            return Err(HttpError::Closed);
+        }
+    }
+
+    /// Takes a further piece if one is already buffered.
+    ///
+    /// # Errors
+    ///
+    /// Fails on malformed framing.
+    pub fn buffered_piece(&mut self, body: &mut BodyReader) -> Result<Option<Bytes>, HttpError> {
+        if body.is_done() {
+            return Ok(None);
+        }
+        body.decode(&mut self.rbuf)
+    }
+
+    /// Reads a whole body of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails as soon as the body is known to be too large, and as
+    /// [`Self::read_piece`] does.
+    pub async fn read_body(
+        &mut self,
+        body: &mut BodyReader,
+        limit: usize,
+    ) -> Result<Bytes, HttpError> {
+        if body.declared().is_some_and(|n| n > limit as u64) {
+            return Err(HttpError::BodyTooLarge(limit));
+        }
+        let declared = body.declared().unwrap_or(0) as usize;
+        let mut whole = BytesMut::with_capacity(declared);
+        loop {
+            let piece = self.read_piece(body, limit).await?;
+            if piece.is_empty() && body.is_done() {
+                return Ok(whole.freeze());
+            }
+            if whole.len() + piece.len() > limit {
+                return Err(HttpError::BodyTooLarge(limit));
+            }
+            whole.extend_from_slice(&piece);
+            if body.is_done() {
+                return Ok(whole.freeze());
+            }
+        }
+    }
+
+    /// Writes all of `data`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the socket.
+    pub async fn write_all(&mut self, data: &[u8]) -> io::Result<()> {
+        self.io.write_all(data).await
+    }
+
+    /// Resolves when the peer closes or breaks the connection; bytes that come
+    /// meanwhile are kept, up to a bound. Safe to cancel.
+    pub async fn closed(&mut self) {
+        loop {
+            if self.rbuf.len() > MAX_READ_AHEAD_BYTES {
+                return std::future::pending().await;
+            }
+            match self.read_more().await {
+                Ok(n) if n > 0 => continue,
+                _ => return,
+            }
+        }
+    }
+
+    /// Tells whether the idle connection was closed or sent something unasked,
+    /// so that it must not be used again.
+    pub async fn is_stale(&mut self) -> bool {
+        if !self.rbuf.is_empty() {
+            return true;
+        }
+        self.rbuf.reserve(READ_BYTES);
+        let Self { io, rbuf } = self;
+        let mut read = std::pin::pin!(io.read_buf(rbuf));
+        std::future::poll_fn(|cx| {
+            let ready = read.as_mut().poll(cx).is_ready();
+            Poll::Ready(ready)
+        })
+        .await
+    }
+
+    /// Closes the sending side, so that what was written still arrives.
+    pub async fn shutdown(&mut self) {
+        let _ = std::future::poll_fn(|cx| Pin::new(&mut self.io).poll_shutdown(cx)).await;
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_http/src/error.rs
@@ -0,0 +1,45 @@
+//! What can go wrong on an HTTP connection.
+
+use std::io;
+
+use derive_more::{Display, Error, From};
+
+/// A failed exchange.
+#[derive(Debug, Display, Error, From)]
+pub enum HttpError {
+    /// The socket failed.
+    #[display("socket: {_0}")]
+    Io(io::Error),
+    /// The peer closed before the message was whole.
+    #[display("the connection closed before the message was whole")]
+    Closed,
+    /// The head is malformed.
+    #[display("malformed head: {_0}")]
+    #[from(ignore)]
+    Head(#[error(not(source))] String),
+    /// The head is larger than allowed.
+    #[display("the head is larger than {_0} bytes")]
+    #[from(ignore)]
+    HeadTooLarge(#[error(not(source))] usize),
+    /// The body's framing is malformed.
+    #[display("malformed body framing")]
+    Framing,
+    /// The body is larger than allowed.
+    #[display("the body is larger than {_0} bytes")]
+    #[from(ignore)]
+    BodyTooLarge(#[error(not(source))] usize),
+    /// The peer took too long.
+    #[display("timed out")]
+    TimedOut,
+    /// No connection could be made, so no byte was sent.
+    #[display("connect: {_0}")]
+    #[from(ignore)]
+    Connect(io::Error),
+}
+
+impl HttpError {
+    /// Tells whether the failure proves that no byte of a request was sent.
+    pub fn nothing_sent(&self) -> bool {
+        matches!(self, Self::Connect(_))
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_http/src/head.rs
@@ -0,0 +1,61 @@
+//! Framing of heads and chunks.
+
+use std::io::Write;
+
+use http::{header, HeaderMap, Method, StatusCode};
+
+/// The chunk that ends a streamed body.
+pub const CHUNK_END: &[u8] = b"0\r\n\r\n";
+
+/// Frames a response head. `length` is the body's size, `None` for a streamed
+/// body.
+pub fn response_head(status: StatusCode, headers: &HeaderMap, length: Option<usize>) -> Vec<u8> {
+    let mut buf = Vec::with_capacity(256);
+    let reason = status.canonical_reason().unwrap_or("");
+    let _ = write!(buf, "HTTP/1.1 {} {reason}\r\n", status.as_u16());
+    finish_head(&mut buf, headers, length);
+    buf
+}
+
+/// Frames a request head.
+pub fn request_head(
+    method: &Method,
+    path: &str,
+    host: &str,
+    headers: &HeaderMap,
+    length: Option<usize>,
+) -> Vec<u8> {
+    let mut buf = Vec::with_capacity(256);
+    let _ = write!(buf, "{method} {path} HTTP/1.1\r\nhost: {host}\r\n");
+    finish_head(&mut buf, headers, length);
+    buf
+}
+
+fn finish_head(buf: &mut Vec<u8>, headers: &HeaderMap, length: Option<usize>) {
+    for (name, value) in headers {
+        if *name == header::CONTENT_LENGTH || *name == header::TRANSFER_ENCODING {
+            continue;
+        }
+        buf.extend_from_slice(name.as_str().as_bytes());
+        buf.extend_from_slice(b": ");
+        buf.extend_from_slice(value.as_bytes());
+        buf.extend_from_slice(b"\r\n");
+    }
+    match length {
+        Some(n) => {
+            let _ = write!(buf, "content-length: {n}\r\n\r\n");
+        }
+        None => buf.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n"),
+    }
+}
+
+/// Appends `data` to `buf` as one chunk; empty data adds nothing, since an
+/// empty chunk would end the body.
+pub fn chunk_into(buf: &mut Vec<u8>, data: &[u8]) {
+    if data.is_empty() {
+        return;
+    }
+    let _ = write!(buf, "{:x}\r\n", data.len());
+    buf.extend_from_slice(data);
+    buf.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/notchwalk_platform/src/http_client.rs
@@ -0,0 +1,103 @@
+//! The platform over HTTP.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use notchwalk_http::prelude::*;
+use notchwalk_wire::{
+    TableRead, TableReadAnswer, TableTransaction, TableTransactionAnswer, VmRecord,
+};
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+
+use crate::{ObjectStore, PlatformError, PlatformFuture, TableStore, VmList, WeightStore};
+
+/// How long a call may take.
+const TIMEOUT: Duration = Duration::from_millis(1_200);
+/// The largest answer, in bytes.
+const MAX_ANSWER: usize = 64 << 20;
+
+/// A client of the platform at one address.
+pub struct HttpPlatform {
+    client: Client,
+    addr: SocketAddr,
+}
+
+#[derive(Serialize, Deserialize)]
+struct WeightWait {
+    wait_s: f64,
+}
+
+impl HttpPlatform {
+    /// Builds a client.
+    pub fn new(client: Client, addr: SocketAddr) -> Self {
+        Self { client, addr }
+    }
+
+    async fn call(&self, req: OutgoingRequest) -> Result<WholeResponse, PlatformError> {
+        let sent = self.client.send(self.addr, req, TIMEOUT, MAX_ANSWER).await;
+        let answer = sent.map_err(|e| match e.nothing_sent() {
+            true => PlatformError::Unreachable(e.to_string()),
+            false => PlatformError::NoAnswer(e.to_string()),
+        })?;
+        let status = answer.status;
+        if status.is_success() || status == StatusCode::NOT_FOUND {
+            return Ok(answer);
+        }
+        Err(PlatformError::Refused(status.to_string()))
+    }
+
+    async fn call_json<T: DeserializeOwned>(
+        &self,
+        req: OutgoingRequest,
+    ) -> Result<T, PlatformError> {
+        let answer = self.call(req).await?;
+        answer
+            .json()
+            .map_err(|e| PlatformError::NoAnswer(e.to_string()))
+    }
+}
+
+impl TableStore for HttpPlatform {
+    fn transact(&self, tx: TableTransaction) -> PlatformFuture<'_, TableTransactionAnswer> {
+        let req = OutgoingRequest::new(Method::POST, "/table/transaction").with_json(&tx);
+        Box::pin(self.call_json(req))
+    }
+
+    fn read(&self, read: TableRead) -> PlatformFuture<'_, TableReadAnswer> {
+        let req = OutgoingRequest::new(Method::POST, "/table/read").with_json(&read);
+        Box::pin(self.call_json(req))
+    }
+}
+
+impl ObjectStore for HttpPlatform {
+    fn put(&self, key: String, data: Bytes) -> PlatformFuture<'_, ()> {
+        let req = OutgoingRequest::new(Method::PUT, format!("/objects/{key}")).with_body(data);
+        Box::pin(async move { self.call(req).await.map(|_| ()) })
+    }
+
+    fn get(&self, key: String) -> PlatformFuture<'_, Option<Bytes>> {
+        let req = OutgoingRequest::new(Method::GET, format!("/objects/{key}"));
+        Box::pin(async move {
+            let answer = self.call(req).await?;
+            Ok((answer.status != StatusCode::NOT_FOUND).then_some(answer.body))
+        })
+    }
+}
+
+impl VmList for HttpPlatform {
+    fn vms(&self) -> PlatformFuture<'_, Vec<VmRecord>> {
+        Box::pin(self.call_json(OutgoingRequest::new(Method::GET, "/vms")))
+    }
+}
+
+impl WeightStore for HttpPlatform {
+    fn reserve(&self, bytes: u64) -> PlatformFuture<'_, f64> {
+        let path = format!("/weights/reserve?bytes={bytes}");
+        let req = OutgoingRequest::new(Method::POST, path);
+        Box::pin(async move {
+            let wait: WeightWait = self.call_json(req).await?;
+            Ok(wait.wait_s)
+        })
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_platform/src/lib.rs
@@ -0,0 +1,18 @@
+//! The platform that operators run already: a transactional table, an object
+//! store, the VM list and the weight store. Trait objects at the border, and
+//! clients that speak HTTP.
+
+mod bundles;
+mod error;
+mod http_client;
+mod traits;
+
+pub mod prelude;
+
+pub use bundles::{
+    fetch_bundle, fetch_head, fetch_manifest, fetch_part, submit, BundleHead, FetchedBundle,
+    SubmitError, HEAD_KEY,
+};
+pub use error::PlatformError;
+pub use http_client::HttpPlatform;
+pub use traits::{ObjectStore, Platform, PlatformFuture, TableStore, VmList, WeightStore};
--- /dev/null
+++ b/crates/notchwalk_standin/src/bench/mod.rs
@@ -0,0 +1,49 @@
+//! Benches: each measures one thing and prints one JSON object on its last
+//! line.
+
+mod relay;
+mod steps;
+
+use serde_json::{Map, Value};
+
+/// How a bench is run.
+#[derive(Clone, Copy, Debug)]
+pub struct BenchOptions {
+    /// The seed of its traffic.
+    pub seed: u64,
+    /// About how long each measured phase takes, in seconds.
+    pub seconds: u64,
+}
+
+/// What a bench measured, by key.
+pub type Figures = Map<String, Value>;
+
+/// A bench: its name, what it measures, and how.
+pub struct Bench {
+    /// The name on the command line.
+    pub name: &'static str,
+    /// What it measures.
+    pub about: &'static str,
+    /// Runs it.
+    pub run: fn(&BenchOptions) -> Figures,
+}
+
+/// All benches.
+pub const BENCHES: &[Bench] = &[
+    Bench {
+        name: "relay",
+        about: "what the daemon adds to the first token, and tokens a second through one",
+        run: relay::run,
+    },
+    Bench {
+        name: "steps",
+        about: "events a second through the reducer, with 10 and 37,000 workspaces",
+        run: steps::run,
+    },
+];
+
+/// Rounds a figure for printing.
+pub(crate) fn rounded(x: f64, digits: i32) -> Value {
+    let factor = 10f64.powi(digits);
+    Value::from((x * factor).round() / factor)
+}
--- /dev/null
+++ b/crates/notchwalk_standin/src/engine/api.rs
@@ -0,0 +1,528 @@
+//! The HTTP API of a stand-in engine.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{header, HeaderMap, HeaderValue, Method, StatusCode};
+use local_sync::mpsc::unbounded;
+use monoio::net::TcpListener;
+use notchwalk_core::{Attempt, RequestId};
+use notchwalk_decide::block_hashes;
+use notchwalk_http::{
+    chunk_into, serve, Exchange, HttpError, LocalBoxFuture, ServerLimits, Service,
+};
+use notchwalk_wire::{
+    CancelAnswer, CancelRequest, EngineFinish, EngineFrame, EngineRefusal, GenerateRequest,
+    Holdings, OrderAnswer, OrderRequest, Prompt, SegmentAnswer, SegmentRequest, WantedState,
+};
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+
+use super::{
+    config::EngineConfig,
+    fault::Fault,
+    sequence::{Goal, Output, Sequence},
+    simulation::Simulation,
+};
+use crate::answer::AnswerSeed;
+
+/// The largest body, in bytes.
+const MAX_BODY: usize = 256 << 20;
+/// How long an idle engine sleeps between looks.
+const IDLE: Duration = Duration::from_micros(500);
+
+/// Counts of a stand-in engine, for tests and benches.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineCounts {
+    /// Work accepted.
+    pub received: u64,
+    /// Milliseconds since work was last accepted.
+    pub last_received_ms_ago: Option<u64>,
+    /// Memory held, in tokens.
+    pub used_tokens: u64,
+    /// Prompt tokens computed.
+    pub computed_tokens: u64,
+    /// Answer tokens made.
+    pub generated_tokens: u64,
+    /// Evictions for want of memory.
+    pub evictions: u64,
+    /// Orders with an old fencing number that were carried out.
+    pub stale_orders_run: u64,
+}
+
+/// A running stand-in engine.
+#[derive(Clone)]
+pub struct EngineHandle {
+    sim: Rc<RefCell<Simulation>>,
+    fence: Rc<RefCell<FenceState>>,
+    other: Rc<RefCell<Option<(RequestId, Attempt)>>>,
+}
+
+#[derive(Default)]
+struct FenceState {
+    highest: u64,
+    stale_run: u64,
+}
+
+/// Starts a stand-in engine on a listener.
+///
+/// # Errors
+///
+/// Fails if the listener can't be used.
+pub fn serve_engine(
+    listener: std::net::TcpListener,
+    config: EngineConfig,
+) -> std::io::Result<(SocketAddr, EngineHandle)> {
+    listener.set_nonblocking(true)?;
+    let addr = listener.local_addr()?;
+    let listener = TcpListener::from_std(listener)?;
+    let handle = EngineHandle {
+        sim: Rc::new(RefCell::new(Simulation::new(config))),
+        fence: Rc::default(),
+        other: Rc::default(),
+    };
+    monoio::spawn(run_steps(handle.sim.clone()));
+    let service: Rc<dyn Service> = Rc::new(handle.clone());
+    monoio::spawn(serve(listener, ServerLimits::default(), service));
+    Ok((addr, handle))
+}
+
+/// Runs the engine's steps for ever, on an absolute schedule.
+async fn run_steps(sim: Rc<RefCell<Simulation>>) {
+    const MAX_BEHIND: Duration = Duration::from_millis(50);
+    let mut due = std::time::Instant::now();
+    loop {
+        let hung = matches!(sim.borrow().fault, Fault::Hung | Fault::Dead);
+        let took = if hung { None } else { sim.borrow_mut().step() };
+        let now = std::time::Instant::now();
+        match took {
+            Some(took) => due = due.max(now.checked_sub(MAX_BEHIND).unwrap_or(now)) + took,
+            None => due = now + IDLE,
+        }
+        if due > now {
+            monoio::time::sleep(due - now).await;
+        } else {
+            // Lets the connections run although the schedule is behind.
+            monoio::time::sleep(Duration::ZERO).await;
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T, EngineRefusal> {
+    serde_json::from_slice(body).map_err(|e| refusal("bad_request", &e.to_string()))
+}
+
+fn refusal(code: &str, message: &str) -> EngineRefusal {
+    EngineRefusal {
+        code: code.to_owned(),
+        message: message.to_owned(),
+    }
+}
+
+/// Ends an answer's work when its connection is gone.
+struct AnswerGuard {
+    sim: Rc<RefCell<Simulation>>,
+    request: RequestId,
+    attempt: Attempt,
+}
+
+impl Drop for AnswerGuard {
+    fn drop(&mut self) {
+        self.sim
+            .borrow_mut()
+            .drop_answer(self.request, self.attempt);
+    }
+}
+
+impl EngineHandle {
+    fn fault(&self) -> Fault {
+        self.sim.borrow().fault
+    }
+
+    fn counts(&self) -> EngineCounts {
+        let mut sim = self.sim.borrow_mut();
+        let (computed_tokens, generated_tokens) = sim.tokens_made();
+        EngineCounts {
+            received: sim.received,
+            last_received_ms_ago: sim.last_received.map(|at| at.elapsed().as_millis() as u64),
+            used_tokens: sim.used(),
+            computed_tokens,
+            generated_tokens,
+            evictions: sim.lagging_report().evictions,
+            stale_orders_run: self.fence.borrow().stale_run,
+        }
+    }
+
+    async fn route(&self, exchange: &mut Exchange) {
+        let path = exchange.path().to_owned();
+        let control = path.starts_with("/standin/");
+        match self.fault() {
+            Fault::Dead if !control => return exchange.abort(),
+            Fault::Hung if !control => return std::future::pending().await,
+            _ => {}
+        }
+        let body = match exchange.body_bytes(MAX_BODY).await {
+            Ok(body) => body,
+            Err(_) => return exchange.abort(),
+        };
+        let method = exchange.head.method.clone();
+        let done = match (&method, path.as_str()) {
+            (&Method::POST, "/v1/generate") => self.generate(exchange, &body).await,
+            (&Method::POST, "/v1/kv/prefill") => self.prefill(exchange, &body).await,
+            (&Method::POST, "/v1/cancel") => self.cancel(exchange, &body).await,
+            (&Method::POST, "/v1/orders") => self.order(exchange, &body).await,
+            (&Method::GET, "/v1/load") => {
+                let report = self.sim.borrow_mut().lagging_report();
+                exchange.respond_json(StatusCode::OK, &report).await;
+                Ok(())
+            }
+            (&Method::GET, "/v1/holdings") => {
+                let holdings = Holdings {
+                    holdings: self.sim.borrow().holdings(),
+                };
+                exchange.respond_json(StatusCode::OK, &holdings).await;
+                Ok(())
+            }
+            (&Method::GET, "/v1/cache/events") => {
+                let after = exchange
+                    .head
+                    .uri
+                    .query()
+                    .and_then(|q| q.strip_prefix("after="));
+                let after = after.and_then(|n| n.parse().ok()).unwrap_or(0);
+                let events = {
+                    let mut sim = self.sim.borrow_mut();
+                    let lag = sim.config.cache_lag;
+                    sim.cache.events_after(after, lag)
+                };
+                exchange.respond_json(StatusCode::OK, &events).await;
+                Ok(())
+            }
+            (&Method::POST, "/standin/fault") => self.set_fault(exchange, &body).await,
+            (&Method::POST, "/standin/leave") => {
+                self.sim.borrow_mut().leaving = true;
+                exchange.respond_text(StatusCode::OK, "leaving\n").await;
+                Ok(())
+            }
+            (&Method::GET, "/standin/counts") => {
+                let counts = self.counts();
+                exchange.respond_json(StatusCode::OK, &counts).await;
+                Ok(())
+            }
+            _ => Err(refusal("not_found", "there is nothing here")),
+        };
+        if let Err(refusal) = done {
+            exchange
+                .respond_json(StatusCode::SERVICE_UNAVAILABLE, &refusal)
+                .await;
+        }
+    }
+
+    async fn set_fault(&self, exchange: &mut Exchange, body: &Bytes) -> Result<(), EngineRefusal> {
+        let fault: Fault = parse(body)?;
+        {
+            let mut sim = self.sim.borrow_mut();
+            sim.fault = fault;
+            if fault == Fault::Dead {
+                sim.crash();
+            }
+        }
+        exchange.respond_text(StatusCode::OK, "set\n").await;
+        Ok(())
+    }
+
+    /// Tells whether a model variant is loaded.
+    fn is_loaded(&self, model: &str, adapter: Option<&str>, version: Option<&str>) -> bool {
+        let sim = self.sim.borrow();
+        let Some(loaded) = sim.loaded.iter().find(|l| l.model == model) else {
+            return false;
+        };
+        adapter.is_none_or(|a| loaded.adapters.iter().any(|x| x == a))
+            && version.is_none_or(|v| loaded.versions.iter().any(|x| x == v))
+    }
+
+    async fn generate(&self, exchange: &mut Exchange, body: &Bytes) -> Result<(), EngineRefusal> {
+        let req: GenerateRequest = parse(body)?;
+        if self.fault() == Fault::Refusing {
+            return Err(refusal("overloaded", "no new work"));
+        }
+        if !self.is_loaded(&req.model, req.adapter.as_deref(), req.version.as_deref()) {
+            return Err(refusal("model_not_loaded", "the variant isn't loaded"));
+        }
+        let (prompt_tokens, prefix) = match &req.prompt {
+            Prompt::Text(text) => (
+                EngineConfig::tokens_of_bytes(text.len()),
+                block_hashes(&req.model, text.as_bytes()),
+            ),
+            Prompt::Tokens(tokens) => (tokens.len() as u64, Vec::new()),
+        };
+        let imported = imported_tokens(&req.imports).min(prompt_tokens - 1);
+        let own_tokens = prompt_tokens - imported;
+        if own_tokens + u64::from(req.max_tokens) > self.sim.borrow().config.capacity_tokens {
+            return Err(refusal(
+                "too_large",
+                "the prompt exceeds this engine's memory",
+            ));
+        }
+        let (tx, rx) = unbounded::channel();
+        let sequence = Sequence {
+            request: req.request,
+            attempt: req.attempt,
+            priority: req.priority,
+            order: 0,
+            since: std::time::Instant::now(),
+            prompt_tokens,
+            own_tokens,
+            computed: 0,
+            cached: 0,
+            prefix: if imported > 0 { Vec::new() } else { prefix },
+            generated: req.offset,
+            goal: Goal::Answer {
+                seed: AnswerSeed::of_prompt(&req.prompt),
+                offset: req.offset,
+                max_tokens: req.max_tokens,
+                stop: req.stop,
+            },
+            running: false,
+            tx,
+        };
+        let (request, attempt) = (req.request, req.attempt);
+        self.sim.borrow_mut().add(sequence);
+        let _guard = AnswerGuard {
+            sim: self.sim.clone(),
+            request,
+            attempt,
+        };
+        self.stream(exchange, request, attempt, rx).await;
+        Ok(())
+    }
+
+    async fn stream(
+        &self,
+        exchange: &mut Exchange,
+        request: RequestId,
+        attempt: Attempt,
+        mut rx: unbounded::Rx<Output>,
+    ) {
+        let mut headers = HeaderMap::new();
+        let kind = HeaderValue::from_static("text/event-stream");
+        headers.insert(header::CONTENT_TYPE, kind);
+        let mut begun = false;
+        let mut sent = 0;
+        loop {
+            let gone = exchange.peer_closed();
+            let first = monoio::select! {
+                output = rx.recv() => output,
+                () = gone => None,
+            };
+            let Some(mut output) = first else {
+                return exchange.abort();
+            };
+            let mut data = Vec::new();
+            let mut finished = false;
+            loop {
+                if self.cuts_at(sent) {
+                    return exchange.abort();
+                }
+                sent += 1;
+                self.cross(&mut data, request, attempt);
+                finished |= frame_into(&mut data, request, attempt, output);
+                match rx.try_recv() {
+                    Ok(next) => output = next,
+                    Err(_) => break,
+                }
+            }
+            let written = if begun {
+                let mut framed = Vec::with_capacity(data.len() + 16);
+                chunk_into(&mut framed, &data);
+                exchange.write_framed(&framed).await
+            } else {
+                begun = true;
+                exchange
+                    .start_stream(StatusCode::OK, headers.clone(), &data)
+                    .await
+            };
+            if written.is_err() {
+                return exchange.abort();
+            }
+            if finished {
+                let _ = exchange.finish_stream().await;
+                return;
+            }
+        }
+    }
+
+    fn cuts_at(&self, sent: u32) -> bool {
+        match self.fault() {
+            Fault::CutAfter(n) => sent >= n,
+            Fault::Dead => true,
+            _ => false,
+        }
+    }
+
+    /// Mixes in a frame of another request or of an older attempt.
+    fn cross(&self, data: &mut Vec<u8>, request: RequestId, attempt: Attempt) {
+        let last = self.other.borrow_mut().replace((request, attempt));
+        if self.fault() != Fault::Crossed {
+            return;
+        }
+        let older = (request, Attempt(attempt.0.wrapping_sub(1)));
+        for (request, attempt) in last.into_iter().chain([older]) {
+            let text = "crossed".to_owned();
+            frame_into(data, request, attempt, Output::Token(0, text));
+        }
+    }
+
+    async fn prefill(&self, exchange: &mut Exchange, body: &Bytes) -> Result<(), EngineRefusal> {
+        let req: SegmentRequest = parse(body)?;
+        let own_tokens = req.to.saturating_sub(req.from).max(1);
+        if own_tokens > self.sim.borrow().config.capacity_tokens {
+            return Err(refusal(
+                "too_large",
+                "the segment exceeds this engine's memory",
+            ));
+        }
+        let (tx, mut rx) = unbounded::channel();
+        self.sim.borrow_mut().add(Sequence {
+            request: req.request,
+            attempt: req.attempt,
+            priority: 0,
+            order: 0,
+            since: std::time::Instant::now(),
+            prompt_tokens: own_tokens,
+            own_tokens,
+            computed: 0,
+            cached: 0,
+            prefix: Vec::new(),
+            generated: 0,
+            goal: Goal::Segment,
+            running: false,
+            tx,
+        });
+        let gone = exchange.peer_closed();
+        let ready = monoio::select! {
+            output = rx.recv() => output.is_some(),
+            () = gone => false,
+        };
+        if !ready {
+            self.sim.borrow_mut().cancel(req.request, req.attempt);
+            exchange.abort();
+            return Ok(());
+        }
+        let id = self.sim.borrow().config.id.0;
+        let ticket = format!(
+            "{id}/{}/{}/{}-{}",
+            req.request, req.attempt.0, req.from, req.to
+        );
+        exchange
+            .respond_json(StatusCode::OK, &SegmentAnswer { ticket })
+            .await;
+        Ok(())
+    }
+
+    async fn cancel(&self, exchange: &mut Exchange, body: &Bytes) -> Result<(), EngineRefusal> {
+        let req: CancelRequest = parse(body)?;
+        let freed = self.sim.borrow_mut().cancel(req.request, req.up_to);
+        exchange
+            .respond_json(StatusCode::OK, &CancelAnswer { freed })
+            .await;
+        Ok(())
+    }
+
+    async fn order(&self, exchange: &mut Exchange, body: &Bytes) -> Result<(), EngineRefusal> {
+        let req: OrderRequest = parse(body)?;
+        let answer = {
+            let mut fence = self.fence.borrow_mut();
+            let mut sim = self.sim.borrow_mut();
+            let stale = req.fence < fence.highest;
+            let accepted = !(stale && sim.config.checks_fence);
+            if accepted {
+                fence.stale_run += u64::from(stale);
+                apply_order(&mut sim, req.wanted);
+            }
+            fence.highest = fence.highest.max(req.fence);
+            OrderAnswer {
+                accepted,
+                fence: fence.highest,
+            }
+        };
+        exchange.respond_json(StatusCode::OK, &answer).await;
+        Ok(())
+    }
+}
+
+fn apply_order(sim: &mut Simulation, wanted: WantedState) {
+    let (WantedState::VersionLoaded { model, .. }
+    | WantedState::VersionUnloaded { model, .. }
+    | WantedState::AdapterLoaded { model, .. }) = &wanted;
+    let Some(loaded) = sim.loaded.iter_mut().find(|l| l.model == *model) else {
+        return;
+    };
+    let add = |list: &mut Vec<String>, item: String| {
+        if !list.contains(&item) {
+            list.push(item);
+        }
+    };
+    match wanted {
+        WantedState::VersionLoaded { version, .. } => add(&mut loaded.versions, version),
+        WantedState::VersionUnloaded { version, .. } => loaded.versions.retain(|v| *v != version),
+        WantedState::AdapterLoaded { adapter, .. } => add(&mut loaded.adapters, adapter),
+    }
+}
+
+/// The tokens of a prompt's beginning that tickets stand for.
+fn imported_tokens(tickets: &[String]) -> u64 {
+    let ends = tickets
+        .iter()
+        .filter_map(|t| t.rsplit('-').next()?.parse::<u64>().ok());
+    ends.max().unwrap_or(0)
+}
+
+/// Appends an output as a frame; tells whether it is the last.
+fn frame_into(data: &mut Vec<u8>, request: RequestId, attempt: Attempt, output: Output) -> bool {
+    let mut frame = EngineFrame {
+        request,
+        attempt,
+        offset: 0,
+        tokens: Vec::new(),
+        finish: None,
+    };
+    match output {
+        Output::Token(offset, token) => {
+            frame.offset = offset;
+            frame.tokens.push(token);
+        }
+        Output::Finished {
+            reason,
+            prompt_tokens,
+            cached_tokens,
+            completion_tokens,
+        } => {
+            frame.offset = completion_tokens;
+            frame.finish = Some(EngineFinish {
+                reason: reason.to_owned(),
+                prompt_tokens,
+                cached_tokens,
+                completion_tokens: u64::from(completion_tokens),
+            });
+        }
+        Output::SegmentReady => return false,
+    }
+    data.extend_from_slice(b"data: ");
+    let _ = serde_json::to_writer(&mut *data, &frame);
+    data.extend_from_slice(b"\n\n");
+    frame.finish.is_some()
+}
+
+impl Service for EngineHandle {
+    fn call<'a>(&'a self, exchange: &'a mut Exchange) -> LocalBoxFuture<'a, ()> {
+        Box::pin(self.route(exchange))
+    }
+
+    fn refuse<'a>(
+        &'a self,
+        exchange: &'a mut Exchange,
+        _error: HttpError,
+    ) -> LocalBoxFuture<'a, ()> {
+        Box::pin(async move { exchange.abort() })
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_standin/src/report.rs
@@ -0,0 +1,137 @@
+//! Figures from measured calls, and tables a person likes to read.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use comfy_table::{presets::UTF8_FULL_CONDENSED, CellAlignment, Table};
+use hdrhistogram::Histogram;
+use notchwalk_wire::OutcomeWord;
+
+use crate::{caller::CallEnd, workload::Measured};
+
+/// Length classes in reports: the largest prompt and the name.
+pub const CLASSES: [(u64, &str); 4] = [
+    (4_096, "up to 4k"),
+    (32_768, "up to 32k"),
+    (131_072, "up to 128k"),
+    (u64::MAX, "up to 1M"),
+];
+
+/// Returns the place of a prompt's class in [`CLASSES`].
+pub fn class_of(prompt_tokens: u64) -> usize {
+    let found = CLASSES
+        .iter()
+        .position(|(largest, _)| prompt_tokens <= *largest);
+    found.unwrap_or(CLASSES.len() - 1)
+}
+
+/// Durations, for quantiles.
+#[derive(Clone, Debug)]
+pub struct Durations(Histogram<u64>);
+
+impl Default for Durations {
+    fn default() -> Self {
+        const DIGITS: u8 = 3;
+        Self(Histogram::new(DIGITS).expect("a valid precision"))
+    }
+}
+
+impl Durations {
+    /// Adds one.
+    pub fn add(&mut self, d: Duration) {
+        // Recording fails only in a histogram that may not grow; this one may.
+        let _ = self.0.record(d.as_micros().max(1) as u64);
+    }
+
+    /// Returns a quantile, in milliseconds; 0 if there are none.
+    pub fn quantile_ms(&self, q: f64) -> f64 {
+        self.0.value_at_quantile(q) as f64 / 1_000.0
+    }
+
+    /// Returns how many there are.
+    pub fn len(&self) -> u64 {
+        self.0.len()
+    }
+
+    /// Tells whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+/// Times to first token, by class.
+pub fn first_tokens(measured: &[Measured]) -> [Durations; 4] {
+    let mut classes: [Durations; 4] = Default::default();
+    for m in measured {
+        if let Some(first) = m.result.first_token {
+            classes[class_of(m.planned.prompt_tokens)].add(first);
+        }
+    }
+    classes
+}
+
+/// Returns a call's outcome in a few words.
+pub fn outcome_text(end: &CallEnd) -> String {
+    match end {
+        CallEnd::Whole => "whole".to_owned(),
+        CallEnd::Wrong(reason) => format!("WRONG: {reason}"),
+        CallEnd::Cut(reason) => format!("cut: {reason}"),
+        CallEnd::Failed { code, outcome, .. } => {
+            let word = match outcome {
+                OutcomeWord::NotRun => "not run",
+                OutcomeWord::Ran => "ran",
+                OutcomeWord::Unknown => "unknown",
+            };
+            format!("{code} ({word})")
+        }
+    }
+}
+
+/// Counts calls by outcome.
+pub fn outcomes(measured: &[Measured]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for m in measured {
+        *counts.entry(outcome_text(&m.result.end)).or_default() += 1;
+    }
+    counts
+}
+
+/// Tells whether every answer was whole.
+pub fn all_whole(measured: &[Measured]) -> bool {
+    measured.iter().all(|m| m.result.end == CallEnd::Whole)
+}
+
+/// Builds an empty table with headings; numbers stand to the right.
+pub fn table(headings: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(UTF8_FULL_CONDENSED).set_header(headings);
+    for column in table.column_iter_mut().skip(1) {
+        column.set_cell_alignment(CellAlignment::Right);
+    }
+    table
+}
+
+/// Returns the table of times to first token.
+pub fn first_token_table(measured: &[Measured]) -> Table {
+    let mut table = table(&["prompt, tokens", "requests", "first token p50", "p95"]);
+    for ((_, name), times) in CLASSES.iter().zip(first_tokens(measured)) {
+        if times.is_empty() {
+            continue;
+        }
+        table.add_row([
+            (*name).to_owned(),
+            times.len().to_string(),
+            format!("{:.0} ms", times.quantile_ms(0.5)),
+            format!("{:.0} ms", times.quantile_ms(0.95)),
+        ]);
+    }
+    table
+}
+
+/// Returns the table of outcomes.
+pub fn outcome_table(measured: &[Measured]) -> Table {
+    let mut table = table(&["outcome", "requests"]);
+    for (outcome, count) in outcomes(measured) {
+        table.add_row([outcome, count.to_string()]);
+    }
+    table
+}
--- /dev/null
+++ b/crates/notchwalk_standin/src/thread.rs
@@ -0,0 +1,79 @@
+//! Threads with a runtime of their own.
+
+use std::{
+    future::Future,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    thread::JoinHandle,
+    time::Duration,
+};
+
+use monoio::{LegacyDriver, RuntimeBuilder};
+
+/// Runs a future to its end on a new runtime of this thread.
+///
+/// # Panics
+///
+/// Panics if the runtime can't start.
+pub fn block_on<T>(future: impl Future<Output = T>) -> T {
+    let builder = RuntimeBuilder::<LegacyDriver>::new().enable_timer();
+    builder
+        .build()
+        .expect("the runtime starts")
+        .block_on(future)
+}
+
+/// A thread that serves until it is dropped.
+pub struct ServingThread {
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl ServingThread {
+    /// Starts a thread; `start` spawns its tasks, which live until the thread
+    /// is dropped.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the thread can't start.
+    pub fn start<F, Fut>(name: &str, start: F) -> Self
+    where
+        F: FnOnce() -> Fut + Send + 'static,
+        Fut: Future<Output = ()>,
+    {
+        const LOOK_EVERY: Duration = Duration::from_millis(20);
+        let stop = Arc::new(AtomicBool::new(false));
+        let flag = stop.clone();
+        let body = move || {
+            block_on(async move {
+                start().await;
+                while !flag.load(Ordering::Relaxed) {
+                    monoio::time::sleep(LOOK_EVERY).await;
+                }
+            });
+        };
+        let thread = std::thread::Builder::new()
+            .name(name.to_owned())
+            .spawn(body);
+        Self {
+            stop,
+            thread: Some(thread.expect("a thread starts")),
+        }
+    }
+
+    /// Ends the thread, as a crash of its processes would.
+    pub fn kill(&self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Drop for ServingThread {
+    fn drop(&mut self) {
+        self.kill();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
--- /dev/null
+++ b/crates/notchwalkd/src/api_error.rs
@@ -0,0 +1,182 @@
+//! Errors as callers see them: OpenAI-shaped, with a stable code and the
+//! request's outcome.
+
+use http::{header, HeaderMap, HeaderValue, StatusCode};
+use notchwalk_decide::{Failure, FailureCode};
+use notchwalk_http::{Exchange, HttpError};
+use notchwalk_wire::{ApiError, ApiErrorBody, OutcomeWord};
+
+/// An error about to be answered.
+#[derive(Clone, Debug)]
+pub struct ApiFailure {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// The stable code.
+    pub code: &'static str,
+    /// The sentence.
+    pub message: String,
+    /// The parameter at fault.
+    pub param: Option<String>,
+    /// Whether the request ran.
+    pub outcome: OutcomeWord,
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl ApiFailure {
+    /// Builds the error of a request that did not run.
+    pub fn not_run(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            code,
+            message: message.into(),
+            param: None,
+            outcome: OutcomeWord::NotRun,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Builds the error of a faulty parameter.
+    pub fn bad_param(code: &'static str, param: &str, message: impl Into<String>) -> Self {
+        let mut failure = Self::not_run(StatusCode::BAD_REQUEST, code, message);
+        failure.param = Some(param.to_owned());
+        failure
+    }
+
+    /// Builds the error of a request that could not be read.
+    pub fn from_http(error: &HttpError) -> Self {
+        let (status, code) = match error {
+            HttpError::BodyTooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
+            HttpError::HeadTooLarge(_) => (
+                StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+                "headers_too_large",
+            ),
+            HttpError::TimedOut => (StatusCode::REQUEST_TIMEOUT, "request_too_slow"),
+            _ => (StatusCode::BAD_REQUEST, "malformed_http"),
+        };
+        Self::not_run(status, code, error.to_string())
+    }
+
+    /// Builds the error of a decision.
+    pub fn from_decision(failure: Failure) -> Self {
+        let (status, code, message) = describe(failure.code);
+        Self {
+            status,
+            code,
+            message: message.to_owned(),
+            param: None,
+            outcome: failure.outcome,
+            retry_after_ms: failure.retry_after_ms,
+        }
+    }
+
+    fn kind(&self) -> &'static str {
+        match self.status {
+            StatusCode::UNAUTHORIZED => "authentication_error",
+            StatusCode::FORBIDDEN => "permission_error",
+            StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+            status if status.is_server_error() => "server_error",
+            _ => "invalid_request_error",
+        }
+    }
+
+    /// Returns the body.
+    pub fn body(&self) -> ApiError {
+        ApiError {
+            error: ApiErrorBody {
+                message: self.message.clone(),
+                kind: self.kind().to_owned(),
+                param: self.param.clone(),
+                code: self.code.to_owned(),
+                outcome: self.outcome,
+            },
+        }
+    }
+
+    /// Answers a request with the error.
+    pub async fn send(&self, exchange: &mut Exchange, request_id: Option<HeaderValue>) {
+        let mut headers = HeaderMap::new();
+        let json = HeaderValue::from_static("application/json");
+        headers.insert(header::CONTENT_TYPE, json);
+        if let Some(id) = request_id {
+            headers.insert("x-request-id", id);
+        }
+        if let Some(ms) = self.retry_after_ms {
+            headers.insert(
+                header::RETRY_AFTER,
+                HeaderValue::from(ms.div_ceil(1_000).max(1)),
+            );
+            headers.insert("retry-after-ms", HeaderValue::from(ms));
+        }
+        let body = serde_json::to_vec(&self.body()).unwrap_or_default();
+        exchange.respond(self.status, headers, &body).await;
+    }
+}
+
+/// Returns status, code and sentence of each decision.
+fn describe(code: FailureCode) -> (StatusCode, &'static str, &'static str) {
+    use FailureCode as Code;
+    const BUSY: StatusCode = StatusCode::TOO_MANY_REQUESTS;
+    const AWAY: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
+    match code {
+        Code::NotReady => (AWAY, "not_ready", "no settings bundle is in force yet"),
+        Code::Draining => (AWAY, "draining", "this entry is stopping; use another"),
+        Code::EntryFull => (
+            BUSY,
+            "entry_full",
+            "this entry holds as many requests as it may",
+        ),
+        Code::WorkspaceQueueFull => (
+            BUSY,
+            "workspace_queue_full",
+            "the workspace has as many requests waiting as it may",
+        ),
+        Code::DeadlineTooClose => (
+            BUSY,
+            "deadline_too_close",
+            "the request would not finish within its timeout",
+        ),
+        Code::ContextExceeded => (
+            StatusCode::BAD_REQUEST,
+            "context_length_exceeded",
+            "prompt and max_tokens exceed the model's context",
+        ),
+        Code::NoServer => (AWAY, "no_server", "no server serves what was asked for"),
+        Code::TimedOut => (StatusCode::GATEWAY_TIMEOUT, "timeout", "the timeout passed"),
+        Code::BackendFailed => (
+            StatusCode::BAD_GATEWAY,
+            "backend_failed",
+            "the backend servers failed repeatedly",
+        ),
+        Code::CallFailed => (
+            StatusCode::BAD_GATEWAY,
+            "call_failed",
+            "the service failed after the call was sent; it is not repeated",
+        ),
+        Code::StoreUnavailable => (
+            AWAY,
+            "store_unavailable",
+            "the call could not be claimed, so it was not sent",
+        ),
+        Code::StillRunning => (
+            StatusCode::CONFLICT,
+            "still_running",
+            "a call with this idempotency key still runs",
+        ),
+        Code::OutcomeUnknown => (
+            StatusCode::CONFLICT,
+            "outcome_unknown",
+            "a call with this idempotency key was made; its outcome can't be told",
+        ),
+        Code::KeyReused => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "idempotency_key_reused",
+            "the idempotency key was used for a different request",
+        ),
+        Code::CallerGone => (
+            StatusCode::REQUEST_TIMEOUT,
+            "caller_gone",
+            "the caller went away or reads too slowly",
+        ),
+    }
+}
--- /dev/null
+++ b/crates/notchwalkd/src/caller_api.rs
@@ -0,0 +1,200 @@
+//! The callers' interface: which path does what.
+
+use std::rc::Rc;
+
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use notchwalk_core::{LogEvent, LogEventKind};
+use notchwalk_http::{Exchange, HttpError, LocalBoxFuture, Service};
+use notchwalk_wire::{EntriesAnswer, EntryInfo, ModelInfo, ModelList};
+
+use crate::{
+    api_error::ApiFailure,
+    auth::{authenticate, Caller},
+    completions::{self, Dialect},
+    service_proxy,
+    shell::Shell,
+};
+
+/// The longest request id that is echoed.
+const MAX_REQUEST_ID: usize = 200;
+
+/// What callers ask for in headers.
+pub struct RequestOptions {
+    /// `x-notchwalk-priority`.
+    pub priority: Option<u8>,
+    /// `x-notchwalk-timeout-ms`.
+    pub timeout_ms: Option<u64>,
+    /// `x-request-id`, echoed.
+    pub request_id: Option<HeaderValue>,
+}
+
+impl RequestOptions {
+    fn read(exchange: &Exchange) -> Result<Self, ApiFailure> {
+        Ok(Self {
+            priority: number(exchange, "x-notchwalk-priority", 9)?,
+            timeout_ms: number(exchange, "x-notchwalk-timeout-ms", u64::MAX)?,
+            request_id: request_id(exchange),
+        })
+    }
+
+    /// Returns the headers that every answer carries.
+    pub fn answer_headers(&self) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        if let Some(id) = &self.request_id {
+            headers.insert("x-request-id", id.clone());
+        }
+        headers
+    }
+}
+
+fn request_id(exchange: &Exchange) -> Option<HeaderValue> {
+    let id = exchange.head.headers.get("x-request-id")?;
+    (id.len() <= MAX_REQUEST_ID).then(|| id.clone())
+}
+
+fn number<T>(exchange: &Exchange, name: &str, max: T) -> Result<Option<T>, ApiFailure>
+where
+    T: std::str::FromStr + PartialOrd + std::fmt::Display,
+{
+    let Some(text) = exchange.header(name) else {
+        return Ok(None);
+    };
+    match text.trim().parse() {
+        Ok(value) if value <= max => Ok(Some(value)),
+        _ => {
+            let message = format!("{name} is a whole number, at most {max}");
+            Err(ApiFailure::bad_param("invalid_header", name, message))
+        }
+    }
+}
+
+/// Serves callers.
+pub struct CallerApi {
+    shell: Rc<Shell>,
+}
+
+impl CallerApi {
+    /// Builds the service.
+    pub fn new(shell: Rc<Shell>) -> Self {
+        Self { shell }
+    }
+
+    async fn route(&self, exchange: &mut Exchange) -> Result<(), ApiFailure> {
+        let path = exchange.path().to_owned();
+        let method = exchange.head.method.clone();
+        if let Some(rest) = path.strip_prefix("/v1/services/") {
+            let caller = self.caller(exchange)?;
+            let options = RequestOptions::read(exchange)?;
+            return service_proxy::handle(&self.shell, exchange, &caller, &options, rest).await;
+        }
+        let allowed = match path.as_str() {
+            "/v1/entries" | "/v1/models" => Method::GET,
+            "/v1/completions" | "/v1/chat/completions" => Method::POST,
+            _ => {
+                let message = format!("there is nothing at {path}");
+                return Err(ApiFailure::not_run(
+                    StatusCode::NOT_FOUND,
+                    "not_found",
+                    message,
+                ));
+            }
+        };
+        if method != allowed {
+            let message = format!("{path} takes {allowed}");
+            let status = StatusCode::METHOD_NOT_ALLOWED;
+            return Err(ApiFailure::not_run(status, "method_not_allowed", message));
+        }
+        match path.as_str() {
+            "/v1/entries" => {
+                let answer = self.entries();
+                exchange.respond_json(StatusCode::OK, &answer).await;
+            }
+            "/v1/models" => {
+                let caller = self.caller(exchange)?;
+                exchange
+                    .respond_json(StatusCode::OK, &models(&caller))
+                    .await;
+            }
+            _ => {
+                let caller = self.caller(exchange)?;
+                let options = RequestOptions::read(exchange)?;
+                let dialect = match path.as_str() {
+                    "/v1/completions" => Dialect::Completions,
+                    _ => Dialect::Chat,
+                };
+                return completions::handle(&self.shell, exchange, &caller, &options, dialect)
+                    .await;
+            }
+        }
+        Ok(())
+    }
+
+    fn caller(&self, exchange: &Exchange) -> Result<Caller, ApiFailure> {
+        let bundle = self.shell.bundle();
+        authenticate(bundle.as_ref(), exchange)
+    }
+
+    fn entries(&self) -> EntriesAnswer {
+        let (live, ttl) = self
+            .shell
+            .with_node(|node| (node.live_entries(), node.entries_ttl()));
+        let entries = live.into_iter().map(|entry| EntryInfo {
+            address: entry.caller_address,
+            failure_domain: entry.failure_domain,
+        });
+        EntriesAnswer {
+            entries: entries.collect(),
+            ttl_s: ttl.as_secs().max(1),
+        }
+    }
+}
+
+/// The models a workspace may reach, with their adapters and versions.
+fn models(caller: &Caller) -> ModelList {
+    let workspace = caller.bundle.workspace(caller.workspace);
+    let mut data = Vec::new();
+    for key in &workspace.models {
+        let model = &caller.bundle.models[key.index()];
+        let adapters = model.adapters.iter().map(|a| format!("{}:{a}", model.name));
+        let versions = model.versions.iter().map(|v| format!("{}@{v}", model.name));
+        let names = std::iter::once(model.name.clone())
+            .chain(adapters)
+            .chain(versions);
+        data.extend(names.map(|id| ModelInfo {
+            id,
+            object: "model".to_owned(),
+            created: 0,
+            owned_by: "notchwalk".to_owned(),
+        }));
+    }
+    ModelList {
+        object: "list".to_owned(),
+        data,
+    }
+}
+
+impl Service for CallerApi {
+    fn call<'a>(&'a self, exchange: &'a mut Exchange) -> LocalBoxFuture<'a, ()> {
+        Box::pin(async move {
+            if let Err(failure) = self.route(exchange).await {
+                let id = request_id(exchange);
+                failure.send(exchange, id).await;
+            }
+        })
+    }
+
+    fn refuse<'a>(
+        &'a self,
+        exchange: &'a mut Exchange,
+        error: HttpError,
+    ) -> LocalBoxFuture<'a, ()> {
+        Box::pin(async move {
+            let id = request_id(exchange);
+            ApiFailure::from_http(&error).send(exchange, id).await;
+        })
+    }
+
+    fn panicked(&self) {
+        LogEvent::new(LogEventKind::RequestPanicked, "side=caller").emit();
+    }
+}
--- /dev/null
+++ b/crates/notchwalkd/src/claim_writer.rs
@@ -0,0 +1,222 @@
+//! Writes, reads and releases claims in the platform's table. Writes that come
+//! close together share one transaction, since the table takes only several
+//! hundred writes a second.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use notchwalk_decide::{ClaimAnswer, ClaimRow, Event, RequestKey};
+use notchwalk_wire::{Condition, Row, TableOp, TableRead, TableTransaction};
+use serde::{Deserialize, Serialize};
+
+use crate::shell::Shell;
+
+/// How long writes are gathered.
+const GATHER: Duration = Duration::from_millis(4);
+/// Writes in one transaction at the most.
+const MAX_BATCH: usize = 64;
+/// Tries to store an outcome.
+const STORE_TRIES: u32 = 12;
+
+/// The value of a claim's row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimValue {
+    /// The token of the owner.
+    pub token: String,
+    /// The digest of the call.
+    pub fingerprint: String,
+    /// The outcome, once it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub outcome: Option<StoredOutcome>,
+}
+
+/// A stored answer of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredOutcome {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type.
+    pub content_type: String,
+    /// The body; `None` if it was too large to store.
+    pub body: Option<Vec<u8>>,
+}
+
+impl ClaimValue {
+    fn text(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
+struct Insert {
+    request: RequestKey,
+    op: TableOp,
+}
+
+/// Claims on their way.
+#[derive(Default)]
+pub struct ClaimWriter {
+    waiting: RefCell<Vec<Insert>>,
+    gathering: Cell<bool>,
+}
+
+fn ttl(shell: &Shell) -> Option<u64> {
+    Some(shell.bundle().map_or(86_400, |b| b.policy.outcome_ttl_s))
+}
+
+impl ClaimWriter {
+    /// Writes a claim if there is none.
+    pub fn insert(
+        &self,
+        shell: &Rc<Shell>,
+        request: RequestKey,
+        key: String,
+        token: String,
+        fingerprint: String,
+    ) {
+        let value = ClaimValue {
+            token,
+            fingerprint,
+            outcome: None,
+        };
+        let op = TableOp {
+            key,
+            condition: Condition::Absent,
+            value: Some(value.text()),
+            ttl_s: ttl(shell),
+        };
+        self.waiting.borrow_mut().push(Insert { request, op });
+        if !self.gathering.replace(true) {
+            monoio::spawn(flush(shell.clone()));
+        }
+    }
+
+    /// Reads a claim.
+    pub fn read(&self, shell: &Rc<Shell>, request: RequestKey, key: String) {
+        let shell = shell.clone();
+        monoio::spawn(async move {
+            let read = shell.platform.read(TableRead { keys: vec![key] }).await;
+            let answer = match read {
+                Ok(answer) => answer_of(answer.rows.into_iter().next().flatten()),
+                Err(_) => ClaimAnswer::NoAnswer,
+            };
+            shell.step(Event::Claim { request, answer });
+        });
+    }
+
+    /// Deletes a claim whose call was not sent.
+    pub fn release(&self, shell: &Rc<Shell>, key: String, token: String, fingerprint: String) {
+        let shell = shell.clone();
+        monoio::spawn(async move {
+            let value = ClaimValue {
+                token,
+                fingerprint,
+                outcome: None,
+            };
+            let op = TableOp {
+                key: key.clone(),
+                condition: Condition::Value(value.text()),
+                value: None,
+                ttl_s: None,
+            };
+            let tx = TableTransaction {
+                ops: vec![op],
+                all_or_none: false,
+            };
+            let confirmed = shell.platform.transact(tx).await.is_ok();
+            shell.step(Event::ClaimReleased { key, confirmed });
+        });
+    }
+}
+
+async fn flush(shell: Rc<Shell>) {
+    monoio::time::sleep(GATHER).await;
+    loop {
+        let batch = {
+            let mut waiting = shell.claims.waiting.borrow_mut();
+            let n = waiting.len().min(MAX_BATCH);
+            waiting.drain(..n).collect::<Vec<_>>()
+        };
+        if batch.is_empty() {
+            shell.claims.gathering.set(false);
+            return;
+        }
+        write(&shell, batch).await;
+    }
+}
+
+async fn write(shell: &Rc<Shell>, batch: Vec<Insert>) {
+    let (requests, ops): (Vec<_>, Vec<_>) = batch.into_iter().map(|i| (i.request, i.op)).unzip();
+    let tx = TableTransaction {
+        ops,
+        all_or_none: false,
+    };
+    let rows = match shell.platform.transact(tx).await {
+        Ok(answer) => answer.rows.into_iter().map(answer_of).collect(),
+        Err(_) => vec![ClaimAnswer::NoAnswer; requests.len()],
+    };
+    for (request, answer) in requests.into_iter().zip(rows) {
+        shell.step(Event::Claim { request, answer });
+    }
+}
+
+fn answer_of(row: Option<Row>) -> ClaimAnswer {
+    let Some(row) = row else {
+        return ClaimAnswer::NoRow;
+    };
+    match serde_json::from_str::<ClaimValue>(&row.value) {
+        Ok(value) => ClaimAnswer::Row(ClaimRow {
+            token: value.token,
+            done: value.outcome.is_some(),
+            fingerprint: value.fingerprint,
+        }),
+        Err(_) => ClaimAnswer::NoAnswer,
+    }
+}
+
+/// Stores the outcome of a call, with several tries while the table is down.
+pub async fn store_outcome(
+    shell: Rc<Shell>,
+    key: String,
+    token: String,
+    fingerprint: String,
+    outcome: StoredOutcome,
+) {
+    const FIRST_PAUSE: Duration = Duration::from_millis(50);
+    let mut value = ClaimValue {
+        token,
+        fingerprint,
+        outcome: None,
+    };
+    let claimed = value.text();
+    value.outcome = Some(outcome);
+    let op = TableOp {
+        key,
+        condition: Condition::Value(claimed),
+        value: Some(value.text()),
+        ttl_s: ttl(&shell),
+    };
+    let tx = TableTransaction {
+        ops: vec![op],
+        all_or_none: false,
+    };
+    for i in 0..STORE_TRIES {
+        if shell.platform.transact(tx.clone()).await.is_ok() {
+            return;
+        }
+        monoio::time::sleep(FIRST_PAUSE * 2u32.pow(i.min(8))).await;
+    }
+}
+
+/// Reads a stored outcome.
+pub async fn read_outcome(shell: &Shell, key: String) -> Option<StoredOutcome> {
+    let answer = shell
+        .platform
+        .read(TableRead { keys: vec![key] })
+        .await
+        .ok()?;
+    let row = answer.rows.into_iter().next().flatten()?;
+    serde_json::from_str::<ClaimValue>(&row.value).ok()?.outcome
+}
--- /dev/null
+++ b/crates/notchwalkd/src/lib.rs
@@ -0,0 +1,30 @@
+//! The entry daemon: drivers that turn sockets and timers into events of the
+//! reducer, and its effects into I/O. No decision stands here.
+
+mod api_error;
+mod auth;
+mod bundle_watch;
+mod caller_api;
+mod channel;
+mod claim_writer;
+mod completions;
+mod daemon;
+mod engine_driver;
+mod engine_poll;
+mod error;
+mod metrics;
+mod operator_api;
+mod peer_link;
+mod peer_proof;
+mod service_proxy;
+mod settings;
+mod shell;
+mod sse;
+mod vm_watch;
+
+pub mod prelude;
+
+pub use daemon::{run_until_stopped, start_in_thread, BoundAddresses, Listeners, RunningDaemon};
+pub use error::DaemonError;
+pub use peer_proof::{PeerKey, PeerKeys};
+pub use settings::{DaemonSettings, ListenAddresses};
--- /dev/null
+++ b/crates/notchwalkd/src/metrics.rs
@@ -0,0 +1,132 @@
+//! Metrics in Prometheus' text format.
+
+use prometheus::{Encoder, Gauge, IntGauge, Registry, TextEncoder};
+
+use crate::shell::Shell;
+
+/// The gauges of one daemon, set when they are asked for.
+pub struct Metrics {
+    registry: Registry,
+    counters: Vec<(&'static str, IntGauge)>,
+    open_requests: IntGauge,
+    queued_requests: IntGauge,
+    open_cancels: IntGauge,
+    bundle_version: IntGauge,
+    peer_bytes: IntGauge,
+    ready: IntGauge,
+    retry_budget: Gauge,
+}
+
+/// Names of the counts since the boot, with their help.
+const COUNTS: [(&str, &str); 12] = [
+    ("notchwalk_arrived_total", "Requests that came"),
+    ("notchwalk_refused_total", "Requests refused at the door"),
+    ("notchwalk_completed_total", "Requests answered whole"),
+    ("notchwalk_failed_total", "Admitted requests that failed"),
+    (
+        "notchwalk_attempts_total",
+        "Attempts sent to backend servers",
+    ),
+    (
+        "notchwalk_retries_total",
+        "Attempts that followed a failed one",
+    ),
+    (
+        "notchwalk_frames_dropped_total",
+        "Late or crossed frames dropped",
+    ),
+    ("notchwalk_tokens_total", "Tokens passed to callers"),
+    (
+        "notchwalk_top_ups_total",
+        "Reservations raised while answers grew",
+    ),
+    ("notchwalk_cancels_total", "Cancels that engines confirmed"),
+    (
+        "notchwalk_long_denied_total",
+        "Long prompts refused room by homes",
+    ),
+    (
+        "notchwalk_long_granted_total",
+        "Long prompts granted room by homes",
+    ),
+];
+
+impl Metrics {
+    /// Builds the registry.
+    ///
+    /// # Panics
+    ///
+    /// Panics if two metrics have the same name, which is a bug.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("metric names are valid");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("metric names differ");
+            gauge
+        };
+        let counters = COUNTS
+            .map(|(name, help)| (name, gauge(name, help)))
+            .to_vec();
+        let retry_budget =
+            Gauge::new("notchwalk_retry_budget", "Retries saved up").expect("a valid name");
+        registry
+            .register(Box::new(retry_budget.clone()))
+            .expect("metric names differ");
+        Self {
+            counters,
+            open_requests: gauge("notchwalk_open_requests", "Requests admitted and not over"),
+            queued_requests: gauge("notchwalk_queued_requests", "Requests that wait"),
+            open_cancels: gauge("notchwalk_open_cancels", "Cancels not confirmed"),
+            bundle_version: gauge("notchwalk_bundle_version", "The bundle in force"),
+            peer_bytes: gauge("notchwalk_peer_bytes_total", "Bytes sent to other daemons"),
+            ready: gauge(
+                "notchwalk_ready",
+                "1 if a bundle is in force and nothing drains",
+            ),
+            retry_budget,
+            registry,
+        }
+    }
+
+    /// Returns the text of all metrics.
+    pub fn text(&self, shell: &Shell) -> String {
+        shell.with_node(|node| {
+            let c = node.counters();
+            let counts = [
+                c.arrived,
+                c.refused,
+                c.completed,
+                c.failed,
+                c.attempts,
+                c.retries,
+                c.frames_dropped,
+                c.tokens,
+                c.top_ups,
+                c.cancels,
+                c.long_denied,
+                c.long_granted,
+            ];
+            for ((_, gauge), count) in self.counters.iter().zip(counts) {
+                gauge.set(count as i64);
+            }
+            self.open_requests.set(node.open_requests() as i64);
+            self.queued_requests.set(node.queued_requests() as i64);
+            self.open_cancels.set(node.open_cancels() as i64);
+            self.bundle_version.set(node.bundle_version() as i64);
+            self.ready.set(i64::from(node.is_ready()));
+            self.retry_budget.set(node.retry_budget());
+        });
+        self.peer_bytes.set(shell.links.sent_bytes() as i64);
+        let mut buf = Vec::new();
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
+        String::from_utf8(buf).unwrap_or_default()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/notchwalkd/src/prelude.rs
@@ -0,0 +1,5 @@
+//! The names that programs starting daemons need.
+
+pub use crate::{
+    run_until_stopped, start_in_thread, DaemonError, DaemonSettings, Listeners, RunningDaemon,
+};
--- /dev/null
+++ b/crates/notchwalkd/src/settings.rs
@@ -0,0 +1,154 @@
+//! The daemon's settings: one INI file, checked as a whole.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use notchwalk_bundle::IniFile;
+use notchwalk_core::{Findings, VmId};
+use notchwalk_decide::ReserveMode;
+
+use crate::{error::DaemonError, peer_proof::PeerKeys};
+
+/// Where a daemon listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListenAddresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For other daemons.
+    pub peer: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
+}
+
+/// A daemon's settings.
+#[derive(Clone, Debug)]
+pub struct DaemonSettings {
+    /// The VM it runs on.
+    pub vm: VmId,
+    /// The VM's failure domain.
+    pub failure_domain: String,
+    /// Where it listens.
+    pub listen: ListenAddresses,
+    /// The platform's address.
+    pub platform: SocketAddr,
+    /// The keys by which daemons know each other.
+    pub peer_keys: PeerKeys,
+    /// How long callers may keep the list of entries.
+    pub entries_ttl: Duration,
+    /// The largest body of a request, in bytes.
+    pub max_body_bytes: usize,
+    /// Connections of callers at once.
+    pub max_connections: usize,
+    /// Bytes of an answer that wait for a slow caller at the most.
+    pub max_unread_bytes: usize,
+    /// How memory on engines is counted; for measurements.
+    pub reserve: ReserveMode,
+}
+
+impl DaemonSettings {
+    /// Builds settings with the usual limits.
+    pub fn new(
+        vm: VmId,
+        failure_domain: impl Into<String>,
+        listen: ListenAddresses,
+        platform: SocketAddr,
+        peer_keys: PeerKeys,
+    ) -> Self {
+        Self {
+            vm,
+            failure_domain: failure_domain.into(),
+            listen,
+            platform,
+            peer_keys,
+            entries_ttl: Duration::from_secs(5),
+            max_body_bytes: 64 << 20,
+            max_connections: 20_000,
+            max_unread_bytes: 1 << 20,
+            reserve: ReserveMode::TopUp,
+        }
+    }
+
+    /// Sets how memory on engines is counted.
+    pub fn with_reserve(mut self, reserve: ReserveMode) -> Self {
+        self.reserve = reserve;
+        self
+    }
+
+    /// Sets how long callers may keep the list of entries.
+    pub fn with_entries_ttl(mut self, ttl: Duration) -> Self {
+        self.entries_ttl = ttl;
+        self
+    }
+
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be read, or with all findings in it.
+    pub fn load(path: &Path) -> Result<Self, DaemonError> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|source| DaemonError::File {
+            path: name.clone(),
+            source,
+        })?;
+        Self::parse(&name, &text).map_err(DaemonError::Settings)
+    }
+
+    /// Parses the text of a settings file; `name` stands in the findings.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings.
+    pub fn parse(name: &str, text: &str) -> Result<Self, Findings> {
+        let ini = IniFile::parse(name, text)?;
+        let settings = read(&ini);
+        let findings = match ini.finish() {
+            Ok(()) => Findings::default(),
+            Err(findings) => findings,
+        };
+        match settings {
+            Some(settings) => findings.or_ok(settings),
+            None => Err(findings),
+        }
+    }
+}
+
+fn read(ini: &IniFile) -> Option<DaemonSettings> {
+    let daemon = ini.section("daemon");
+    let vm = daemon.required::<u32>("vm");
+    let failure_domain = daemon.required::<String>("failure_domain");
+    let caller = daemon.required::<SocketAddr>("caller_address");
+    let peer = daemon.required::<SocketAddr>("peer_address");
+    let operator = daemon.required::<SocketAddr>("operator_address");
+    let entries_ttl_ms = daemon.within("entries_ttl_ms", 5_000, 100, 600_000);
+    let platform = ini.section("platform").required::<SocketAddr>("address");
+    let peers = ini.section("peers");
+    let keys = peers.list("keys");
+    let peer_keys = PeerKeys::parse(&keys);
+    if let Err(reason) = &peer_keys {
+        peers.add("keys", *reason);
+    }
+    let limits = ini.section("limits");
+    let max_body_bytes = limits.within("max_body_bytes", 64 << 20, 1_024, 1 << 30);
+    let max_connections = limits.within("max_connections", 20_000, 1, 1_000_000);
+    let max_unread_bytes = limits.within("max_unread_bytes", 1 << 20, 4_096, 1 << 30);
+    if limits.exists() && max_unread_bytes > max_body_bytes {
+        limits.add("max_unread_bytes", "is more than max_body_bytes");
+    }
+    let listen = ListenAddresses {
+        caller: caller?,
+        peer: peer?,
+        operator: operator?,
+    };
+    let mut settings = DaemonSettings::new(
+        VmId(vm?),
+        failure_domain?,
+        listen,
+        platform?,
+        peer_keys.ok()?,
+    );
+    settings.entries_ttl = Duration::from_millis(entries_ttl_ms);
+    settings.max_body_bytes = max_body_bytes;
+    settings.max_connections = max_connections;
+    settings.max_unread_bytes = max_unread_bytes;
+    Some(settings)
+}
--- /dev/null
+++ b/crates/notchwalkd/src/vm_watch.rs
@@ -0,0 +1,111 @@
+//! Reads the VM list and keeps polls and links in step with it.
+
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    time::Duration,
+};
+
+use notchwalk_core::{LogEvent, LogEventKind, ServerId, VmId};
+use notchwalk_decide::{Event, PeerRecord, ServerKind, ServerRecord};
+use notchwalk_wire::{VmKind, VmRecord, VmState};
+
+use crate::{engine_poll, peer_link, shell::Shell};
+
+/// How often the list is read.
+const READ_EVERY: Duration = Duration::from_millis(1_000);
+/// How often it is read until it first names a backend server.
+const FIRST_READ_EVERY: Duration = Duration::from_millis(100);
+
+/// Reads the list for ever.
+pub async fn watch(shell: Rc<Shell>) {
+    let polled = Rc::new(RefCell::new(HashSet::new()));
+    let mut down = false;
+    let mut seen_servers = false;
+    loop {
+        match shell.platform.vms().await {
+            Ok(records) => {
+                if std::mem::take(&mut down) {
+                    LogEvent::new(LogEventKind::PlatformUp, "service=vm-list").emit();
+                }
+                seen_servers |= take_in(&shell, &polled, records);
+            }
+            Err(e) if !down => {
+                down = true;
+                let facts = format!("service=vm-list error={e:?}");
+                LogEvent::new(LogEventKind::PlatformDown, facts).emit();
+            }
+            Err(_) => {}
+        }
+        let pause = if seen_servers {
+            READ_EVERY
+        } else {
+            FIRST_READ_EVERY
+        };
+        monoio::time::sleep(pause).await;
+    }
+}
+
+/// Takes in one reading; tells whether it names a backend server.
+fn take_in(
+    shell: &Rc<Shell>,
+    polled: &Rc<RefCell<HashSet<ServerId>>>,
+    records: Vec<VmRecord>,
+) -> bool {
+    let mut servers = Vec::new();
+    let mut entries = Vec::new();
+    let mut addresses = HashMap::new();
+    let mut peers = HashMap::new();
+    for record in records {
+        let leaving = record.state == VmState::Leaving;
+        let Ok(address) = record.address.parse() else {
+            continue;
+        };
+        let kind = match record.kind {
+            VmKind::Entry { peer_address } => {
+                let vm = VmId(record.id);
+                if let Ok(peer_address) = peer_address.parse() {
+                    peers.insert(vm, peer_address);
+                }
+                entries.push(PeerRecord {
+                    vm,
+                    caller_address: record.address,
+                    failure_domain: record.failure_domain,
+                    leaving,
+                });
+                continue;
+            }
+            VmKind::Engine => ServerKind::Engine,
+            VmKind::Service { service } => ServerKind::Service(service),
+        };
+        let id = ServerId(record.id);
+        addresses.insert(id, address);
+        servers.push(ServerRecord {
+            id,
+            kind,
+            failure_domain: record.failure_domain,
+            leaving,
+        });
+    }
+    let engines = servers.iter().filter(|s| s.kind == ServerKind::Engine);
+    let engines: Vec<ServerId> = engines.map(|s| s.id).collect();
+    let any = !servers.is_empty();
+    shell.set_servers(addresses);
+    shell.step(Event::VmList { servers, entries });
+    peers.remove(&shell.vm());
+    peer_link::keep_links(shell, peers);
+    for id in engines {
+        if polled.borrow_mut().insert(id) {
+            spawn_poll(shell.clone(), polled.clone(), id);
+        }
+    }
+    any
+}
+
+fn spawn_poll(shell: Rc<Shell>, polled: Rc<RefCell<HashSet<ServerId>>>, id: ServerId) {
+    monoio::spawn(async move {
+        engine_poll::poll(shell, id).await;
+        polled.borrow_mut().remove(&id);
+    });
+}
