Operators' command line, stand-ins as processes, bad input refused

Cause: the thin path had no way to operate it, and bad input was untested. Change: notchwalk (check, status, dump, drain, key, bundle ...), stand-ins by a deployment file, examples for both deployments, tests of bad input against a real daemon; consecutive frames go to the reducer as one; the relay bench counts in a window while all streams run, and stand-in engines wake on work.

--- a/crates/notchwalk_cli/src/lib.rs
+++ b/crates/notchwalk_cli/src/lib.rs
@@ -1,1 +1,17 @@
-//! The operators' command line.
+//! The operators' command line: settings, keys, bundles and the state of the
+//! daemons.
+
+pub mod arguments;
+mod bundles;
+mod error;
+mod keys;
+mod proposal;
+mod run;
+mod settings;
+mod state;
+
+pub mod prelude;
+
+pub use error::CliError;
+pub use proposal::Proposal;
+pub use run::run;
--- /dev/null
+++ b/crates/notchwalk_cli/src/run.rs
@@ -0,0 +1,32 @@
+//! From arguments to commands.
+
+use monoio::{LegacyDriver, RuntimeBuilder};
+
+use crate::{arguments::Command, bundles, error::CliError, keys, settings, state};
+
+/// Runs one command to its end.
+///
+/// # Errors
+///
+/// Says what went wrong; [`CliError::exit_code`] gives the process's exit
+/// code.
+///
+/// # Panics
+///
+/// Panics if the runtime can't start.
+pub fn run(command: Command) -> Result<(), CliError> {
+    let builder = RuntimeBuilder::<LegacyDriver>::new().enable_timer();
+    let mut runtime = builder.build().expect("the runtime starts");
+    runtime.block_on(async {
+        match command {
+            Command::Check { settings, bundle } => {
+                settings::check(settings.as_deref(), bundle.as_deref())
+            }
+            Command::Status { operator } => state::status(&operator).await,
+            Command::Dump { operator } => state::dump(operator).await,
+            Command::Drain { operator } => state::drain(operator).await,
+            Command::Key(command) => keys::run(&command),
+            Command::Bundle(command) => bundles::run(command).await,
+        }
+    })
+}
--- /dev/null
+++ b/crates/notchwalk_cli/src/state.rs
@@ -0,0 +1,142 @@
+//! The state of daemons.
+
+use std::{net::SocketAddr, time::Duration};
+
+use comfy_table::{presets::UTF8_FULL_CONDENSED, Table};
+use http::Method;
+use notchwalk_http::prelude::*;
+use serde_json::Value;
+
+use crate::error::CliError;
+
+/// How long a daemon may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// The largest answer, in bytes.
+const MAX_ANSWER: usize = 256 << 20;
+
+/// Returns a table with headings.
+pub fn table(headings: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(UTF8_FULL_CONDENSED).set_header(headings);
+    table
+}
+
+/// Asks a daemon's operator address.
+///
+/// # Errors
+///
+/// Fails if it does not answer.
+pub async fn ask(
+    operator: SocketAddr,
+    method: Method,
+    path: &str,
+) -> Result<WholeResponse, CliError> {
+    let req = OutgoingRequest::new(method, path);
+    let sent = Client::new().send(operator, req, TIMEOUT, MAX_ANSWER).await;
+    sent.map_err(|source| CliError::Daemon {
+        address: operator.to_string(),
+        source,
+    })
+}
+
+/// Reads a daemon's whole state.
+///
+/// # Errors
+///
+/// Fails if it does not answer.
+pub async fn read_dump(operator: SocketAddr) -> Result<Value, CliError> {
+    let answer = ask(operator, Method::GET, "/dump").await?;
+    let fault = |e| CliError::Input(format!("{operator}: no dump: {e}"));
+    answer.json().map_err(fault)
+}
+
+/// Prints a daemon's whole state.
+///
+/// # Errors
+///
+/// Fails if it does not answer.
+pub async fn dump(operator: SocketAddr) -> Result<(), CliError> {
+    let dump = read_dump(operator).await?;
+    println!(
+        "{}",
+        serde_json::to_string_pretty(&dump).unwrap_or_default()
+    );
+    Ok(())
+}
+
+/// Prints a line for each daemon. A daemon that does not answer has its line,
+/// too.
+///
+/// # Errors
+///
+/// Fails if a daemon did not answer, after all were asked.
+pub async fn status(operators: &[SocketAddr]) -> Result<(), CliError> {
+    let mut table = table(&[
+        "operator address",
+        "vm",
+        "domain",
+        "state",
+        "bundle",
+        "open",
+        "queued",
+        "answered",
+        "failed",
+        "peers alive",
+        "servers",
+    ]);
+    let mut failed = None;
+    for operator in operators {
+        match read_dump(*operator).await {
+            Ok(dump) => {
+                table.add_row(status_row(*operator, &dump));
+            }
+            Err(e) => {
+                table.add_row([operator.to_string(), "does not answer".to_owned()]);
+                failed = Some(e);
+            }
+        }
+    }
+    println!("{table}");
+    failed.map_or(Ok(()), Err)
+}
+
+fn status_row(operator: SocketAddr, dump: &Value) -> Vec<String> {
+    let text = |value: &Value| match value {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    };
+    let list = |key: &str| dump[key].as_array().cloned().unwrap_or_default();
+    let state = match (dump["draining"] == true, dump["ready"] == true) {
+        (true, _) => "draining",
+        (_, true) => "ready",
+        _ => "not ready",
+    };
+    let alive = list("peers")
+        .iter()
+        .filter(|p| p["state"] == "alive")
+        .count();
+    vec![
+        operator.to_string(),
+        text(&dump["vm"]),
+        text(&dump["failure_domain"]),
+        state.to_owned(),
+        text(&dump["bundle_version"]),
+        text(&dump["open_requests"]),
+        text(&dump["queued_requests"]),
+        text(&dump["counters"]["completed"]),
+        text(&dump["counters"]["failed"]),
+        format!("{alive} of {}", list("peers").len()),
+        list("servers").len().to_string(),
+    ]
+}
+
+/// Tells a daemon to drain.
+///
+/// # Errors
+///
+/// Fails if it does not answer.
+pub async fn drain(operator: SocketAddr) -> Result<(), CliError> {
+    ask(operator, Method::POST, "/drain").await?;
+    println!("{operator} drains");
+    Ok(())
+}
--- a/crates/notchwalk_decide/src/admission.rs
+++ b/crates/notchwalk_decide/src/admission.rs
@@ -93,7 +93,12 @@
     let timeout_ms = timeout_ms.clamp(1, policy.max_timeout_ms);
     if policy.kind == PolicyKind::Fair {
         let wait = waiting_ms(node, cx, Some(sized.group), slot, workspace.weight);
-        if wait + sized.alone_us / 1_000 > timeout_ms {
+        let alone_ms = sized.alone_us / 1_000;
+        if alone_ms > timeout_ms {
+            // Coming back later would not help.
+            return Err((FailureCode::DeadlineTooClose, None));
+        }
+        if wait + alone_ms > timeout_ms {
             return Err((FailureCode::DeadlineTooClose, Some(wait.max(SOON_MS))));
         }
     }
--- a/crates/notchwalk_decide/src/dump.rs
+++ b/crates/notchwalk_decide/src/dump.rs
@@ -107,6 +107,8 @@
     pub draining: bool,
     /// The bundle in force.
     pub bundle_version: u64,
+    /// How long it has been in force here, in milliseconds.
+    pub bundle_age_ms: u64,
     /// Requests admitted and not over.
     pub open_requests: usize,
     /// Requests waiting.
@@ -141,6 +143,7 @@
             ready: self.is_ready(),
             draining: self.drain.is_on(),
             bundle_version: self.bundle_version(),
+            bundle_age_ms: now.since(self.bundle_since).as_millis() as u64,
             open_requests: self.requests.len(),
             queued_requests: self.queue.len(),
             open_cancels: self.cancels.len(),
--- a/crates/notchwalk_decide/src/node.rs
+++ b/crates/notchwalk_decide/src/node.rs
@@ -84,6 +84,7 @@
     pub(crate) cfg: NodeConfig,
     pub(crate) rng: Pcg64Mcg,
     pub(crate) catalog: Catalog,
+    pub(crate) bundle_since: Instant,
     pub(crate) requests: SlotMap<RequestKey, Request>,
     pub(crate) by_seq: HashMap<u64, RequestKey>,
     pub(crate) next_seq: u64,
@@ -110,6 +111,7 @@
             membership: Membership::new(&cfg),
             cfg,
             catalog: Catalog::default(),
+            bundle_since: Instant::ZERO,
             requests: SlotMap::with_key(),
             by_seq: HashMap::new(),
             next_seq: 1,
@@ -221,6 +223,7 @@
             );
             return;
         }
+        self.bundle_since = cx.now;
         let groups = self.catalog.groups.len();
         self.costs.resize_with(groups, CostModel::default);
         credit::recount_demand(self);
--- a/crates/notchwalk_decide/src/placement.rs
+++ b/crates/notchwalk_decide/src/placement.rs
@@ -16,7 +16,7 @@
 /// What a running request counts for in a server's score, in prompt tokens.
 const RUNNING_WEIGHT: Tokens = 24;
 /// Random part of scores, so that entries don't herd to one server.
-const JITTER: Tokens = 384;
+const JITTER: Tokens = 96;
 /// What a server that just failed the request counts extra.
 const AVOID_PENALTY: Tokens = 1 << 20;
 
--- a/crates/notchwalk_standin/src/bench/relay.rs
+++ b/crates/notchwalk_standin/src/bench/relay.rs
@@ -23,20 +23,22 @@
 
 /// Streams at the same time in the throughput phase.
 const STREAMS: usize = 200;
+/// How many times faster than real the engines run in the throughput phase:
+/// so fast that the daemon is the slowest part.
+const THROUGHPUT_SCALE: f64 = 60.0;
 /// Requests of the first-token phase.
 const SINGLE_REQUESTS: u64 = 1_500;
 /// The answer's length in the throughput phase.
-const LONG_ANSWER: u32 = 4_000;
+const LONG_ANSWER: u32 = 20_000;
+/// When counting begins, and how long it lasts: all streams run all the time.
+const COUNT_FROM: Duration = Duration::from_millis(800);
+/// See [`COUNT_FROM`].
+const COUNT_FOR: Duration = Duration::from_millis(1_500);
 
 /// Runs the bench.
 pub fn run(options: &BenchOptions) -> Figures {
-    let mut config = FleetConfig::new(vec![WorkspaceSpec::new("bench", 1.0)])
-        .with_sizes(1, 4, 0)
-        .with_time_scale(20.0);
-    config.slots = 256;
-    let fleet = Fleet::start(config);
-    let (direct, through) = block_on(first_tokens(&fleet, options.seed));
-    let tokens_per_s = throughput(&fleet, options);
+    let (direct, through) = block_on(first_tokens(&fleet(20.0), options.seed));
+    let tokens_per_s = throughput(&fleet(THROUGHPUT_SCALE), options);
     let mut figures = Figures::new();
     for (name, q) in [("p50", 0.5), ("p95", 0.95)] {
         let (direct, through) = (direct.quantile_ms(q), through.quantile_ms(q));
@@ -55,14 +57,21 @@
         "daemon_core_used".to_owned(),
         rounded(tokens_per_s.core_used, 2),
     );
-    figures.insert(
-        "tokens_per_core_s".to_owned(),
-        rounded(tokens_per_s.per_core(), 0),
-    );
     figures.insert("rss_mb".to_owned(), rounded(rss_mb(), 1));
     figures
 }
 
+/// Starts one daemon before six engines.
+fn fleet(time_scale: f64) -> Fleet {
+    let mut config = FleetConfig::new(vec![WorkspaceSpec::new("bench", 1.0)])
+        .with_sizes(1, 6, 0)
+        .with_time_scale(time_scale);
+    config.slots = 256;
+    config.capacity_tokens = 2_000_000;
+    config.engines_per_thread = 1;
+    Fleet::start(config)
+}
+
 /// Returns this process's resident memory: engines, callers and the daemon.
 fn rss_mb() -> f64 {
     const PAGE: f64 = 4_096.0;
@@ -147,25 +156,22 @@
     core_used: f64,
 }
 
-impl Throughput {
-    /// Tokens a second at a whole core, from what was used.
-    fn per_core(&self) -> f64 {
-        self.through / self.core_used.max(0.01)
-    }
-}
-
 /// Many streams at once, by callers that only count bytes, so that the daemon
 /// is the slowest part.
 fn throughput(fleet: &Fleet, options: &BenchOptions) -> Throughput {
     let direct = stream_all(fleet, options, false);
-    let cpu_before = thread_cpu("entry-1");
-    let began = Instant::now();
+    let watch = std::thread::spawn(|| {
+        std::thread::sleep(COUNT_FROM);
+        let before = thread_cpu("entry-1");
+        std::thread::sleep(COUNT_FOR);
+        (thread_cpu("entry-1") - before) / COUNT_FOR.as_secs_f64()
+    });
     let through = stream_all(fleet, options, true);
-    let cpu = thread_cpu("entry-1") - cpu_before;
+    let core_used = watch.join().expect("the watch ends");
     Throughput {
         direct,
         through,
-        core_used: cpu / began.elapsed().as_secs_f64(),
+        core_used,
     }
 }
 
@@ -198,14 +204,8 @@
             let key = fleet.key(0).to_owned();
             let seed = options.seed + through as u64 * 1_000;
             std::thread::spawn(move || {
-                block_on(stream_share(
-                    t,
-                    THREADS,
-                    &engines,
-                    through.then_some(entry),
-                    &key,
-                    seed,
-                ))
+                let entry = through.then_some(entry);
+                block_on(stream_share(t, THREADS, &engines, entry, &key, seed, began))
             })
         })
         .collect();
@@ -213,7 +213,7 @@
         .into_iter()
         .map(|t| t.join().expect("a caller ends"))
         .sum();
-    tokens as f64 / began.elapsed().as_secs_f64()
+    tokens as f64 / COUNT_FOR.as_secs_f64()
 }
 
 async fn stream_share(
@@ -223,6 +223,7 @@
     entry: Option<SocketAddr>,
     key: &str,
     seed: u64,
+    began: Instant,
 ) -> u64 {
     let client = Client::new();
     let mut tasks = Vec::new();
@@ -249,7 +250,7 @@
         };
         let client = client.clone();
         tasks.push(monoio::spawn(async move {
-            count_tokens(&client, addr, req).await
+            count_tokens(&client, addr, req, began).await
         }));
     }
     let mut sum = 0;
@@ -259,8 +260,13 @@
     sum
 }
 
-/// Counts the tokens of a stream by its data lines.
-async fn count_tokens(client: &Client, addr: SocketAddr, req: OutgoingRequest) -> u64 {
+/// Counts the tokens of a stream that come while all are counted.
+async fn count_tokens(
+    client: &Client,
+    addr: SocketAddr,
+    req: OutgoingRequest,
+    began: Instant,
+) -> u64 {
     let mut answer = client.stream(addr, req).await.expect("a stream begins");
     assert!(
         answer.status.is_success(),
@@ -269,9 +275,14 @@
     );
     let mut lines = 0;
     while let Ok(Some(piece)) = answer.next().await {
-        // Each event ends with an empty line.
-        lines += piece.windows(2).filter(|w| w == b"\n\n").count() as u64;
+        let at = began.elapsed();
+        if at >= COUNT_FROM + COUNT_FOR {
+            break;
+        }
+        if at >= COUNT_FROM {
+            // Each event ends with an empty line.
+            lines += piece.windows(2).filter(|w| w == b"\n\n").count() as u64;
+        }
     }
-    const NOT_TOKENS: u64 = 2;
-    lines.saturating_sub(NOT_TOKENS).min(u64::from(LONG_ANSWER))
+    lines
 }
--- a/crates/notchwalk_standin/src/engine/api.rs
+++ b/crates/notchwalk_standin/src/engine/api.rs
@@ -28,7 +28,7 @@
 /// The largest body, in bytes.
 const MAX_BODY: usize = 256 << 20;
 /// How long an idle engine sleeps between looks.
-const IDLE: Duration = Duration::from_micros(500);
+const IDLE: Duration = Duration::from_millis(20);
 
 /// Counts of a stand-in engine, for tests and benches.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,6 +55,7 @@
     sim: Rc<RefCell<Simulation>>,
     fence: Rc<RefCell<FenceState>>,
     other: Rc<RefCell<Option<(RequestId, Attempt)>>>,
+    wake: unbounded::Tx<()>,
 }
 
 #[derive(Default)]
@@ -75,34 +76,40 @@
     listener.set_nonblocking(true)?;
     let addr = listener.local_addr()?;
     let listener = TcpListener::from_std(listener)?;
+    let (wake, woken) = unbounded::channel();
     let handle = EngineHandle {
+        wake,
         sim: Rc::new(RefCell::new(Simulation::new(config))),
         fence: Rc::default(),
         other: Rc::default(),
     };
-    monoio::spawn(run_steps(handle.sim.clone()));
+    monoio::spawn(run_steps(handle.sim.clone(), woken));
     let service: Rc<dyn Service> = Rc::new(handle.clone());
     monoio::spawn(serve(listener, ServerLimits::default(), service));
     Ok((addr, handle))
 }
 
-/// Runs the engine's steps for ever, on an absolute schedule.
-async fn run_steps(sim: Rc<RefCell<Simulation>>) {
+/// Runs the engine's steps for ever, on an absolute schedule. An idle engine
+/// begins at once when work comes.
+async fn run_steps(sim: Rc<RefCell<Simulation>>, mut woken: unbounded::Rx<()>) {
     const MAX_BEHIND: Duration = Duration::from_millis(50);
     let mut due = std::time::Instant::now();
     loop {
+        while woken.try_recv().is_ok() {}
         let hung = matches!(sim.borrow().fault, Fault::Hung | Fault::Dead);
         let took = if hung { None } else { sim.borrow_mut().step() };
         let now = std::time::Instant::now();
-        match took {
-            Some(took) => due = due.max(now.checked_sub(MAX_BEHIND).unwrap_or(now)) + took,
-            None => due = now + IDLE,
-        }
-        if due > now {
-            monoio::time::sleep(due - now).await;
-        } else {
-            // Lets the connections run although the schedule is behind.
-            monoio::time::sleep(Duration::ZERO).await;
+        let Some(took) = took else {
+            let _ = monoio::time::timeout(IDLE, woken.recv()).await;
+            due = std::time::Instant::now();
+            continue;
+        };
+        due = due.max(now.checked_sub(MAX_BEHIND).unwrap_or(now)) + took;
+        // Sleeps are whole milliseconds; steps that are behind follow at once,
+        // after the connections had their turn.
+        match due.checked_duration_since(now) {
+            Some(ahead) => monoio::time::sleep(ahead).await,
+            None => crate::thread::yield_now().await,
         }
     }
 }
@@ -138,6 +145,11 @@
         self.sim.borrow().fault
     }
 
+    fn add(&self, sequence: Sequence) {
+        self.sim.borrow_mut().add(sequence);
+        let _ = self.wake.send(());
+    }
+
     fn counts(&self) -> EngineCounts {
         let mut sim = self.sim.borrow_mut();
         let (computed_tokens, generated_tokens) = sim.tokens_made();
@@ -286,7 +298,7 @@
             tx,
         };
         let (request, attempt) = (req.request, req.attempt);
-        self.sim.borrow_mut().add(sequence);
+        self.add(sequence);
         let _guard = AnswerGuard {
             sim: self.sim.clone(),
             request,
@@ -382,7 +394,7 @@
             ));
         }
         let (tx, mut rx) = unbounded::channel();
-        self.sim.borrow_mut().add(Sequence {
+        self.add(Sequence {
             request: req.request,
             attempt: req.attempt,
             priority: 0,
--- a/crates/notchwalk_standin/src/fleet.rs
+++ b/crates/notchwalk_standin/src/fleet.rs
@@ -29,8 +29,6 @@
 const FIRST_ENGINE: u32 = 1_000;
 /// The first number of plain services' servers.
 const FIRST_SERVICE: u32 = 2_000;
-/// Engines that share one thread of this process.
-const ENGINES_PER_THREAD: usize = 5;
 /// How long a fleet may take until it is ready.
 const READY_WITHIN: Duration = Duration::from_secs(15);
 
@@ -51,6 +49,8 @@
     pub capacity_tokens: u64,
     /// Requests an engine runs at once.
     pub slots: u32,
+    /// Engines that share one thread of this process.
+    pub engines_per_thread: usize,
     /// What the bundle says.
     pub bundle: BundleSpec,
     /// How daemons count memory.
@@ -73,6 +73,7 @@
             time_scale: 4.0,
             capacity_tokens: 400_000,
             slots: 64,
+            engines_per_thread: 5,
             bundle: BundleSpec {
                 model: "lampwise".to_owned(),
                 context_tokens: 1_100_000,
@@ -417,7 +418,7 @@
         starting.push((listener, engine));
     }
     while !starting.is_empty() {
-        let rest = starting.split_off(starting.len().min(ENGINES_PER_THREAD));
+        let rest = starting.split_off(starting.len().min(config.engines_per_thread));
         let group = std::mem::replace(&mut starting, rest);
         threads.push(ServingThread::start("engines", move || async move {
             for (listener, engine) in group {
--- a/crates/notchwalk_standin/src/main.rs
+++ b/crates/notchwalk_standin/src/main.rs
@@ -1,11 +1,14 @@
 //! `notchwalk-standin`: stand-ins, load, demo and benches, for development.
 
-use std::process::ExitCode;
+use std::{net::SocketAddr, path::Path, path::PathBuf, process::ExitCode, time::Duration};
 
 use bpaf::Bpaf;
 use notchwalk_standin::{
     bench::{BenchOptions, BENCHES},
     demo,
+    deployment::Deployment,
+    processes::{self, LoadOptions},
+    workload::Stream,
 };
 
 /// Stand-ins of the systems that notchwalk serves, a load tool, a demo and
@@ -19,6 +22,58 @@
         /// Keep the fleet running until Ctrl-C; the first line is JSON with addresses and a key
         hold: bool,
     },
+    /// Run the stand-in platform of a deployment
+    #[bpaf(command)]
+    Platform {
+        /// The deployment's file
+        #[bpaf(argument("FILE"))]
+        deployment: PathBuf,
+    },
+    /// Run the stand-in engines of a deployment
+    #[bpaf(command)]
+    Engines {
+        /// The deployment's file
+        #[bpaf(argument("FILE"))]
+        deployment: PathBuf,
+    },
+    /// Run the stand-in plain services of a deployment
+    #[bpaf(command)]
+    Services {
+        /// The deployment's file
+        #[bpaf(argument("FILE"))]
+        deployment: PathBuf,
+    },
+    /// Send prompts to entries and check every answer
+    #[bpaf(command)]
+    Load {
+        /// An entry's address for callers; may be repeated
+        #[bpaf(argument("ADDR"), some("at least one --entry is needed"))]
+        entry: Vec<SocketAddr>,
+        /// The workspace's key
+        #[bpaf(argument("KEY"))]
+        key: String,
+        /// The model
+        #[bpaf(argument("NAME"))]
+        model: String,
+        /// Requests a second
+        #[bpaf(argument("N"), fallback(10.0))]
+        per_s: f64,
+        /// The shortest prompt, in tokens
+        #[bpaf(argument("N"), fallback(1_000))]
+        min_prompt: u64,
+        /// The longest prompt, in tokens
+        #[bpaf(argument("N"), fallback(4_000))]
+        max_prompt: u64,
+        /// The answers' length, in tokens
+        #[bpaf(argument("N"), fallback(50))]
+        answer: u32,
+        /// How long prompts are sent, in seconds
+        #[bpaf(argument("S"), fallback(10))]
+        seconds: u64,
+        /// The seed of the traffic
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+    },
     /// Measure something; the last line is one JSON object
     #[bpaf(command)]
     Bench {
@@ -47,6 +102,41 @@
             true => ExitCode::SUCCESS,
             false => ExitCode::FAILURE,
         },
+        Command::Platform { deployment } => stand_in(&deployment, processes::platform),
+        Command::Engines { deployment } => stand_in(&deployment, processes::engines),
+        Command::Services { deployment } => stand_in(&deployment, processes::services),
+        Command::Load {
+            entry,
+            key,
+            model,
+            per_s,
+            min_prompt,
+            max_prompt,
+            answer,
+            seconds,
+            seed,
+        } => {
+            const TIMEOUT: Duration = Duration::from_secs(120);
+            let options = LoadOptions {
+                entries: entry,
+                key,
+                model,
+                stream: Stream {
+                    per_s,
+                    min_prompt,
+                    max_prompt,
+                    min_answer: answer,
+                    max_answer: answer,
+                    timeout: TIMEOUT,
+                },
+                over: Duration::from_secs(seconds),
+                seed,
+            };
+            match processes::load(&options) {
+                true => ExitCode::SUCCESS,
+                false => ExitCode::FAILURE,
+            }
+        }
         Command::Bench {
             json,
             seed,
@@ -61,6 +151,20 @@
     ExitCode::FAILURE
 }
 
+/// Runs one kind of stand-in of a deployment.
+fn stand_in(path: &Path, run: fn(Deployment) -> std::io::Result<()>) -> ExitCode {
+    match Deployment::load(path) {
+        Ok(deployment) => match run(deployment) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => fail(&e.to_string()),
+        },
+        Err(findings) => {
+            eprintln!("{findings}");
+            ExitCode::from(2)
+        }
+    }
+}
+
 fn bench(name: Option<&str>, json: bool, options: &BenchOptions) -> ExitCode {
     let Some(name) = name else {
         for bench in BENCHES {
--- a/crates/notchwalk_standin/src/thread.rs
+++ b/crates/notchwalk_standin/src/thread.rs
@@ -6,6 +6,7 @@
         atomic::{AtomicBool, Ordering},
         Arc,
     },
+    task::Poll,
     thread::JoinHandle,
     time::Duration,
 };
@@ -25,6 +26,19 @@
         .block_on(future)
 }
 
+/// Lets the other tasks of this thread run once.
+pub async fn yield_now() {
+    let mut yielded = false;
+    std::future::poll_fn(|cx| {
+        if std::mem::replace(&mut yielded, true) {
+            return Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
 /// A thread that serves until it is dropped.
 pub struct ServingThread {
     stop: Arc<AtomicBool>,
--- a/crates/notchwalkd/src/engine_driver.rs
+++ b/crates/notchwalkd/src/engine_driver.rs
@@ -7,8 +7,8 @@
 use notchwalk_decide::{AttemptEnd, Dispatch, Event, RequestKey, SegmentOrder};
 use notchwalk_http::prelude::*;
 use notchwalk_wire::{
-    CancelAnswer, CancelRequest, EngineFrame, EngineRefusal, GenerateRequest, Holdings, Prompt,
-    SegmentAnswer, SegmentRequest,
+    CancelAnswer, CancelRequest, EngineFinish, EngineFrame, EngineRefusal, GenerateRequest,
+    Holdings, Prompt, SegmentAnswer, SegmentRequest,
 };
 
 use crate::{
@@ -97,40 +97,73 @@
                 return AttemptEnd::Broken;
             }
         }
-        while let Some(line) = sse.next_data() {
-            let Ok(frame) = serde_json::from_slice::<EngineFrame>(&line) else {
-                return AttemptEnd::Broken;
-            };
-            if let Some(end) = take_frame(shell, request, payload, frame) {
-                drain_tail(answer).await;
-                return end;
-            }
+        if let Some(end) = take_lines(shell, request, payload, &mut sse) {
+            drain_tail(answer).await;
+            return end;
         }
     }
 }
 
-/// Feeds a frame; returns the attempt's end if it is the last.
-fn take_frame(
+/// Feeds all whole frames; consecutive ones go to the reducer as one. Returns
+/// the attempt's end if it was among them.
+fn take_lines(
     shell: &Rc<Shell>,
     request: RequestKey,
     payload: &GeneratePayload,
-    mut frame: EngineFrame,
+    sse: &mut SseReader,
 ) -> Option<AttemptEnd> {
-    let finish = frame.finish.take();
-    let own = shell.with_node(|node| node.request_id(request)) == Some(frame.request);
-    if !frame.tokens.is_empty() || !own {
+    let own = shell.with_node(|node| node.request_id(request))?;
+    let mut batch: Option<EngineFrame> = None;
+    while let Some(line) = sse.next_data() {
+        let Ok(mut frame) = serde_json::from_slice::<EngineFrame>(line) else {
+            return Some(AttemptEnd::Broken);
+        };
+        let finish = frame.finish.take().filter(|_| frame.request == own);
+        match &mut batch {
+            Some(before) if follows(before, &frame) => before.tokens.append(&mut frame.tokens),
+            _ => {
+                if let Some(before) = batch.replace(frame) {
+                    shell.frame(request, before);
+                }
+            }
+        }
+        if let Some(finish) = finish {
+            feed(shell, request, batch);
+            return Some(finished(shell, request, payload, finish));
+        }
+    }
+    feed(shell, request, batch);
+    None
+}
+
+fn feed(shell: &Rc<Shell>, request: RequestKey, batch: Option<EngineFrame>) {
+    if let Some(frame) = batch.filter(|f| !f.tokens.is_empty()) {
         shell.frame(request, frame);
     }
-    let finish = finish.filter(|_| own)?;
+}
+
+/// Tells whether a frame carries the tokens right after those of another.
+fn follows(before: &EngineFrame, frame: &EngineFrame) -> bool {
+    before.request == frame.request
+        && before.attempt == frame.attempt
+        && u64::from(before.offset) + before.tokens.len() as u64 == u64::from(frame.offset)
+}
+
+fn finished(
+    shell: &Rc<Shell>,
+    request: RequestKey,
+    payload: &GeneratePayload,
+    finish: EngineFinish,
+) -> AttemptEnd {
     if let Some(bytes) = payload.text_bytes {
         shell.with_node(|node| node.learn_tokens(&payload.model, bytes, finish.prompt_tokens));
     }
     shell.set_finish_reason(request, finish.reason);
-    Some(AttemptEnd::Complete {
+    AttemptEnd::Complete {
         prompt_tokens: finish.prompt_tokens,
         cached_tokens: finish.cached_tokens,
         completion_tokens: finish.completion_tokens as u32,
-    })
+    }
 }
 
 /// Reads the end of a finished stream, so that its connection can be used
