Short requests keep clear of each other and of long work

Traced (request by request): entries could not see each other's short work on an engine (collisions of up to six), counted long prompts in full although engines serve short ones first, and five stand-in engines shared a thread, so parsing a long body stalled four others. Change: load reports give the backlog by priority and placement counts what goes before the class; an entry prefers the servers it is home of; a stand-in engine has its own thread; room for short work is left on every engine.

--- a/crates/notchwalk_decide/src/attempt.rs
+++ b/crates/notchwalk_decide/src/attempt.rs
@@ -86,7 +86,7 @@
         backlog,
     });
     let slot = req.workspace;
-    let long = req.plan.is_some();
+    let (long, lane) = (req.plan.is_some(), req.lane);
     let dispatch = Dispatch {
         request: key,
         attempt: req.attempt,
@@ -99,7 +99,7 @@
     place.running += 1;
     if !long {
         place.held += held;
-        place.backlog += backlog;
+        place.backlog[lane.index()] += backlog;
     }
     node.catalog.workspace(slot).in_flight += 1;
     node.counters.attempts += 1;
@@ -235,11 +235,11 @@
 
 fn release_backlog(node: &mut Node, key: RequestKey) {
     let req = &mut node.requests[key];
-    let long = req.plan.is_some();
+    let (long, lane) = (req.plan.is_some(), req.lane);
     if let Some(running) = req.running.as_mut() {
         let backlog = std::mem::take(&mut running.backlog);
         if !long {
-            node.servers.arena[running.server].backlog -= backlog;
+            node.servers.arena[running.server].backlog[lane.index()] -= backlog;
         }
     }
 }
--- a/crates/notchwalk_decide/src/dump.rs
+++ b/crates/notchwalk_decide/src/dump.rs
@@ -233,7 +233,7 @@
             running: server.running,
             held_tokens: server.held,
             long_held_tokens: node.long.held_on(id),
-            backlog_tokens: server.backlog,
+            backlog_tokens: server.whole_backlog(),
             capacity_tokens: server.capacity(),
             used_tokens: used,
             report_age_ms: age,
--- a/crates/notchwalk_decide/src/long_work.rs
+++ b/crates/notchwalk_decide/src/long_work.rs
@@ -170,8 +170,13 @@
     if largest == 0 {
         return pause(node, cx, key);
     }
-    let usable = (largest * LONE_PERCENT / 100).max(1);
-    let parts = need.div_ceil(usable) as usize;
+    let short_room = node.bundle().map_or(0, |b| b.policy.short_room_percent);
+    let parts_of = |percent: Tokens| need.div_ceil((largest * percent / 100).max(1)) as usize;
+    // Room for short work is left on each server, unless there are too few.
+    let mut parts = parts_of(100 - short_room);
+    if ranked.len() < parts {
+        parts = parts_of(LONE_PERCENT);
+    }
     if ranked.len() < parts {
         return pause(node, cx, key);
     }
--- a/crates/notchwalk_decide/src/placement.rs
+++ b/crates/notchwalk_decide/src/placement.rs
@@ -2,17 +2,23 @@
 
 use notchwalk_bundle::PolicyKind;
 use notchwalk_core::{Instant, Tokens};
+use notchwalk_wire::LoadReport;
 use rand::Rng;
 
 use crate::{
-    config::ReserveMode, credit, event::Work, node::Node, request::RequestKey, server::ServerKey,
+    config::ReserveMode, credit, event::Work, lane::Lane, node::Node, request::RequestKey,
+    server::ServerKey,
 };
 
 /// Prompt tokens that all entries together keep waiting on an engine. Enough
 /// for it never to run dry, few enough that a newcomer waits little.
 const PREFILL_WINDOW: Tokens = 8_192;
-/// An engine that reports more prompt tokens than this computes a long prompt.
-const LONG_BACKLOG: Tokens = 32_768;
+/// What longer work counts for that is being computed on a server: it yields,
+/// but only after the engine's present step.
+const PRESENT_STEP: Tokens = 256;
+/// What a server counts extra whose home is another entry. While there is
+/// little to do, each entry keeps to its own servers and meets no other there.
+const FOREIGN_HOME: Tokens = 1_024;
 /// What a running request counts for in a server's score, in prompt tokens.
 const RUNNING_WEIGHT: Tokens = 24;
 /// Random part of scores, so that entries don't herd to one server.
@@ -106,14 +112,22 @@
             _ => 0,
         };
         let backlog = req.prompt_tokens().saturating_sub(cached);
-        if fair && !has_room(node, now, key, held, backlog) {
+        let lane = req.lane;
+        if fair && !has_room(node, now, key, lane, held, backlog) {
             continue;
         }
         let avoid = req.avoid == Some(key);
-        let mut score = score(node, now, key) + backlog + node.rng.random_range(0..JITTER);
+        let ahead = match fair {
+            true => work_ahead(node, now, key, lane),
+            false => load_of(node, now, key),
+        };
+        let mut score = ahead + backlog + node.rng.random_range(0..JITTER);
         if avoid {
             score += AVOID_PENALTY;
         }
+        if fair && !fits_now(node, now, key, held) {
+            score += PREFILL_WINDOW;
+        }
         if best.is_none_or(|(least, _, _)| score < least) {
             best = Some((score, key, backlog));
         }
@@ -128,28 +142,64 @@
     }
 }
 
-/// The work ahead of a newcomer on a server, in prompt tokens.
-fn score(node: &Node, now: Instant, key: ServerKey) -> Tokens {
+/// The work ahead of a newcomer of a class on a server, in prompt tokens.
+fn work_ahead(node: &mut Node, now: Instant, key: ServerKey, lane: Lane) -> Tokens {
+    let id = node.servers.arena[key].id;
+    let foreign = credit::home_of(node, now, id) != node.cfg.vm;
     let server = &node.servers.arena[key];
-    let own = server.backlog + Tokens::from(server.running) * RUNNING_WEIGHT;
+    let running = Tokens::from(server.running) * RUNNING_WEIGHT;
+    let own = server.backlog_before(lane) + running + if foreign { FOREIGN_HOME } else { 0 };
     let Some(report) = server.fresh_report(now) else {
         return own;
     };
-    let others = report.backlog_tokens.saturating_sub(server.backlog);
+    let reported = reported_before(report, lane);
+    let others = reported.saturating_sub(server.backlog_before(lane));
+    let yielding = match report.backlog_tokens > reported {
+        true => PRESENT_STEP,
+        false => 0,
+    };
     let running = report.running.saturating_sub(server.running) + report.waiting;
-    let computes_long = others > LONG_BACKLOG;
-    // A long prompt yields to short ones, so it costs a newcomer about one
-    // step of the engine, not its whole length.
-    let others = if computes_long {
-        PREFILL_WINDOW
-    } else {
-        others
+    own + others + yielding + Tokens::from(running) * RUNNING_WEIGHT
+}
+
+/// Returns the reported backlog that goes before a class.
+fn reported_before(report: &LoadReport, lane: Lane) -> Tokens {
+    let least = lane.engine_priority(0);
+    let before = report
+        .backlog_by_priority
+        .iter()
+        .filter(|(p, _)| *p >= least);
+    before.map(|(_, tokens)| tokens).sum()
+}
+
+/// Tells whether a server's memory has room as far as its report knows.
+fn fits_now(node: &Node, now: Instant, key: ServerKey, held: Tokens) -> bool {
+    let server = &node.servers.arena[key];
+    let report = server.fresh_report(now);
+    report.is_none_or(|r| r.used_tokens + held <= r.capacity_tokens)
+}
+
+/// The plain baseline's view: all that is reported, and what was sent since.
+fn load_of(node: &Node, now: Instant, key: ServerKey) -> Tokens {
+    let server = &node.servers.arena[key];
+    let own = server.whole_backlog() + Tokens::from(server.running) * RUNNING_WEIGHT;
+    let Some(report) = server.fresh_report(now) else {
+        return own;
     };
+    let others = report.backlog_tokens.saturating_sub(server.whole_backlog());
+    let running = report.running.saturating_sub(server.running) + report.waiting;
     own + others + Tokens::from(running) * RUNNING_WEIGHT
 }
 
 /// Tells whether this node's share of a server has room.
-fn has_room(node: &Node, now: Instant, key: ServerKey, held: Tokens, backlog: Tokens) -> bool {
+fn has_room(
+    node: &Node,
+    now: Instant,
+    key: ServerKey,
+    lane: Lane,
+    held: Tokens,
+    backlog: Tokens,
+) -> bool {
     let server = &node.servers.arena[key];
     let share = credit::share_of(node, now, key);
     let slots = (u64::from(server.slots()) * share / 1_000).max(1);
@@ -169,7 +219,8 @@
         }
     };
     let window = PREFILL_WINDOW * share / 1_000;
-    fits && (server.backlog == 0 || server.backlog + backlog <= window)
+    let before = server.backlog_before(lane);
+    fits && (before == 0 || before + backlog <= window)
 }
 
 /// The plain baseline: servers in turn, as many requests as slots allow.
--- a/crates/notchwalk_decide/src/server.rs
+++ b/crates/notchwalk_decide/src/server.rs
@@ -7,7 +7,12 @@
 use notchwalk_wire::LoadReport;
 use slotmap::{new_key_type, SlotMap};
 
-use crate::{catalog::GroupKey, event::ServerKind, prefix::PrefixIndex};
+use crate::{
+    catalog::GroupKey,
+    event::ServerKind,
+    lane::{Lane, LANES},
+    prefix::PrefixIndex,
+};
 
 new_key_type! {
     /// Names a backend server within a node.
@@ -117,8 +122,9 @@
     pub held: Tokens,
     /// Requests this node has running there.
     pub running: u32,
-    /// Prompt tokens this node sent there whose first token hasn't come.
-    pub backlog: Tokens,
+    /// Prompt tokens this node sent there whose first token hasn't come, by
+    /// class. Long work is not among them.
+    pub backlog: [Tokens; LANES.len()],
     /// The share its home granted, in thousandths, and until when.
     pub share: Option<(u16, Instant)>,
     /// Its circuit.
@@ -141,7 +147,7 @@
             loaded: Vec::new(),
             held: 0,
             running: 0,
-            backlog: 0,
+            backlog: [0; LANES.len()],
             share: None,
             circuit: Circuit::Closed { failures: 0 },
             refused_until: Instant::ZERO,
@@ -173,6 +179,17 @@
         (now.since(*at) <= REPORT_LIFE).then_some(report)
     }
 
+    /// Returns this node's backlog that a request of a class has to wait for:
+    /// engines serve shorter classes first.
+    pub fn backlog_before(&self, lane: Lane) -> Tokens {
+        self.backlog[..=lane.index()].iter().sum()
+    }
+
+    /// Returns this node's whole backlog.
+    pub fn whole_backlog(&self) -> Tokens {
+        self.backlog.iter().sum()
+    }
+
     /// Returns the memory in tokens, 0 if unknown.
     pub fn capacity(&self) -> Tokens {
         self.report.as_ref().map_or(0, |(_, r)| r.capacity_tokens)
--- a/crates/notchwalk_standin/src/bench/mod.rs
+++ b/crates/notchwalk_standin/src/bench/mod.rs
@@ -1,18 +1,22 @@
 //! Benches: each measures one thing and prints one JSON object on its last
 //! line.
 
+mod policy;
 mod relay;
+mod slowdown;
 mod steps;
 
 use serde_json::{Map, Value};
 
 /// How a bench is run.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct BenchOptions {
     /// The seed of its traffic.
     pub seed: u64,
     /// About how long each measured phase takes, in seconds.
     pub seconds: u64,
+    /// Leaves out all policies but one; for tuning.
+    pub only: Option<String>,
 }
 
 /// What a bench measured, by key.
@@ -35,6 +39,11 @@
         about: "what the daemon adds to the first token, and tokens a second through one",
         run: relay::run,
     },
+    Bench {
+        name: "slowdown",
+        about: "p95 first token of short requests with long work over without, for each policy",
+        run: slowdown::run,
+    },
     Bench {
         name: "steps",
         about: "events a second through the reducer, with 10 and 37,000 workspaces",
--- a/crates/notchwalk_standin/src/bench/relay.rs
+++ b/crates/notchwalk_standin/src/bench/relay.rs
@@ -68,7 +68,6 @@
         .with_time_scale(time_scale);
     config.slots = 256;
     config.capacity_tokens = 2_000_000;
-    config.engines_per_thread = 1;
     Fleet::start(config)
 }
 
--- a/crates/notchwalk_standin/src/bench/steps.rs
+++ b/crates/notchwalk_standin/src/bench/steps.rs
@@ -50,6 +50,7 @@
         waiting: 0,
         slots: 64,
         backlog_tokens: 1_000,
+        backlog_by_priority: vec![(120, 1_000)],
         prompt_token_ns: 40_000,
         answer_token_ns: 100_000,
         loaded: vec![LoadedModel {
--- a/crates/notchwalk_standin/src/engine/simulation.rs
+++ b/crates/notchwalk_standin/src/engine/simulation.rs
@@ -1,6 +1,10 @@
 //! The engine's steps, without I/O.
 
-use std::time::{Duration, Instant};
+use std::{
+    cmp::Reverse,
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use notchwalk_core::{Attempt, RequestId, Tokens};
 use notchwalk_wire::{Holding, LoadReport, LoadedModel};
@@ -259,6 +263,15 @@
         ended.len()
     }
 
+    fn backlog_by_priority(&self) -> Vec<(u8, Tokens)> {
+        let mut backlog = BTreeMap::new();
+        for sequence in self.sequences.iter().filter(|s| s.left() > 0) {
+            *backlog.entry(Reverse(sequence.priority)).or_default() += sequence.left();
+        }
+        let by_priority = backlog.into_iter();
+        by_priority.map(|(priority, n)| (priority.0, n)).collect()
+    }
+
     fn report_now(&self) -> LoadReport {
         let running = self.sequences.iter().filter(|s| s.running).count();
         let scale = self.config.time_scale;
@@ -272,6 +285,7 @@
             waiting: (self.sequences.len() - running) as u32,
             slots: self.config.slots,
             backlog_tokens: self.sequences.iter().map(Sequence::left).sum(),
+            backlog_by_priority: self.backlog_by_priority(),
             prompt_token_ns: ns(self.config.prompt_token) + (spread / scale) as u64,
             answer_token_ns: ns(self.config.answer_token) + (spread / scale) as u64,
             loaded: self.loaded.clone(),
--- a/crates/notchwalk_standin/src/fleet.rs
+++ b/crates/notchwalk_standin/src/fleet.rs
@@ -73,7 +73,7 @@
             time_scale: 4.0,
             capacity_tokens: 400_000,
             slots: 64,
-            engines_per_thread: 5,
+            engines_per_thread: 1,
             bundle: BundleSpec {
                 model: "lampwise".to_owned(),
                 context_tokens: 1_100_000,
--- a/crates/notchwalk_standin/src/main.rs
+++ b/crates/notchwalk_standin/src/main.rs
@@ -85,6 +85,9 @@
         /// About how long each measured phase takes
         #[bpaf(argument("S"), fallback(10))]
         seconds: u64,
+        /// Measure only this policy; for tuning
+        #[bpaf(argument("POLICY"))]
+        only: Option<String>,
         /// The bench; without a name, all are listed
         #[bpaf(positional("NAME"))]
         name: Option<String>,
@@ -141,8 +144,16 @@
             json,
             seed,
             seconds,
+            only,
             name,
-        } => bench(name.as_deref(), json, &BenchOptions { seed, seconds }),
+        } => {
+            let options = BenchOptions {
+                seed,
+                seconds,
+                only,
+            };
+            bench(name.as_deref(), json, &options)
+        }
     }
 }
 
--- a/crates/notchwalk_wire/src/engine.rs
+++ b/crates/notchwalk_wire/src/engine.rs
@@ -153,6 +153,9 @@
     pub slots: u32,
     /// Prompt tokens still to be computed.
     pub backlog_tokens: Tokens,
+    /// The same by priority, the highest first.
+    #[serde(default)]
+    pub backlog_by_priority: Vec<(u8, Tokens)>,
     /// Nanoseconds of engine time a prompt token costs.
     pub prompt_token_ns: u64,
     /// Nanoseconds of engine time a generated token costs.
--- a/crates/notchwalkd/src/completions.rs
+++ b/crates/notchwalkd/src/completions.rs
@@ -284,7 +284,9 @@
             message,
         ));
     }
-    let (work, payload) = build_work(shell, &wanted, &variant, max_tokens);
+    let (stream, include_usage) = (wanted.stream, wanted.include_usage);
+    let name = wanted.model.clone();
+    let (work, payload) = build_work(shell, wanted, &variant, max_tokens);
     let (tx, rx) = caller_channel();
     let arrival = |key: CallerKey| Arrival {
         caller: key,
@@ -299,11 +301,11 @@
         shell,
         request,
         rx,
-        template: Template::new(dialect, &id.to_string(), &wanted.model),
-        include_usage: wanted.include_usage,
+        template: Template::new(dialect, &id.to_string(), &name),
+        include_usage,
         headers: options.answer_headers(),
     };
-    match wanted.stream {
+    match stream {
         true => answer.stream(exchange).await,
         false => answer.whole(exchange).await,
     }
@@ -319,7 +321,7 @@
 
 fn build_work(
     shell: &Shell,
-    wanted: &Wanted,
+    wanted: Wanted,
     variant: &Variant<'_>,
     max_tokens: u32,
 ) -> (Work, GeneratePayload) {
@@ -348,9 +350,9 @@
         adapter: variant.adapter.clone(),
         version: variant.version.clone(),
         max_tokens,
-        stop: wanted.stop.clone(),
-        sampling: wanted.sampling.clone(),
-        prompt: wanted.prompt.clone(),
+        stop: wanted.stop,
+        sampling: wanted.sampling,
+        prompt: wanted.prompt,
         text_bytes,
     };
     (work, payload)
