Shares of engine time are paid for, so that fairness holds across entries

Change: work sent to an engine is booked against the entry's share of the engine's time; an unpaid entry waits unless nothing of that class or a shorter one waits there. Memory and time have separate shares. Demand falls slowly (70% a half second), so that a short pause does not cost the share.

--- a/crates/notchwalk_decide/src/attempt.rs
+++ b/crates/notchwalk_decide/src/attempt.rs
@@ -95,7 +95,10 @@
         priority: engine_priority(node, cx, key),
         timeout_ms: node.requests[key].deadline.since(cx.now).as_millis() as u64,
     };
+    let cost_us = engine_cost(node, key, backlog);
+    let share = credit::share_of(node, cx.now, server);
     let place = &mut node.servers.arena[server];
+    place.pay(cx.now, cost_us, share);
     place.running += 1;
     if !long {
         place.held += held;
@@ -108,6 +111,15 @@
     cx.emit(Effect::Dispatch(dispatch));
 }
 
+/// The engine time an attempt is expected to take, in microseconds.
+fn engine_cost(node: &Node, key: RequestKey, backlog: Tokens) -> u64 {
+    let req = &node.requests[key];
+    match req.generate() {
+        Some(work) => node.costs[req.group.index()].expected_us(backlog, work.max_tokens),
+        None => 0,
+    }
+}
+
 /// The priority on engines: none under the baselines. Long work that has
 /// waited longer than the ageing time, or whose workspace is behind the
 /// others, moves up a class.
--- a/crates/notchwalk_decide/src/cost.rs
+++ b/crates/notchwalk_decide/src/cost.rs
@@ -92,8 +92,14 @@
 
     /// Estimates the cost of a generation, in microseconds.
     pub fn generate_us(&self, work: &GenerateWork) -> u64 {
-        let answer = self.answer_mean.min(f64::from(work.max_tokens));
-        let prompt = work.prompt_tokens as f64 * self.prompt_token_us;
+        self.expected_us(work.prompt_tokens, work.max_tokens)
+    }
+
+    /// Estimates the cost of so many prompt tokens and an answer of at most
+    /// so many, in microseconds.
+    pub fn expected_us(&self, prompt_tokens: Tokens, max_tokens: u32) -> u64 {
+        let answer = self.answer_mean.min(f64::from(max_tokens));
+        let prompt = prompt_tokens as f64 * self.prompt_token_us;
         (prompt + answer * self.answer_token_us) as u64 + 1
     }
 
--- a/crates/notchwalk_decide/src/credit.rs
+++ b/crates/notchwalk_decide/src/credit.rs
@@ -24,7 +24,7 @@
 /// A whole server, in thousandths.
 const WHOLE: u64 = 1_000;
 /// All entries' floors together, in thousandths of a server.
-const FLOORS: u64 = 200;
+const FLOORS: u64 = 120;
 
 /// Shares and the demand they follow from.
 #[derive(Debug, Default)]
@@ -33,6 +33,8 @@
     counts: HashMap<(WorkspaceSlot, GroupKey), u32>,
     /// The summed weight of the workspaces with work in a group.
     weight: Vec<f64>,
+    /// The same in thousandths, falling slowly.
+    smooth: Vec<u64>,
     next_grant: Instant,
     homes: HashMap<ServerId, VmId>,
     homes_epoch: (u64, u64),
@@ -84,13 +86,20 @@
     }
 }
 
+/// Returns a demand that falls slowly, so that an entry whose next request is
+/// only a moment away keeps its share.
+pub(crate) fn smoothed(before: u64, now: u64) -> u64 {
+    const KEPT_PERCENT: u64 = 70;
+    now.max(before * KEPT_PERCENT / 100)
+}
+
 /// Returns this node's demand, as heartbeats carry it.
 pub(crate) fn own_demand(node: &Node) -> Vec<(u64, u64)> {
-    let weights = node.credits.weight.iter().enumerate();
-    let busy = weights.filter(|(_, weight)| **weight > 0.0);
+    let weights = node.credits.smooth.iter().enumerate();
+    let busy = weights.filter(|(_, weight)| **weight > 0);
     let hashed = busy.map(|(i, weight)| {
         let hash = node.catalog.group_hash(GroupKey(i as u32));
-        (hash, (weight * WHOLE as f64) as u64)
+        (hash, *weight)
     });
     hashed.collect()
 }
@@ -154,10 +163,18 @@
         return;
     }
     node.credits.next_grant = cx.now.after(GRANT_EVERY);
+    smooth_own(&mut node.credits);
     refresh_homes(node, cx.now);
     grant_shares(node, cx.now);
 }
 
+fn smooth_own(credits: &mut Credits) {
+    credits.smooth.resize(credits.weight.len(), 0);
+    for (smooth, weight) in credits.smooth.iter_mut().zip(&credits.weight) {
+        *smooth = smoothed(*smooth, (weight * WHOLE as f64) as u64);
+    }
+}
+
 fn grant_shares(node: &mut Node, now: Instant) {
     let own = node.cfg.vm;
     let live = node.membership.live_vms();
@@ -171,14 +188,17 @@
         let pool = long_work::short_pool_per_mille(node, now, key);
         let demand: Vec<u64> = live.iter().map(|vm| demand_of(node, *vm, key)).collect();
         for (vm, share) in live.iter().zip(shares(&demand)) {
-            let per_mille = (share * pool / WHOLE) as u16;
+            let share = ServerShare {
+                server,
+                per_mille: share as u16,
+                pool_per_mille: pool as u16,
+            };
             if *vm == own {
                 let until = now.after(SHARE_LIFE);
-                node.servers.arena[key].share = Some((per_mille, until));
+                node.servers.arena[key].grant = Some((share, until));
                 continue;
             }
-            let grants = node.credits.grants.entry(*vm).or_default();
-            grants.push(ServerShare { server, per_mille });
+            node.credits.grants.entry(*vm).or_default().push(share);
         }
     }
     node.schedule.capacity_changed();
@@ -188,9 +208,8 @@
 fn demand_of(node: &Node, vm: VmId, key: ServerKey) -> u64 {
     let groups = node.servers.arena[key].loaded.iter().map(|l| l.group);
     if vm == node.cfg.vm {
-        let weight = |g: GroupKey| node.credits.weight.get(g.index()).copied();
-        let sum: f64 = groups.filter_map(weight).sum();
-        return (sum * WHOLE as f64) as u64;
+        let weight = |g: GroupKey| node.credits.smooth.get(g.index()).copied();
+        return groups.filter_map(weight).sum();
     }
     let hashes = groups.map(|g| node.catalog.group_hash(g));
     hashes.map(|hash| node.membership.demand(vm, hash)).sum()
@@ -221,22 +240,37 @@
         if node.credits.homes.get(&share.server) != Some(&from) {
             continue;
         }
-        let per_mille = share.per_mille.min(WHOLE as u16);
+        let share = ServerShare {
+            per_mille: share.per_mille.min(WHOLE as u16),
+            pool_per_mille: share.pool_per_mille.min(WHOLE as u16),
+            ..*share
+        };
         if let Some(server) = node.servers.by_id(share.server) {
-            server.share = Some((per_mille, now.after(SHARE_LIFE)));
+            server.grant = Some((share, now.after(SHARE_LIFE)));
         }
     }
     node.schedule.capacity_changed();
 }
 
-/// Returns this node's share of a server, in thousandths.
+/// Returns this node's share of a server's time, in thousandths.
 pub(crate) fn share_of(node: &Node, now: Instant, key: ServerKey) -> u64 {
-    match node.servers.arena[key].share {
-        Some((per_mille, until)) if now < until => u64::from(per_mille),
-        _ => WHOLE / node.membership.live_count() as u64,
+    match granted(node, now, key) {
+        Some(share) => u64::from(share.per_mille),
+        None => WHOLE / node.membership.live_count() as u64,
     }
 }
 
+/// Returns this node's share of a server's memory, in thousandths.
+pub(crate) fn memory_share_of(node: &Node, now: Instant, key: ServerKey) -> u64 {
+    let pool = granted(node, now, key).map_or(WHOLE, |share| u64::from(share.pool_per_mille));
+    share_of(node, now, key) * pool / WHOLE
+}
+
+fn granted(node: &Node, now: Instant, key: ServerKey) -> Option<ServerShare> {
+    let (share, until) = node.servers.arena[key].grant?;
+    (now < until).then_some(share)
+}
+
 /// Returns this node's shares of a group's open servers, summed: 1.0 is a
 /// whole server.
 pub(crate) fn shares_of_group(node: &mut Node, now: Instant, group: GroupKey) -> f64 {
--- a/crates/notchwalk_decide/src/long_work.rs
+++ b/crates/notchwalk_decide/src/long_work.rs
@@ -47,6 +47,8 @@
 const UNCONFIRMED_LIFE: Duration = Duration::from_secs(3);
 /// Prompts computed on one engine at the same time.
 const MAX_PROMPTS: usize = 1;
+/// Turns a debt of engine time into prompt tokens, roughly.
+const US_PER_TOKEN: u64 = 40;
 /// How long a segment may take beyond a multiple of its time, in milliseconds.
 const SEGMENT_STALL_MS: u64 = 10_000;
 /// That multiple.
@@ -210,7 +212,10 @@
         r.backlog_tokens + r.used_tokens / 4
     });
     let own = node.long.held_on(place.id);
-    (load + own + noise + avoided).saturating_sub(cached)
+    // A server whose time this entry has used up comes later.
+    let debt_us = place.paid_at.since(now).as_micros() as u64;
+    let debt = debt_us / US_PER_TOKEN;
+    (load + own + debt + noise + avoided).saturating_sub(cached)
 }
 
 fn pause(node: &mut Node, cx: &mut Cx<'_>, key: RequestKey) {
--- a/crates/notchwalk_decide/src/membership.rs
+++ b/crates/notchwalk_decide/src/membership.rs
@@ -273,7 +273,7 @@
     peer.state = PeerState::Alive;
     peer.leaving = heartbeat.leaving;
     peer.bundle_version = heartbeat.bundle_version;
-    peer.demand = heartbeat.demand.iter().copied().collect();
+    take_in_demand(peer, &heartbeat.demand);
     if peer.counts_as_live() != was_live {
         node.membership.epoch += 1;
     }
@@ -292,6 +292,19 @@
     }
 }
 
+fn take_in_demand(peer: &mut Peer, demand: &[(u64, u64)]) {
+    let before = std::mem::take(&mut peer.demand);
+    peer.demand = demand.iter().copied().collect();
+    for (group, old) in before {
+        let kept = credit::smoothed(old, 0);
+        if kept == 0 {
+            continue;
+        }
+        let now = peer.demand.entry(group).or_default();
+        *now = (*now).max(kept);
+    }
+}
+
 /// Learns when others last heard their peers.
 fn take_in_heard(node: &mut Node, now: Instant, from: VmId, heard: &[Heard]) {
     for told in heard {
--- a/crates/notchwalk_decide/src/placement.rs
+++ b/crates/notchwalk_decide/src/placement.rs
@@ -2,12 +2,16 @@
 
 use notchwalk_bundle::PolicyKind;
 use notchwalk_core::{Instant, Tokens};
-use notchwalk_wire::LoadReport;
 use rand::Rng;
 
 use crate::{
-    config::ReserveMode, credit, event::Work, lane::Lane, node::Node, request::RequestKey,
-    server::ServerKey,
+    config::ReserveMode,
+    credit,
+    event::Work,
+    lane::Lane,
+    node::Node,
+    request::RequestKey,
+    server::{reported_before, ServerKey},
 };
 
 /// Prompt tokens that all entries together keep waiting on an engine. Enough
@@ -162,16 +166,6 @@
     own + others + yielding + Tokens::from(running) * RUNNING_WEIGHT
 }
 
-/// Returns the reported backlog that goes before a class.
-fn reported_before(report: &LoadReport, lane: Lane) -> Tokens {
-    let least = lane.engine_priority(0);
-    let before = report
-        .backlog_by_priority
-        .iter()
-        .filter(|(p, _)| *p >= least);
-    before.map(|(_, tokens)| tokens).sum()
-}
-
 /// Tells whether a server's memory has room as far as its report knows.
 fn fits_now(node: &Node, now: Instant, key: ServerKey, held: Tokens) -> bool {
     let server = &node.servers.arena[key];
@@ -209,11 +203,15 @@
     let Some(report) = server.fresh_report(now) else {
         return true;
     };
+    if !server.is_paid(now, lane) {
+        return false;
+    }
     let capacity = report.capacity_tokens;
+    let memory_share = credit::memory_share_of(node, now, key);
     let fits = match node.cfg.reserve {
         ReserveMode::CheckThenAct => report.used_tokens + held <= capacity,
         ReserveMode::TopUp | ReserveMode::Maximum => {
-            let within_share = server.held + held <= capacity * share / 1_000;
+            let within_share = server.held + held <= capacity * memory_share / 1_000;
             let alone = server.held == 0 && report.used_tokens + held <= capacity;
             within_share || alone
         }
--- a/crates/notchwalk_decide/src/queue.rs
+++ b/crates/notchwalk_decide/src/queue.rs
@@ -234,6 +234,7 @@
         if let Some(lane) = self.lanes.get_mut(lane_index(group, lane)) {
             lane.picks = lane.picks.wrapping_add(1);
         }
+        self.advance();
     }
 
     /// Charges a workspace for cost served, or gives back what was charged too
--- a/crates/notchwalk_decide/src/server.rs
+++ b/crates/notchwalk_decide/src/server.rs
@@ -4,7 +4,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use notchwalk_core::{Instant, ServerId, Tokens};
-use notchwalk_wire::LoadReport;
+use notchwalk_wire::{LoadReport, ServerShare};
 use slotmap::{new_key_type, SlotMap};
 
 use crate::{
@@ -30,6 +30,11 @@
 /// How often that time doubles at the most.
 const MAX_DOUBLINGS: u32 = 5;
 
+/// How far ahead of its payment a server may get work.
+const PAY_AHEAD: Duration = Duration::from_millis(20);
+/// The most that is ever to be paid off.
+const MAX_DEBT: Duration = Duration::from_secs(10);
+
 /// Keeps work from a server that fails, and lets it come back slowly: one
 /// request at a time until one succeeds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -125,8 +130,11 @@
     /// Prompt tokens this node sent there whose first token hasn't come, by
     /// class. Long work is not among them.
     pub backlog: [Tokens; LANES.len()],
-    /// The share its home granted, in thousandths, and until when.
-    pub share: Option<(u16, Instant)>,
+    /// What its home granted, and until when.
+    pub grant: Option<(ServerShare, Instant)>,
+    /// When the work sent there so far is paid for by this entry's share of
+    /// the server's time.
+    pub paid_at: Instant,
     /// Its circuit.
     pub circuit: Circuit,
     /// It refused work as overloaded until then.
@@ -148,7 +156,8 @@
             held: 0,
             running: 0,
             backlog: [0; LANES.len()],
-            share: None,
+            grant: None,
+            paid_at: Instant::ZERO,
             circuit: Circuit::Closed { failures: 0 },
             refused_until: Instant::ZERO,
             prefix: PrefixIndex::default(),
@@ -179,6 +188,22 @@
         (now.since(*at) <= REPORT_LIFE).then_some(report)
     }
 
+    /// Tells whether this entry's share of the server's time allows more work
+    /// of a class now. A server where nothing of that class or a shorter one
+    /// waits may be used in any case.
+    pub fn is_paid(&self, now: Instant, lane: Lane) -> bool {
+        let idle = |r: &LoadReport| reported_before(r, lane) == 0 && self.backlog_before(lane) == 0;
+        self.paid_at <= now.after(PAY_AHEAD) || self.fresh_report(now).is_some_and(idle)
+    }
+
+    /// Books work of so many microseconds against a share of the server's
+    /// time, in thousandths.
+    pub fn pay(&mut self, now: Instant, cost_us: u64, per_mille: u64) {
+        let us = cost_us * 1_000 / per_mille.max(1);
+        let paid_at = self.paid_at.max(now).after(Duration::from_micros(us));
+        self.paid_at = paid_at.min(now.after(MAX_DEBT));
+    }
+
     /// Returns this node's backlog that a request of a class has to wait for:
     /// engines serve shorter classes first.
     pub fn backlog_before(&self, lane: Lane) -> Tokens {
@@ -215,6 +240,13 @@
     }
 }
 
+/// Returns the reported backlog that goes before a class or with it.
+pub(crate) fn reported_before(report: &LoadReport, lane: Lane) -> Tokens {
+    let least = lane.engine_priority(0);
+    let before = report.backlog_by_priority.iter();
+    before.filter(|(p, _)| *p >= least).map(|(_, n)| n).sum()
+}
+
 /// All backend servers known to a node.
 #[derive(Debug, Default)]
 pub(crate) struct Servers {
--- a/crates/notchwalk_standin/src/bench/mod.rs
+++ b/crates/notchwalk_standin/src/bench/mod.rs
@@ -1,6 +1,9 @@
 //! Benches: each measures one thing and prints one JSON object on its last
 //! line.
 
+mod fair;
+mod lengths;
+mod memory;
 mod policy;
 mod relay;
 mod slowdown;
@@ -44,6 +47,21 @@
         about: "p95 first token of short requests with long work over without, for each policy",
         run: slowdown::run,
     },
+    Bench {
+        name: "lengths",
+        about: "first token by prompt length over an idle fleet, and throughput, for each policy",
+        run: lengths::run,
+    },
+    Bench {
+        name: "fair",
+        about: "fairness among backlogged workspaces, one flooding with long jobs",
+        run: fair::run,
+    },
+    Bench {
+        name: "memory",
+        about: "evictions and concurrency under three ways of reserving memory",
+        run: memory::run,
+    },
     Bench {
         name: "steps",
         about: "events a second through the reducer, with 10 and 37,000 workspaces",
--- a/crates/notchwalk_standin/src/bench/relay.rs
+++ b/crates/notchwalk_standin/src/bench/relay.rs
@@ -105,6 +105,7 @@
         model: fleet.config.bundle.model.clone(),
         prompt,
         max_tokens,
+        stop: Vec::new(),
         timeout: Duration::from_secs(60),
     }
 }
--- a/crates/notchwalk_standin/src/workload.rs
+++ b/crates/notchwalk_standin/src/workload.rs
@@ -176,6 +176,7 @@
             model: model.to_owned(),
             prompt: planned.prompt(),
             max_tokens: planned.max_tokens,
+            stop: Vec::new(),
             timeout: planned.timeout,
         };
         let (client, results) = (client.clone(), results.clone());
@@ -189,3 +190,128 @@
     }
     results.take()
 }
+
+/// A caller that sends its next request when the last one ended.
+#[derive(Clone, Debug)]
+pub struct ClosedCaller {
+    /// The workspace, by place.
+    pub workspace: usize,
+    /// The entry, by place.
+    pub entry: usize,
+    /// What it sends; the rate is not used.
+    pub stream: Stream,
+    /// Texts that end its answers.
+    pub stop: Vec<String>,
+    /// Makes its prompts differ from those of others.
+    pub seed: u64,
+}
+
+/// What a closed caller's request came to, and when its first token came.
+#[derive(Clone, Debug)]
+pub struct ClosedResult {
+    /// The workspace, by place.
+    pub workspace: usize,
+    /// The prompt's length, in tokens.
+    pub prompt_tokens: u64,
+    /// When the first token came, from the start of the run.
+    pub first_token_at: Option<Duration>,
+    /// The result.
+    pub result: CallResult,
+}
+
+/// Runs closed callers for a time. What has not ended by then is abandoned, as
+/// by callers that go away.
+///
+/// # Panics
+///
+/// Panics if a thread panics.
+pub fn run_closed(
+    entries: &[SocketAddr],
+    keys: &[String],
+    model: &str,
+    callers: Vec<ClosedCaller>,
+    over: Duration,
+) -> Vec<ClosedResult> {
+    const THREADS: usize = 3;
+    let began = Instant::now();
+    let mut shares: Vec<Vec<ClosedCaller>> = vec![Vec::new(); THREADS];
+    for (i, caller) in callers.into_iter().enumerate() {
+        shares[i % THREADS].push(caller);
+    }
+    let threads: Vec<_> = shares
+        .into_iter()
+        .map(|share| {
+            let (entries, keys, model) = (entries.to_vec(), keys.to_vec(), model.to_owned());
+            std::thread::spawn(move || {
+                block_on(async move {
+                    let results = Rc::new(RefCell::new(Vec::new()));
+                    let client = Client::new();
+                    for caller in share {
+                        let entry = entries[caller.entry % entries.len()];
+                        let key = keys[caller.workspace].clone();
+                        let (client, model) = (client.clone(), model.clone());
+                        let results = results.clone();
+                        monoio::spawn(async move {
+                            call_on(&client, began, entry, key, model, caller, &results).await;
+                        });
+                    }
+                    monoio::time::sleep(over.saturating_sub(began.elapsed())).await;
+                    results.take()
+                })
+            })
+        })
+        .collect();
+    let results = threads
+        .into_iter()
+        .flat_map(|t| t.join().expect("a caller's thread ends"));
+    results.collect()
+}
+
+async fn call_on(
+    client: &Client,
+    began: Instant,
+    entry: SocketAddr,
+    key: String,
+    model: String,
+    caller: ClosedCaller,
+    results: &RefCell<Vec<ClosedResult>>,
+) {
+    let mut rng = Pcg64Mcg::seed_from_u64(caller.seed);
+    let stream = &caller.stream;
+    loop {
+        let (low, high) = (
+            (stream.min_prompt as f64).ln(),
+            (stream.max_prompt as f64).ln(),
+        );
+        let length = if high > low {
+            rng.random_range(low..high).exp()
+        } else {
+            low.exp()
+        };
+        let prompt_tokens = length.round() as u64;
+        let one = Call {
+            entry,
+            key: key.clone(),
+            model: model.clone(),
+            prompt: prompt_text(rng.random(), prompt_tokens),
+            max_tokens: rng.random_range(stream.min_answer..=stream.max_answer),
+            stop: caller.stop.clone(),
+            timeout: stream.timeout,
+        };
+        let sent_at = began.elapsed();
+        let result = caller::call(client, &one).await;
+        let retry_after = match &result.end {
+            caller::CallEnd::Failed { retry_after, .. } => *retry_after,
+            _ => None,
+        };
+        results.borrow_mut().push(ClosedResult {
+            workspace: caller.workspace,
+            prompt_tokens,
+            first_token_at: result.first_token.map(|first| sent_at + first),
+            result,
+        });
+        if let Some(pause) = retry_after {
+            monoio::time::sleep(pause).await;
+        }
+    }
+}
--- a/crates/notchwalk_standin/tests/whole_path.rs
+++ b/crates/notchwalk_standin/tests/whole_path.rs
@@ -27,6 +27,7 @@
         model: fleet.config.bundle.model.clone(),
         prompt: prompt_text(42, tokens),
         max_tokens,
+        stop: Vec::new(),
         timeout: Duration::from_secs(60),
     };
     block_on(caller::call(&Client::new(), &call))
--- a/crates/notchwalk_wire/src/peer.rs
+++ b/crates/notchwalk_wire/src/peer.rs
@@ -19,8 +19,11 @@
 pub struct ServerShare {
     /// The server.
     pub server: ServerId,
-    /// The share, in thousandths.
+    /// The share of its time, in thousandths.
     pub per_mille: u16,
+    /// The part of its memory that long work leaves to all entries together,
+    /// in thousandths.
+    pub pool_per_mille: u16,
 }
 
 /// Cost served for a workspace since the boot, so that peers can count it in.
