--- /dev/null
+++ b/crates/notchwalk_bundle/tests/bundles.rs
@@ -0,0 +1,130 @@
+//! Faults of a bundle are reported together; signatures are checked; no text
+//! makes the parser panic.
+
+use notchwalk_bundle::{
+    new_signing_key, Bundle, BundleError, Manifest, Part, PartName, SigningKey, PART_NAMES,
+};
+use proptest::prelude::*;
+
+fn part(name: PartName, text: &str) -> Part {
+    Part {
+        name,
+        text: text.to_owned(),
+    }
+}
+
+fn public(key: &SigningKey) -> String {
+    let bytes = key.verifying_key().to_bytes();
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn parts(author: &SigningKey, reviewer: &SigningKey) -> Vec<Part> {
+    let operators = format!(
+        "[operator amna]\npublic_key = {}\nroles = author, reviewer\n\n\
+         [operator said]\npublic_key = {}\nroles = reviewer\n",
+        public(author),
+        public(reviewer)
+    );
+    vec![
+        part(PartName::Operators, &operators),
+        part(PartName::Models, "[model m]\n"),
+        part(PartName::Services, ""),
+        part(PartName::Workspaces, "[workspace w]\nmodels = m\n"),
+        part(PartName::Policy, ""),
+    ]
+}
+
+#[test]
+fn all_faults_are_reported_with_their_place() {
+    let faulty = vec![
+        part(
+            PartName::Operators,
+            "[operator amna]\npublic_key = 12\nroles = boss\n",
+        ),
+        part(
+            PartName::Models,
+            "[model m]\ncontext_tokens = many\nspeed = 9\n",
+        ),
+        part(
+            PartName::Services,
+            "[service s]\ntimeout_ms = 0\n\n[thing x]\na = 1\n",
+        ),
+        part(
+            PartName::Workspaces,
+            "[workspace w]\nweight = -1\nmodels = other\nkey_hashes = zz\n",
+        ),
+        part(
+            PartName::Policy,
+            "[policy]\nkind = magic\nageing_ms = 5\nageing_ms = 6\n",
+        ),
+    ];
+    let Err(BundleError::Faulty(findings)) = Bundle::parse(1, &faulty) else {
+        panic!("the bundle must be refused");
+    };
+    insta::assert_snapshot!(findings.to_string());
+}
+
+#[test]
+fn an_author_and_another_operator_must_sign() {
+    let (amna, said) = (new_signing_key(), new_signing_key());
+    let parts = parts(&amna, &said);
+    let bundle = Bundle::parse(1, &parts).expect("a valid bundle");
+    let mut manifest = Manifest {
+        version: 1,
+        previous: String::new(),
+        reason: "first".to_owned(),
+        parts: parts.iter().map(|p| (p.name, p.digest())).collect(),
+        signatures: Vec::new(),
+    };
+    assert!(manifest.verify(&bundle).is_err(), "nobody signed");
+    manifest.sign("amna", &amna);
+    assert!(
+        manifest.verify(&bundle).is_err(),
+        "the author alone is not enough"
+    );
+    manifest.sign("amna", &amna);
+    assert!(
+        manifest.verify(&bundle).is_err(),
+        "the same operator twice is not enough"
+    );
+    let mut reviewer_only = manifest.clone();
+    reviewer_only.signatures.clear();
+    reviewer_only.sign("said", &said);
+    assert!(
+        reviewer_only.verify(&bundle).is_err(),
+        "a reviewer is no author"
+    );
+    manifest.sign("said", &said);
+    manifest.verify(&bundle).expect("both signed");
+    let mut forged = manifest.clone();
+    forged.reason = "another".to_owned();
+    assert!(
+        forged.verify(&bundle).is_err(),
+        "the signed text was changed"
+    );
+    let mut stranger = manifest.clone();
+    stranger.sign("said", &new_signing_key());
+    assert!(
+        stranger.verify(&bundle).is_err(),
+        "another key signed for said"
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(11), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_text_makes_the_parser_panic(texts in prop::collection::vec(".{0,200}", 5)) {
+        let named = PART_NAMES.into_iter().zip(&texts);
+        let parts: Vec<_> = named.map(|(name, text)| part(name, text)).collect();
+        let _ = Bundle::parse(1, &parts);
+    }
+
+    #[test]
+    fn no_ini_makes_the_parser_panic(
+        text in "(\\[(model|service|workspace|operator) [a-z@:]{0,4}\\]\n|[a-z_]{1,12} ?= ?[-0-9a-z, ]{0,12}\n){0,12}"
+    ) {
+        let parts: Vec<_> = PART_NAMES.into_iter().map(|name| part(name, &text)).collect();
+        let _ = Bundle::parse(1, &parts);
+    }
+}
--- a/crates/notchwalk_decide/src/attempt.rs
+++ b/crates/notchwalk_decide/src/attempt.rs
@@ -80,8 +80,8 @@
     req.sent = true;
     req.running = Some(Running {
         server,
-        since: cx.now,
         progress: cx.now,
+        answers: false,
         held,
         backlog,
     });
@@ -179,7 +179,7 @@
     let Some(work) = req.generate() else {
         return req.deadline.since(req.arrived);
     };
-    let waits_for_first = req.running.is_some_and(|r| r.progress == r.since);
+    let waits_for_first = req.running.is_some_and(|r| !r.answers);
     if !waits_for_first {
         return STALL;
     }
@@ -224,7 +224,7 @@
         on_ended(node, cx, key, attempt, AttemptEnd::Broken);
         return;
     }
-    let first = running.progress == running.since;
+    let first = !std::mem::replace(&mut running.answers, true);
     running.progress = cx.now;
     let skip = req.delivered - frame.offset;
     if skip >= frame.count {
@@ -241,6 +241,8 @@
 
 fn on_first_token(node: &mut Node, cx: &mut Cx<'_>, key: RequestKey) {
     release_backlog(node, key);
+    // From now on silence is judged by the gap between tokens.
+    set_stall_timer(node, cx, key);
     long_work::on_prompt_done(node, cx, key);
     node.schedule.capacity_changed();
 }
@@ -398,9 +400,13 @@
 
 /// Decides what follows a failed attempt.
 fn retry_or_fail(node: &mut Node, cx: &mut Cx<'_>, key: RequestKey, end: AttemptEnd) {
+    let req = &mut node.requests[key];
+    // Segments that were computed did run, whatever became of the rest.
+    let segments_ran = req.plan.as_ref().is_some_and(|plan| plan.segments_done > 0);
+    let unsent = matches!(end, AttemptEnd::NotSent | AttemptEnd::Refused { .. });
+    let ran_not = unsent && !segments_ran;
     long_work::release_plan(node, cx, key);
     let req = &mut node.requests[key];
-    let ran_not = matches!(end, AttemptEnd::NotSent | AttemptEnd::Refused { .. });
     if ran_not && req.failures == 0 {
         req.sent = false;
     }
--- a/crates/notchwalk_decide/src/long_work.rs
+++ b/crates/notchwalk_decide/src/long_work.rs
@@ -563,7 +563,7 @@
     for req in node.requests.values() {
         let Some(plan) = &req.plan else { continue };
         for (i, server) in plan.servers.iter().take(plan.granted).enumerate() {
-            let computed = req.running.is_some_and(|r| r.progress > r.since);
+            let computed = req.running.is_some_and(|r| r.answers);
             holds.push(LongHold {
                 server: node.servers.arena[*server].id,
                 request: req.id,
--- a/crates/notchwalk_decide/src/request.rs
+++ b/crates/notchwalk_decide/src/request.rs
@@ -35,10 +35,10 @@
 pub(crate) struct Running {
     /// The server.
     pub server: ServerKey,
-    /// When it was sent.
-    pub since: Instant,
-    /// When the last frame came.
+    /// When the last frame came, or when it was sent.
     pub progress: Instant,
+    /// Whether a token came: its prompt is computed.
+    pub answers: bool,
     /// Tokens held on the server.
     pub held: Tokens,
     /// Prompt tokens counted as the server's backlog until the first token.
--- /dev/null
+++ b/crates/notchwalk_decide/tests/decisions/common.rs
@@ -0,0 +1,282 @@
+//! A node with a bundle and engines, and the means to feed it.
+
+use std::sync::Arc;
+
+use notchwalk_bundle::{Bundle, ModelKey, Part, PartName, ServiceKey, WorkspaceKey};
+use notchwalk_core::{Attempt, BootNumber, Instant, RequestId, ServerId, VmId};
+use notchwalk_decide::{
+    Arrival, AttemptEnd, CallWork, CallerKey, Dispatch, Effect, Event, Failure, GenerateWork, Node,
+    NodeConfig, RequestKey, ServerKind, ServerRecord, Work,
+};
+use notchwalk_wire::{LoadReport, LoadedModel};
+
+const PUBLIC_KEYS: [&str; 2] = [
+    "d75a980182b10ab7d54bfed3c964073a0ee172f3daa62325af021a68f707511a",
+    "3d4017c3e843895a92b70aa74d1b7ebc9c982ccf2ec4968cc0cd55f12af4660c",
+];
+
+/// The parts of a bundle with a model `m`, a service `s` and workspaces `a`
+/// (weight 1) and `b` (weight 3).
+pub fn parts(policy: &str) -> Vec<Part> {
+    let operators = format!(
+        "[operator x]\npublic_key = {}\nroles = author\n\n\
+         [operator y]\npublic_key = {}\nroles = reviewer\n",
+        PUBLIC_KEYS[0], PUBLIC_KEYS[1]
+    );
+    let workspace = |name: &str, weight: u32| {
+        format!(
+            "[workspace {name}]\nweight = {weight}\nmodels = m\nservices = s\n\
+             priority_max = 9\nmax_queued = 100000\nmax_in_flight = 100000\n\n"
+        )
+    };
+    let part = |name, text: String| Part { name, text };
+    vec![
+        part(PartName::Operators, operators),
+        part(
+            PartName::Models,
+            "[model m]\ncontext_tokens = 1000000\n".to_owned(),
+        ),
+        part(
+            PartName::Services,
+            "[service s]\ntimeout_ms = 1000\n".to_owned(),
+        ),
+        part(PartName::Workspaces, workspace("a", 1) + &workspace("b", 3)),
+        part(PartName::Policy, format!("[policy]\n{policy}")),
+    ]
+}
+
+/// A node under test.
+pub struct Rig {
+    /// The node.
+    pub node: Node,
+    /// The present time, in milliseconds.
+    pub now_ms: u64,
+    /// All effects since they were last taken.
+    pub out: Vec<Effect>,
+    next_caller: u64,
+}
+
+impl Rig {
+    /// Builds a node with a bundle and `engines` engines that report.
+    pub fn new(engines: u32) -> Self {
+        Self::with_policy(engines, "")
+    }
+
+    /// Builds a node with policy lines.
+    pub fn with_policy(engines: u32, policy: &str) -> Self {
+        let mut rig = Self {
+            node: Node::new(NodeConfig::new(VmId(1), BootNumber(5), "d", 7)),
+            now_ms: 1_000,
+            out: Vec::new(),
+            next_caller: 0,
+        };
+        let bundle = Bundle::parse(1, &parts(policy)).expect("a valid bundle");
+        rig.feed(Event::Bundle(Arc::new(bundle)));
+        rig.list(engines, &[]);
+        rig.report(engines);
+        rig.out.clear();
+        rig
+    }
+
+    /// Gives the VM list, with some engines leaving.
+    pub fn list(&mut self, engines: u32, leaving: &[u32]) {
+        let mut servers: Vec<_> = (0..engines)
+            .map(|id| ServerRecord {
+                id: ServerId(id),
+                kind: ServerKind::Engine,
+                failure_domain: "d".to_owned(),
+                leaving: leaving.contains(&id),
+            })
+            .collect();
+        servers.push(ServerRecord {
+            id: ServerId(900),
+            kind: ServerKind::Service("s".to_owned()),
+            failure_domain: "d".to_owned(),
+            leaving: false,
+        });
+        let entries = Vec::new();
+        self.feed(Event::VmList { servers, entries });
+    }
+
+    /// Has all engines report that they are idle.
+    pub fn report(&mut self, engines: u32) {
+        for id in 0..engines {
+            let report = Box::new(idle_report());
+            let server = ServerId(id);
+            self.feed(Event::Load { server, report });
+        }
+    }
+
+    /// Feeds one event.
+    pub fn feed(&mut self, event: Event) {
+        let now = Instant::from_millis(self.now_ms);
+        self.node.step(now, event, &mut self.out);
+    }
+
+    /// Lets time pass, with a tick each ten milliseconds and reports each
+    /// half second.
+    pub fn pass(&mut self, ms: u64, engines: u32) {
+        for i in 0..ms / 10 {
+            self.now_ms += 10;
+            self.feed(Event::Tick);
+            if i % 50 == 49 {
+                self.report(engines);
+            }
+        }
+    }
+
+    /// Takes the effects so far.
+    pub fn take(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.out)
+    }
+
+    fn arrive(&mut self, work: Work, workspace: u32, priority: u8, timeout_ms: u64) {
+        self.next_caller += 1;
+        self.feed(Event::Arrive(Box::new(Arrival {
+            caller: CallerKey(self.next_caller),
+            workspace: WorkspaceKey(workspace),
+            work,
+            priority: Some(priority),
+            timeout_ms: Some(timeout_ms),
+        })));
+    }
+
+    /// A generation arrives.
+    pub fn generate(&mut self, prompt_tokens: u64, max_tokens: u32, timeout_ms: u64) {
+        let work = generation(prompt_tokens, max_tokens);
+        self.arrive(work, 0, 5, timeout_ms);
+    }
+
+    /// A generation of a workspace with a priority arrives.
+    pub fn generate_for(&mut self, workspace: u32, priority: u8, prompt_tokens: u64) {
+        let work = generation(prompt_tokens, 10);
+        self.arrive(work, workspace, priority, 3_000_000);
+    }
+
+    /// A call that may not be repeated arrives.
+    pub fn call(&mut self, idempotency_key: Option<&str>) {
+        let work = Work::Call(CallWork {
+            service: ServiceKey(0),
+            repeatable: false,
+            idempotency_key: idempotency_key.map(str::to_owned),
+            fingerprint: "f".to_owned(),
+        });
+        self.arrive(work, 0, 5, 10_000);
+    }
+
+    /// Frames of a dispatched attempt come.
+    pub fn frame(&mut self, d: &Dispatch, id: RequestId, offset: u32, count: u32) {
+        self.feed(Event::Frame {
+            request: d.request,
+            id,
+            attempt: d.attempt,
+            offset,
+            count,
+        });
+    }
+
+    /// A dispatched attempt ends.
+    pub fn end(&mut self, d: &Dispatch, end: AttemptEnd) {
+        self.feed(Event::AttemptEnded {
+            request: d.request,
+            attempt: d.attempt,
+            end,
+        });
+    }
+
+    /// Ends an attempt with a whole answer.
+    pub fn complete(&mut self, d: &Dispatch, tokens: u32) {
+        let end = AttemptEnd::Complete {
+            prompt_tokens: 100,
+            cached_tokens: 0,
+            completion_tokens: tokens,
+        };
+        self.end(d, end);
+    }
+}
+
+/// The work of a generation.
+pub fn generation(prompt_tokens: u64, max_tokens: u32) -> Work {
+    Work::Generate(GenerateWork {
+        model: ModelKey(0),
+        adapter: None,
+        version: None,
+        prompt_tokens,
+        max_tokens,
+        prefix: Vec::new(),
+    })
+}
+
+/// The report of an idle engine.
+pub fn idle_report() -> LoadReport {
+    LoadReport {
+        capacity_tokens: 100_000,
+        used_tokens: 0,
+        running: 0,
+        waiting: 0,
+        slots: 8,
+        backlog_tokens: 0,
+        backlog_by_priority: Vec::new(),
+        prompt_token_ns: 40_000,
+        answer_token_ns: 100_000,
+        loaded: vec![LoadedModel {
+            model: "m".to_owned(),
+            versions: vec!["1".to_owned()],
+            adapters: Vec::new(),
+        }],
+        leaving: false,
+        evictions: 0,
+    }
+}
+
+/// Returns the dispatches among effects.
+pub fn dispatches(effects: &[Effect]) -> Vec<Dispatch> {
+    let found = effects.iter().filter_map(|e| match e {
+        Effect::Dispatch(dispatch) => Some(*dispatch),
+        _ => None,
+    });
+    found.collect()
+}
+
+/// Returns the only dispatch among effects.
+#[track_caller]
+pub fn the_dispatch(effects: &[Effect]) -> Dispatch {
+    let found = dispatches(effects);
+    assert_eq!(found.len(), 1, "{effects:?}");
+    found[0]
+}
+
+/// Returns the failures with which requests ended.
+pub fn failures(effects: &[Effect]) -> Vec<Failure> {
+    let found = effects.iter().filter_map(|e| match e {
+        Effect::Finish {
+            result: Err(failure),
+            ..
+        } => Some(*failure),
+        Effect::Refuse { failure, .. } => Some(*failure),
+        _ => None,
+    });
+    found.collect()
+}
+
+/// Returns the id under which the last request was admitted.
+#[track_caller]
+pub fn admitted(effects: &[Effect]) -> (RequestKey, RequestId) {
+    let found = effects.iter().rev().find_map(|e| match e {
+        Effect::Admitted { request, id, .. } => Some((*request, *id)),
+        _ => None,
+    });
+    found.expect("a request was admitted")
+}
+
+/// An id that no request has.
+pub fn other_id() -> RequestId {
+    RequestId {
+        vm: VmId(1),
+        boot: BootNumber(5),
+        seq: 1_000_000,
+    }
+}
+
+/// An attempt number before any.
+pub const OLD_ATTEMPT: Attempt = Attempt(0);
--- /dev/null
+++ b/crates/notchwalk_decide/tests/decisions/main.rs
@@ -0,0 +1,6 @@
+//! Decisions, provoked one by one.
+
+mod attempts;
+mod claims;
+mod common;
+mod policy;
--- /dev/null
+++ b/crates/notchwalk_http/tests/bodies.rs
@@ -0,0 +1,64 @@
+//! Body framing: pieces add up, and no bytes make it panic.
+
+use bytes::BytesMut;
+use http::{header, HeaderMap, HeaderValue};
+use notchwalk_http::{chunk_into, BodyReader, CHUNK_END};
+use proptest::prelude::*;
+
+fn chunked() -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert(
+        header::TRANSFER_ENCODING,
+        HeaderValue::from_static("chunked"),
+    );
+    headers
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(13), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn chunks_add_up_however_they_arrive(
+        pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 0..8),
+        step in 1usize..30,
+    ) {
+        let mut wire = Vec::new();
+        for piece in &pieces {
+            chunk_into(&mut wire, piece);
+        }
+        wire.extend_from_slice(CHUNK_END);
+        let mut body = BodyReader::for_request(&chunked()).expect("chunked framing");
+        let (mut buf, mut got) = (BytesMut::new(), Vec::new());
+        for part in wire.chunks(step) {
+            buf.extend_from_slice(part);
+            while let Some(piece) = body.decode(&mut buf).expect("valid chunks") {
+                if piece.is_empty() {
+                    break;
+                }
+                got.extend_from_slice(&piece);
+            }
+        }
+        prop_assert!(body.is_done());
+        prop_assert_eq!(got, pieces.concat());
+    }
+
+    #[test]
+    fn no_bytes_make_the_chunk_decoder_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut body = BodyReader::for_request(&chunked()).expect("chunked framing");
+        let mut buf = BytesMut::from(&bytes[..]);
+        for _ in 0..bytes.len() + 1 {
+            if !matches!(body.decode(&mut buf), Ok(Some(_))) || body.is_done() {
+                break;
+            }
+        }
+    }
+
+    #[test]
+    fn no_header_makes_the_framing_panic(length in "[ -~]{0,24}", coding in "[ -~]{0,12}") {
+        let mut headers = HeaderMap::new();
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from_str(&length).expect("visible"));
+        let _ = BodyReader::for_request(&headers);
+        headers.insert(header::TRANSFER_ENCODING, HeaderValue::from_str(&coding).expect("visible"));
+        prop_assert!(BodyReader::for_request(&headers).is_err(), "both framings at once");
+    }
+}
--- a/crates/notchwalk_standin/src/bench/mod.rs
+++ b/crates/notchwalk_standin/src/bench/mod.rs
@@ -7,6 +7,7 @@
 mod policy;
 mod relay;
 mod slowdown;
+mod soak;
 mod steps;
 
 use serde_json::{Map, Value};
@@ -62,6 +63,11 @@
         about: "evictions and concurrency under three ways of reserving memory",
         run: memory::run,
     },
+    Bench {
+        name: "soak",
+        about: "long randomised runs in virtual time, with faults; violations of what must hold",
+        run: soak::run,
+    },
     Bench {
         name: "steps",
         about: "events a second through the reducer, with 10 and 37,000 workspaces",
--- a/crates/notchwalk_standin/src/lib.rs
+++ b/crates/notchwalk_standin/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod processes;
 pub mod report;
 pub mod service;
+pub mod soak;
 pub mod thread;
 pub mod workload;
--- /dev/null
+++ b/crates/notchwalk_standin/src/soak/world.rs
@@ -0,0 +1,883 @@
+//! The world of a randomised run: virtual time, nodes and what lies between
+//! them and the fakes.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    sync::Arc,
+};
+
+use notchwalk_bundle::{Bundle, ModelKey, ServiceKey, WorkspaceKey};
+use notchwalk_core::{Attempt, BootNumber, Instant, RequestId, ServerId, VmId};
+use notchwalk_decide::{
+    Arrival, AttemptEnd, CallWork, CallerKey, ClaimAnswer, Dispatch, Effect, Event, GenerateWork,
+    Node, NodeConfig, PeerRecord, RequestKey, ServerKind, ServerRecord, Work,
+};
+use notchwalk_wire::PeerMessage;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::{
+    callers::{Open, OpenRequests, Wanted},
+    fakes::{FakeEngine, FakeTable},
+};
+use crate::operators::{BundleSpec, Operators, WorkspaceSpec};
+
+const TICK_US: u64 = 20_000;
+const LOAD_US: u64 = 200_000;
+const LIST_US: u64 = 1_000_000;
+/// How late the VM list is.
+const LIST_LAG_US: u64 = 1_500_000;
+/// How long after its start a leaving server may still get new work.
+const LEAVING_WITHIN_US: u64 = 3_000_000;
+/// Ticks, and the time a woken node needs to learn what passed.
+const SLACK_US: u64 = 200_000;
+/// How long everything has to settle after the last request.
+const SETTLE_US: u64 = 90_000_000;
+/// The first number of services' servers.
+const FIRST_SERVICE: u32 = 500;
+const SERVICES: u32 = 2;
+
+/// How a run is made.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakOptions {
+    /// The seed; the same seed gives the same run.
+    pub seed: u64,
+    /// How long requests come, in virtual seconds.
+    pub seconds: u64,
+    /// Nodes.
+    pub nodes: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Whether faults happen.
+    pub faults: bool,
+}
+
+impl SoakOptions {
+    /// Builds a run of three nodes before six engines, with faults.
+    pub fn new(seed: u64, seconds: u64) -> Self {
+        Self {
+            seed,
+            seconds,
+            nodes: 3,
+            engines: 6,
+            faults: true,
+        }
+    }
+}
+
+/// What a run came to.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SoakReport {
+    /// Events fed to nodes.
+    pub steps: u64,
+    /// Requests admitted.
+    pub admitted: u64,
+    /// Requests answered whole.
+    pub completed: u64,
+    /// Requests that failed.
+    pub failed: u64,
+    /// Faults that happened.
+    pub faults: u64,
+    /// Broken promises, each in a sentence.
+    pub violations: Vec<String>,
+}
+
+type Action = Box<dyn FnOnce(&mut World)>;
+
+/// One place for a node.
+pub(super) struct Slot {
+    node: Option<Node>,
+    boot: u64,
+    paused_until_us: u64,
+    down_since_us: Option<u64>,
+    requests: OpenRequests,
+    arriving: Option<(Wanted, u64)>,
+}
+
+/// Everything.
+pub struct World {
+    pub(super) now_us: u64,
+    pub(super) rng: Pcg64Mcg,
+    pub(super) nodes: Vec<Slot>,
+    pub(super) engines: Vec<FakeEngine>,
+    pub(super) table: FakeTable,
+    pub(super) partition_at: Option<usize>,
+    /// What happened so far.
+    pub report: SoakReport,
+    options: SoakOptions,
+    actions: BTreeMap<(u64, u64), Action>,
+    next_action: u64,
+    next_caller: u64,
+    bundle: Arc<Bundle>,
+    runs: HashMap<String, u32>,
+    called_not_run: HashSet<RequestId>,
+    closed: HashSet<(RequestId, Attempt)>,
+    latest: HashMap<RequestId, Attempt>,
+}
+
+fn soak_bundle() -> Bundle {
+    let named = (0..4).map(|i| WorkspaceSpec::new(&format!("w{i}"), 1.0 + f64::from(i)));
+    let spec = BundleSpec {
+        model: "m".to_owned(),
+        context_tokens: 200_000,
+        service: "s".to_owned(),
+        workspaces: named.collect(),
+        policy: "retry_percent = 100\n".to_owned(),
+    };
+    Bundle::parse(1, &Operators::new(1).parts(&spec)).expect("a valid bundle")
+}
+
+impl World {
+    /// Builds a world in which nothing has happened.
+    pub fn new(options: SoakOptions) -> Self {
+        let mut world = Self {
+            now_us: 10_000_000,
+            rng: Pcg64Mcg::seed_from_u64(options.seed),
+            nodes: Vec::new(),
+            engines: (0..options.engines)
+                .map(|_| FakeEngine::default())
+                .collect(),
+            table: FakeTable::default(),
+            partition_at: None,
+            report: SoakReport::default(),
+            options,
+            actions: BTreeMap::new(),
+            next_action: 0,
+            next_caller: 1,
+            bundle: Arc::new(soak_bundle()),
+            runs: HashMap::new(),
+            called_not_run: HashSet::new(),
+            closed: HashSet::new(),
+            latest: HashMap::new(),
+        };
+        for i in 0..options.nodes {
+            world.nodes.push(Slot {
+                node: None,
+                boot: 0,
+                paused_until_us: 0,
+                down_since_us: None,
+                requests: OpenRequests::default(),
+                arriving: None,
+            });
+            world.start_node(i);
+        }
+        world
+    }
+
+    /// Runs to the end and returns what it came to.
+    pub fn run(mut self) -> SoakReport {
+        let end_us = self.now_us + self.options.seconds * 1_000_000;
+        self.schedule_arrivals(end_us);
+        if self.options.faults {
+            self.schedule_faults(end_us);
+        }
+        self.run_until(end_us + SETTLE_US);
+        self.check_settled();
+        self.report
+    }
+
+    fn run_until(&mut self, end_us: u64) {
+        while let Some(((at, _), action)) = self.actions.pop_first() {
+            if at > end_us {
+                return;
+            }
+            self.now_us = at;
+            action(self);
+            if self.report.violations.len() > 10 {
+                return;
+            }
+        }
+    }
+
+    fn at(&mut self, at_us: u64, action: impl FnOnce(&mut World) + 'static) {
+        self.next_action += 1;
+        let key = (at_us.max(self.now_us), self.next_action);
+        self.actions.insert(key, Box::new(action));
+    }
+
+    fn after(&mut self, us: u64, action: impl FnOnce(&mut World) + 'static) {
+        self.at(self.now_us + us, action);
+    }
+
+    /// Ends a fault later.
+    pub(super) fn heal_later(&mut self, us: u64, heal: impl FnOnce(&mut World) + 'static) {
+        self.after(us, heal);
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    fn delay(&mut self) -> u64 {
+        match self.rng.random_range(0..50) {
+            0 => self.rng.random_range(50_000..800_000),
+            _ => self.rng.random_range(200..6_000),
+        }
+    }
+
+    fn violated(&mut self, what: String) {
+        let at_ms = self.now_us / 1_000;
+        self.report
+            .violations
+            .push(format!("at {at_ms} ms: {what}"));
+    }
+
+    fn start_node(&mut self, i: usize) {
+        let seed = self.rng.random();
+        let slot = &mut self.nodes[i];
+        slot.boot += 1;
+        slot.down_since_us = None;
+        let boot = slot.boot;
+        let domain = format!("d{}", i % 3);
+        let cfg = NodeConfig::new(VmId(i as u32), BootNumber(boot), domain, seed);
+        slot.node = Some(Node::new(cfg));
+        let bundle = self.bundle.clone();
+        self.feed(i, boot, Event::Bundle(bundle));
+        self.every(i, boot, TICK_US, |w, i, boot| w.feed(i, boot, Event::Tick));
+        self.every(i, boot, LIST_US, |w, i, boot| w.give_list(i, boot));
+        self.every(i, boot, LOAD_US, |w, i, boot| w.give_loads(i, boot));
+    }
+
+    fn every(&mut self, i: usize, boot: u64, us: u64, f: fn(&mut World, usize, u64)) {
+        if self.nodes[i].boot != boot || self.nodes[i].node.is_none() {
+            return;
+        }
+        f(self, i, boot);
+        self.after(us, move |w| w.every(i, boot, us, f));
+    }
+
+    /// Ends a node; it starts anew later.
+    pub(super) fn crash_node(&mut self, i: usize, down_us: u64) {
+        if self.nodes[i].node.take().is_none() {
+            return;
+        }
+        let cut = std::mem::take(&mut self.nodes[i].requests);
+        for open in cut.open.values() {
+            self.closed.insert((open.id, Attempt(u16::MAX)));
+        }
+        self.nodes[i].down_since_us = Some(self.now_us);
+        self.after(down_us, move |w| w.start_node(i));
+    }
+
+    /// Pauses a node; what comes meanwhile waits for it.
+    pub(super) fn pause_node(&mut self, i: usize, us: u64) {
+        let until = self.now_us + us;
+        let slot = &mut self.nodes[i];
+        slot.paused_until_us = slot.paused_until_us.max(until);
+    }
+
+    fn give_list(&mut self, i: usize, boot: u64) {
+        let now = self.now_us;
+        let lagged = |since: Option<u64>| since.is_some_and(|at| now > at + LIST_LAG_US);
+        let mut servers = Vec::new();
+        for (id, engine) in self.engines.iter().enumerate() {
+            servers.push(ServerRecord {
+                id: ServerId(id as u32),
+                kind: ServerKind::Engine,
+                failure_domain: format!("d{}", id % 3),
+                leaving: lagged(engine.leaving_since_us),
+            });
+        }
+        for id in 0..SERVICES {
+            servers.push(ServerRecord {
+                id: ServerId(FIRST_SERVICE + id),
+                kind: ServerKind::Service("s".to_owned()),
+                failure_domain: "d0".to_owned(),
+                leaving: false,
+            });
+        }
+        let listed = self
+            .nodes
+            .iter()
+            .enumerate()
+            .filter(|(_, slot)| !lagged(slot.down_since_us));
+        let entries = listed.map(|(id, _)| PeerRecord {
+            vm: VmId(id as u32),
+            caller_address: format!("entry-{id}"),
+            failure_domain: format!("d{}", id % 3),
+            leaving: false,
+        });
+        let entries = entries.collect();
+        self.feed(i, boot, Event::VmList { servers, entries });
+    }
+
+    fn give_loads(&mut self, i: usize, boot: u64) {
+        for id in 0..self.engines.len() {
+            let engine = &self.engines[id];
+            let server = ServerId(id as u32);
+            let event = match engine.dead || engine.hung {
+                true => Event::LoadFailed(server),
+                false => Event::Load {
+                    server,
+                    report: Box::new(engine.report()),
+                },
+            };
+            let delay = self.delay();
+            self.after(delay, move |w| w.feed(i, boot, event));
+        }
+    }
+
+    fn schedule_arrivals(&mut self, end_us: u64) {
+        let gap = self.rng.random_range(2_000..40_000);
+        self.after(gap, move |w| {
+            if w.now_us < end_us {
+                w.arrive();
+                w.schedule_arrivals(end_us);
+            }
+        });
+    }
+
+    fn schedule_faults(&mut self, end_us: u64) {
+        let gap = self.rng.random_range(200_000..2_500_000);
+        self.after(gap, move |w| {
+            if w.now_us < end_us {
+                w.begin_fault();
+                w.schedule_faults(end_us);
+            }
+        });
+    }
+
+    fn arrive(&mut self) {
+        let i = self.rng.random_range(0..self.nodes.len());
+        let boot = self.nodes[i].boot;
+        if self.nodes[i].node.is_none() || self.now_us < self.nodes[i].paused_until_us {
+            return;
+        }
+        let (wanted, work) = match self.rng.random_range(0..10) {
+            0..=6 => self.random_generation(),
+            _ => self.random_call(),
+        };
+        let timeout_ms = self.rng.random_range(200..12_000);
+        let caller = CallerKey(self.next_caller);
+        self.next_caller += 1;
+        let arrival = Arrival {
+            caller,
+            workspace: WorkspaceKey(self.rng.random_range(0..4)),
+            work,
+            priority: Some(self.rng.random_range(0..9)),
+            timeout_ms: Some(timeout_ms),
+        };
+        let deadline_us = self.now_us + timeout_ms * 1_000;
+        self.nodes[i].arriving = Some((wanted, deadline_us));
+        self.feed(i, boot, Event::Arrive(Box::new(arrival)));
+    }
+
+    fn random_generation(&mut self) -> (Wanted, Work) {
+        let prompt_tokens = match self.rng.random_range(0..20) {
+            0 => self.rng.random_range(40_000..70_000),
+            1 => self.rng.random_range(33_000..38_000),
+            _ => self.rng.random_range(50..4_000),
+        };
+        let max_tokens = self.rng.random_range(1..200);
+        let work = GenerateWork {
+            model: ModelKey(0),
+            adapter: None,
+            version: None,
+            prompt_tokens,
+            max_tokens,
+            prefix: Vec::new(),
+        };
+        (Wanted::Answer(max_tokens), Work::Generate(work))
+    }
+
+    fn random_call(&mut self) -> (Wanted, Work) {
+        let key = self.chance(70).then(|| {
+            // Few enough keys that several tries meet.
+            let epoch = self.now_us / 3_000_000;
+            format!("k{epoch}-{}", self.rng.random_range(0..20))
+        });
+        let work = CallWork {
+            service: ServiceKey(0),
+            repeatable: false,
+            idempotency_key: key.clone(),
+            fingerprint: "same".to_owned(),
+        };
+        (Wanted::Call(key), Work::Call(work))
+    }
+
+    fn feed(&mut self, i: usize, boot: u64, event: Event) {
+        let slot = &mut self.nodes[i];
+        if slot.boot != boot {
+            return;
+        }
+        if self.now_us < slot.paused_until_us {
+            let wakes = slot.paused_until_us;
+            self.at(wakes, move |w| w.feed(i, boot, event));
+            return;
+        }
+        let Some(node) = slot.node.as_mut() else {
+            return;
+        };
+        let frame = match &event {
+            Event::Frame {
+                id, offset, count, ..
+            } => Some((*id, *offset, *count)),
+            _ => None,
+        };
+        let mut out = Vec::new();
+        node.step(Instant::from_micros(self.now_us), event, &mut out);
+        self.report.steps += 1;
+        for effect in out {
+            self.perform(i, boot, effect, frame);
+        }
+    }
+
+    fn perform(
+        &mut self,
+        i: usize,
+        boot: u64,
+        effect: Effect,
+        frame: Option<(RequestId, u32, u32)>,
+    ) {
+        match effect {
+            Effect::Admitted { request, id, .. } => self.admitted(i, request, id),
+            Effect::Refuse { .. } => self.nodes[i].arriving = None,
+            Effect::Dispatch(dispatch) => self.dispatched(i, boot, dispatch),
+            Effect::Segment(order) => {
+                let Some(open) = self.nodes[i].requests.open.get(&order.request) else {
+                    return;
+                };
+                let (id, attempt) = (open.id, order.attempt);
+                self.latest.insert(id, attempt);
+                let tokens = order.to - order.from;
+                let key = order.request;
+                let delay = self.delay();
+                let engine = order.server.0 as usize;
+                self.after(delay, move |w| {
+                    w.segment(i, boot, engine, key, id, attempt, tokens)
+                });
+            }
+            Effect::Deliver { request, skip } => {
+                let Some(frame) = frame else {
+                    return self.violated("tokens were passed on without a frame".to_owned());
+                };
+                let delivered = self.nodes[i].requests.deliver(request, frame, skip);
+                if let Err(what) = delivered {
+                    self.violated(what);
+                }
+            }
+            Effect::Finish { request, result } => self.finished(i, request, &result),
+            Effect::FinishStored { request, .. } => {
+                self.nodes[i].requests.open.remove(&request);
+                self.report.completed += 1;
+            }
+            Effect::Cancel { server, id, up_to } => {
+                let delay = self.delay();
+                self.after(delay, move |w| w.cancel(i, boot, server, id, up_to));
+            }
+            Effect::AskHoldings(server) => {
+                let engine = &self.engines[server.0 as usize];
+                if engine.dead || engine.hung {
+                    return;
+                }
+                let holdings = engine.holdings(self.now_us);
+                let delay = self.delay();
+                self.after(delay, move |w| {
+                    w.feed(i, boot, Event::Holdings { server, holdings })
+                });
+            }
+            Effect::ClaimInsert {
+                request,
+                key,
+                token,
+                fingerprint,
+            } => self.claim_insert(i, boot, request, key, token, fingerprint),
+            Effect::ClaimRead { request, key } => {
+                let delay = self.delay();
+                self.after(delay, move |w| {
+                    let lost = w.table.down || w.chance(5);
+                    let answer = match lost {
+                        true => ClaimAnswer::NoAnswer,
+                        false => w.table.read(&key),
+                    };
+                    w.answer_claim(i, boot, request, answer);
+                });
+            }
+            Effect::ClaimRelease { key, token, .. } => {
+                let delay = self.delay();
+                self.after(delay, move |w| {
+                    let confirmed = !w.table.down && !w.chance(10);
+                    if !w.table.down {
+                        w.table.release(&key, &token);
+                    }
+                    w.feed(i, boot, Event::ClaimReleased { key, confirmed });
+                });
+            }
+            Effect::Peer { to, message } => self.send_peer(i, to.0 as usize, *message),
+            Effect::Log(_) | Effect::Stop => {}
+        }
+    }
+
+    fn admitted(&mut self, i: usize, request: RequestKey, id: RequestId) {
+        let Some((wanted, deadline_us)) = self.nodes[i].arriving.take() else {
+            return self.violated(format!("{id} was admitted without having arrived"));
+        };
+        self.report.admitted += 1;
+        let open = Open {
+            id,
+            wanted,
+            deadline_us,
+            received: 0,
+            ran: false,
+        };
+        self.nodes[i].requests.open.insert(request, open);
+        if self.chance(4) {
+            let (boot, wait) = (self.nodes[i].boot, self.rng.random_range(0..2_000_000));
+            self.after(wait, move |w| w.feed(i, boot, Event::CallerGone(request)));
+        }
+    }
+
+    fn finished(
+        &mut self,
+        i: usize,
+        request: RequestKey,
+        result: &Result<notchwalk_decide::Completion, notchwalk_decide::Failure>,
+    ) {
+        let slot = &mut self.nodes[i];
+        // A paused node can't answer in time; it answers when it wakes.
+        let slack_us = SLACK_US + slot.paused_until_us.saturating_sub(self.now_us - SLACK_US);
+        let late_ok = self.now_us < slot.paused_until_us + 2 * SLACK_US;
+        let slack_us = if late_ok { u64::MAX / 4 } else { slack_us };
+        match slot.requests.finish(request, result, self.now_us, slack_us) {
+            Ok(open) => {
+                if let Err(failure) = result {
+                    self.report.failed += 1;
+                    if failure.outcome == notchwalk_wire::OutcomeWord::NotRun {
+                        self.called_not_run.insert(open.id);
+                    }
+                } else {
+                    self.report.completed += 1;
+                }
+                self.closed.insert((open.id, Attempt(u16::MAX)));
+            }
+            Err(what) => self.violated(what),
+        }
+    }
+
+    fn dispatched(&mut self, i: usize, boot: u64, dispatch: Dispatch) {
+        let Some(open) = self.nodes[i].requests.open.get(&dispatch.request) else {
+            return self.violated("work was sent for a request that is over".to_owned());
+        };
+        let (id, wanted) = (open.id, open.wanted.clone());
+        self.latest.insert(id, dispatch.attempt);
+        let delay = self.delay();
+        let Wanted::Answer(max_tokens) = wanted else {
+            self.after(delay, move |w| w.call(i, boot, id, dispatch));
+            return;
+        };
+        let engine = dispatch.server.0 as usize;
+        let woke_us = self.nodes[i].paused_until_us;
+        if let Some(since) = self.engines[engine].leaving_since_us {
+            let told = self.now_us.saturating_sub(since.max(woke_us));
+            if told > LEAVING_WITHIN_US {
+                self.violated(format!("{id} was sent to leaving engine {engine}"));
+            }
+        }
+        self.after(delay, move |w| w.accept(i, boot, id, dispatch, max_tokens));
+    }
+
+    /// Tells whether a stream's other end has been closed.
+    fn is_closed(&self, id: RequestId, attempt: Attempt) -> bool {
+        self.closed.contains(&(id, Attempt(u16::MAX)))
+            || self.latest.get(&id).is_some_and(|latest| *latest > attempt)
+    }
+
+    fn note_ran(&mut self, i: usize, boot: u64, key: RequestKey, id: RequestId) {
+        if self.called_not_run.contains(&id) {
+            self.violated(format!("{id} was called not run and then ran"));
+        }
+        if self.nodes[i].boot == boot {
+            if let Some(open) = self.nodes[i].requests.open.get_mut(&key) {
+                open.ran = true;
+            }
+        }
+    }
+
+    fn ended(
+        &mut self,
+        i: usize,
+        boot: u64,
+        request: RequestKey,
+        attempt: Attempt,
+        end: AttemptEnd,
+    ) {
+        let event = Event::AttemptEnded {
+            request,
+            attempt,
+            end,
+        };
+        self.feed(i, boot, event);
+    }
+
+    fn accept(&mut self, i: usize, boot: u64, id: RequestId, d: Dispatch, max_tokens: u32) {
+        let engine = d.server.0 as usize;
+        if self.is_closed(id, d.attempt) {
+            return;
+        }
+        if self.engines[engine].dead {
+            return self.ended(i, boot, d.request, d.attempt, AttemptEnd::NotSent);
+        }
+        if self.engines[engine].hung {
+            return;
+        }
+        if self.chance(3) {
+            let code = "overloaded".to_owned();
+            return self.ended(i, boot, d.request, d.attempt, AttemptEnd::Refused { code });
+        }
+        self.note_ran(i, boot, d.request, id);
+        let now = self.now_us;
+        self.engines[engine].accept(id, d.attempt, 1_000, now);
+        self.stream(i, boot, id, d, d.offset, max_tokens);
+    }
+
+    /// Makes the next frame of a stream.
+    fn stream(&mut self, i: usize, boot: u64, id: RequestId, d: Dispatch, at: u32, max: u32) {
+        let gap = self.rng.random_range(2_000..30_000);
+        self.after(gap, move |w| {
+            let engine = d.server.0 as usize;
+            if !w.engines[engine].works_on(id, d.attempt) {
+                return w.ended(i, boot, d.request, d.attempt, AttemptEnd::Broken);
+            }
+            if w.is_closed(id, d.attempt) || w.nodes[i].boot != boot {
+                // The engine notices a closed connection most of the time.
+                if w.chance(70) {
+                    w.engines[engine].cancel(id, d.attempt);
+                }
+                return;
+            }
+            if w.engines[engine].hung {
+                return w.stream(i, boot, id, d, at, max);
+            }
+            if w.chance(1) {
+                // The connection breaks; the engine does not notice.
+                return w.ended(i, boot, d.request, d.attempt, AttemptEnd::Broken);
+            }
+            let count = w.rng.random_range(1..=8).min(max - at);
+            w.frame(i, boot, id, d, at, count);
+            if at + count < max {
+                return w.stream(i, boot, id, d, at + count, max);
+            }
+            w.engines[engine].held.remove(&id);
+            let end = AttemptEnd::Complete {
+                prompt_tokens: 100,
+                cached_tokens: 0,
+                completion_tokens: max,
+            };
+            w.ended(i, boot, d.request, d.attempt, end);
+        });
+    }
+
+    fn frame(&mut self, i: usize, boot: u64, id: RequestId, d: Dispatch, offset: u32, count: u32) {
+        let engine = d.server.0 as usize;
+        let frame = |id, attempt, offset| Event::Frame {
+            request: d.request,
+            id,
+            attempt,
+            offset,
+            count,
+        };
+        if self.engines[engine].crossed {
+            let other = RequestId {
+                seq: id.seq + 1,
+                ..id
+            };
+            self.feed(i, boot, frame(other, d.attempt, offset));
+            self.feed(i, boot, frame(id, Attempt(d.attempt.0 - 1), offset));
+        }
+        self.feed(i, boot, frame(id, d.attempt, offset));
+        if self.chance(2) {
+            // The same frame comes again.
+            self.feed(i, boot, frame(id, d.attempt, offset));
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn segment(
+        &mut self,
+        i: usize,
+        boot: u64,
+        engine: usize,
+        request: RequestKey,
+        id: RequestId,
+        attempt: Attempt,
+        tokens: u64,
+    ) {
+        if self.is_closed(id, attempt) {
+            return;
+        }
+        if self.engines[engine].dead {
+            return self.ended(i, boot, request, attempt, AttemptEnd::NotSent);
+        }
+        self.note_ran(i, boot, request, id);
+        let now = self.now_us;
+        self.engines[engine].accept(id, attempt, tokens, now);
+        let took = self.rng.random_range(5_000..200_000);
+        self.after(took, move |w| {
+            let works = w.engines[engine].works_on(id, attempt) && !w.chance(5);
+            match works {
+                true => w.feed(i, boot, Event::SegmentReady { request, attempt }),
+                false => w.ended(i, boot, request, attempt, AttemptEnd::Broken),
+            }
+        });
+    }
+
+    fn cancel(&mut self, i: usize, boot: u64, server: ServerId, id: RequestId, up_to: Attempt) {
+        let lost = self.chance(15);
+        let engine = &mut self.engines[server.0 as usize];
+        let reached = !engine.hung && !engine.dead && !lost;
+        if reached {
+            engine.cancel(id, up_to);
+        }
+        let confirmed = reached && !self.chance(5);
+        let event = Event::CancelEnded {
+            server,
+            id,
+            confirmed,
+        };
+        let delay = self.delay();
+        self.after(delay, move |w| w.feed(i, boot, event));
+    }
+
+    fn call(&mut self, i: usize, boot: u64, id: RequestId, d: Dispatch) {
+        if self.is_closed(id, d.attempt) {
+            return;
+        }
+        if self.chance(6) {
+            return self.ended(i, boot, d.request, d.attempt, AttemptEnd::NotSent);
+        }
+        self.note_ran(i, boot, d.request, id);
+        let open = self.nodes[i].requests.open.get(&d.request);
+        let idempotency = open.filter(|o| o.id == id).and_then(|o| match &o.wanted {
+            Wanted::Call(key) => key.clone(),
+            Wanted::Answer(_) => None,
+        });
+        let workspace_key = idempotency.as_ref().map(|_| self.claim_of(id));
+        let name = workspace_key
+            .clone()
+            .flatten()
+            .unwrap_or_else(|| id.to_string());
+        let runs = self.runs.entry(name.clone()).or_default();
+        *runs += 1;
+        if *runs > 1 {
+            self.violated(format!("call {name} ran twice"));
+        }
+        let took = self.rng.random_range(1_000..400_000);
+        self.after(took, move |w| {
+            if w.chance(8) {
+                return w.ended(i, boot, d.request, d.attempt, AttemptEnd::Broken);
+            }
+            if let (Some(Some(key)), false) = (workspace_key, w.table.down) {
+                w.table.finish(&key, &id.to_string());
+            }
+            let end = AttemptEnd::Complete {
+                prompt_tokens: 0,
+                cached_tokens: 0,
+                completion_tokens: 0,
+            };
+            w.ended(i, boot, d.request, d.attempt, end);
+        });
+    }
+
+    /// Returns the key of the claim that a request holds.
+    fn claim_of(&self, id: RequestId) -> Option<String> {
+        let token = id.to_string();
+        let mut rows = self.table.rows.iter();
+        rows.find(|(_, row)| row.token == token)
+            .map(|(key, _)| key.clone())
+    }
+
+    fn claim_insert(
+        &mut self,
+        i: usize,
+        boot: u64,
+        request: RequestKey,
+        key: String,
+        token: String,
+        fingerprint: String,
+    ) {
+        let delay = self.delay();
+        self.after(delay, move |w| {
+            if w.table.down {
+                let late = w.chance(10);
+                if late {
+                    // The write takes effect long after it was given up.
+                    let wait = w.rng.random_range(500_000..4_000_000);
+                    w.after(wait, move |w| w.table.insert(&key, &token, &fingerprint));
+                }
+                return w.answer_claim(i, boot, request, ClaimAnswer::NoAnswer);
+            }
+            w.table.insert(&key, &token, &fingerprint);
+            let answer = match w.chance(15) {
+                true => ClaimAnswer::NoAnswer,
+                false => w.table.read(&key),
+            };
+            w.answer_claim(i, boot, request, answer);
+        });
+    }
+
+    fn answer_claim(&mut self, i: usize, boot: u64, request: RequestKey, answer: ClaimAnswer) {
+        let delay = self.delay();
+        self.after(delay, move |w| {
+            w.feed(i, boot, Event::Claim { request, answer })
+        });
+    }
+
+    fn send_peer(&mut self, from: usize, to: usize, message: PeerMessage) {
+        if to >= self.nodes.len() || self.chance(5) {
+            return;
+        }
+        if let Some(alone) = self.partition_at {
+            if (from == alone) != (to == alone) {
+                return;
+            }
+        }
+        let copies = if self.chance(3) { 2 } else { 1 };
+        for _ in 0..copies {
+            let (delay, message) = (self.delay(), message.clone());
+            self.after(delay, move |w| {
+                let (boot, from) = (w.nodes[to].boot, VmId(from as u32));
+                w.feed(to, boot, Event::Peer { from, message });
+            });
+        }
+    }
+
+    /// After everything has healed and ended, nothing may be left over.
+    fn check_settled(&mut self) {
+        let now = Instant::from_micros(self.now_us);
+        for i in 0..self.nodes.len() {
+            let overdue = self.nodes[i].requests.overdue(self.now_us, SLACK_US);
+            if let Some(id) = overdue {
+                self.violated(format!("{id} never ended"));
+            }
+            let Some(node) = self.nodes[i].node.as_mut() else {
+                continue;
+            };
+            let dump = node.dump(now);
+            let mut left = Vec::new();
+            if dump.open_requests > 0 || dump.queued_requests > 0 {
+                left.push(format!("node {i} has {} open requests", dump.open_requests));
+            }
+            for s in dump.servers {
+                let sum = s.held_tokens + s.long_held_tokens + s.backlog_tokens;
+                if s.running > 0 || sum > 0 {
+                    left.push(format!(
+                        "node {i} still counts work on server {}: {s:?}",
+                        s.id
+                    ));
+                }
+            }
+            for what in left {
+                self.violated(what);
+            }
+        }
+        for engine in 0..self.engines.len() {
+            let held = self.engines[engine].held.clone();
+            if let Some((id, _)) = held.first_key_value() {
+                let n = held.len();
+                self.violated(format!(
+                    "engine {engine} still holds {n} requests, such as {id}"
+                ));
+            }
+        }
+    }
+}
