Entries as real processes in benches and tests; benches of faults

Cause: a daemon that is a thread leaves its sockets open when it is "killed", so the first runs of leaving and recovery waited for callers' timeouts (180 s) and measured a frozen machine, not a crash.

--- a/crates/notchwalk_decide/src/attempt.rs
+++ b/crates/notchwalk_decide/src/attempt.rs
@@ -419,7 +419,8 @@
     if req.attempt.0 >= MAX_ATTEMPTS && !ran_not {
         return fail(node, cx, key, FailureCode::BackendFailed, Some(1_000));
     }
-    if !ran_not && !node.retry.take() {
+    let percent = node.bundle().map_or(0, |b| b.policy.retry_percent);
+    if !ran_not && !node.retry.take(percent) {
         return fail(node, cx, key, FailureCode::BackendFailed, Some(2_000));
     }
     let req = &node.requests[key];
--- a/crates/notchwalk_decide/src/retry.rs
+++ b/crates/notchwalk_decide/src/retry.rs
@@ -24,9 +24,9 @@
         self.saved = (self.saved + percent as f64 / 100.0).min(CAP);
     }
 
-    /// Takes one retry, if there is one.
-    pub fn take(&mut self) -> bool {
-        if self.saved < 1.0 {
+    /// Takes one retry, if there is one; a `percent` of 0 allows none at all.
+    pub fn take(&mut self, percent: u64) -> bool {
+        if percent == 0 || self.saved < 1.0 {
             return false;
         }
         self.saved -= 1.0;
--- a/crates/notchwalk_decide/src/server.rs
+++ b/crates/notchwalk_decide/src/server.rs
@@ -24,7 +24,7 @@
 /// A report older than this no longer vouches for an engine.
 const REPORT_LIFE: Duration = Duration::from_millis(1_500);
 /// Failures in a row that open the circuit.
-const FAILURES_TO_OPEN: u32 = 3;
+const FAILURES_TO_OPEN: u32 = 5;
 /// How long the circuit first stays open.
 const FIRST_OPEN: Duration = Duration::from_secs(1);
 /// How often that time doubles at the most.
--- a/crates/notchwalk_standin/src/bench/mod.rs
+++ b/crates/notchwalk_standin/src/bench/mod.rs
@@ -2,9 +2,13 @@
 //! line.
 
 mod fair;
+mod leaving;
 mod lengths;
 mod memory;
+mod once;
+mod overload;
 mod policy;
+mod recovery;
 mod relay;
 mod slowdown;
 mod soak;
@@ -63,6 +67,26 @@
         about: "evictions and concurrency under three ways of reserving memory",
         run: memory::run,
     },
+    Bench {
+        name: "once",
+        about: "how often calls that may not repeat ran, with lost answers and a store outage",
+        run: once::run,
+    },
+    Bench {
+        name: "leaving",
+        about: "new work on leaving servers, and requests cut off by a planned stop",
+        run: leaving::run,
+    },
+    Bench {
+        name: "recovery",
+        about: "a daemon and two engines die under load",
+        run: recovery::run,
+    },
+    Bench {
+        name: "overload",
+        about: "goodput at ten times the load, and after it",
+        run: overload::run,
+    },
     Bench {
         name: "soak",
         about: "long randomised runs in virtual time, with faults; violations of what must hold",
@@ -80,3 +104,11 @@
     let factor = 10f64.powi(digits);
     Value::from((x * factor).round() / factor)
 }
+
+/// Returns this process's resident memory in megabytes: all that runs here.
+pub(crate) fn rss_mb() -> f64 {
+    const PAGE: f64 = 4_096.0;
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|n| n.parse::<f64>().ok());
+    pages.unwrap_or(0.0) * PAGE / 1e6
+}
--- a/crates/notchwalk_standin/src/bench/policy.rs
+++ b/crates/notchwalk_standin/src/bench/policy.rs
@@ -1,7 +1,7 @@
 //! What the benches of the policy share: fleets under each policy, and mixes
 //! modelled on both deployments.
 
-use std::time::Duration;
+use std::{path::PathBuf, time::Duration};
 
 use super::BenchOptions;
 use crate::{
@@ -75,6 +75,19 @@
     (high - low) / (high / low).ln()
 }
 
+/// Returns the path of this program, which runs daemons as processes.
+pub fn this_program() -> PathBuf {
+    std::env::current_exe().expect("a program has a path")
+}
+
+/// Sets the timeout of all calls.
+pub fn with_timeout(mut planned: Vec<Planned>, timeout: Duration) -> Vec<Planned> {
+    for call in &mut planned {
+        call.timeout = timeout;
+    }
+    planned
+}
+
 /// How many calls did not end with a whole answer.
 pub fn not_whole(measured: &[Measured]) -> usize {
     let failed = |m: &&Measured| m.result.end != CallEnd::Whole;
--- a/crates/notchwalk_standin/src/lib.rs
+++ b/crates/notchwalk_standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demo;
 pub mod deployment;
 pub mod engine;
+pub mod entry;
 pub mod fleet;
 pub mod operators;
 pub mod platform;
--- a/crates/notchwalk_standin/src/main.rs
+++ b/crates/notchwalk_standin/src/main.rs
@@ -7,6 +7,7 @@
     bench::{BenchOptions, BENCHES},
     demo,
     deployment::Deployment,
+    entry::run_entry,
     processes::{self, LoadOptions},
     workload::Stream,
 };
@@ -43,6 +44,13 @@
         #[bpaf(argument("FILE"))]
         deployment: PathBuf,
     },
+    /// Run one daemon as this process; used by benches that kill it
+    #[bpaf(command, hide)]
+    Entry {
+        /// The daemon's settings
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Send prompts to entries and check every answer
     #[bpaf(command)]
     Load {
@@ -108,6 +116,10 @@
         Command::Platform { deployment } => stand_in(&deployment, processes::platform),
         Command::Engines { deployment } => stand_in(&deployment, processes::engines),
         Command::Services { deployment } => stand_in(&deployment, processes::services),
+        Command::Entry { settings } => match run_entry(&settings) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => fail(&e.to_string()),
+        },
         Command::Load {
             entry,
             key,
--- a/crates/notchwalkd/src/claim_writer.rs
+++ b/crates/notchwalkd/src/claim_writer.rs
@@ -50,15 +50,26 @@
     }
 }
 
-struct Insert {
-    request: RequestKey,
+/// What follows a write.
+enum Then {
+    /// The reducer hears of its claim.
+    Claim(RequestKey),
+    /// An outcome is stored; on failure it is tried again so often.
+    Stored {
+        /// Tries left.
+        tries: u32,
+    },
+}
+
+struct Write {
     op: TableOp,
+    then: Then,
 }
 
-/// Claims on their way.
+/// Claims and outcomes on their way to the table.
 #[derive(Default)]
 pub struct ClaimWriter {
-    waiting: RefCell<Vec<Insert>>,
+    waiting: RefCell<Vec<Write>>,
     gathering: Cell<bool>,
 }
 
@@ -87,12 +98,50 @@
             value: Some(value.text()),
             ttl_s: ttl(shell),
         };
-        self.waiting.borrow_mut().push(Insert { request, op });
+        self.push(
+            shell,
+            Write {
+                op,
+                then: Then::Claim(request),
+            },
+        );
+    }
+
+    /// Adds a write to those that share the next transaction.
+    fn push(&self, shell: &Rc<Shell>, write: Write) {
+        self.waiting.borrow_mut().push(write);
         if !self.gathering.replace(true) {
             monoio::spawn(flush(shell.clone()));
         }
     }
 
+    /// Stores the outcome of a call, with several tries while the table is
+    /// down.
+    pub fn store(
+        &self,
+        shell: &Rc<Shell>,
+        key: String,
+        token: String,
+        fingerprint: String,
+        outcome: StoredOutcome,
+    ) {
+        let mut value = ClaimValue {
+            token,
+            fingerprint,
+            outcome: None,
+        };
+        let claimed = value.text();
+        value.outcome = Some(outcome);
+        let op = TableOp {
+            key,
+            condition: Condition::Value(claimed),
+            value: Some(value.text()),
+            ttl_s: ttl(shell),
+        };
+        let then = Then::Stored { tries: STORE_TRIES };
+        self.push(shell, Write { op, then });
+    }
+
     /// Reads a claim.
     pub fn read(&self, shell: &Rc<Shell>, request: RequestKey, key: String) {
         let shell = shell.clone();
@@ -147,21 +196,39 @@
     }
 }
 
-async fn write(shell: &Rc<Shell>, batch: Vec<Insert>) {
-    let (requests, ops): (Vec<_>, Vec<_>) = batch.into_iter().map(|i| (i.request, i.op)).unzip();
+async fn write(shell: &Rc<Shell>, batch: Vec<Write>) {
+    let ops = batch.iter().map(|write| write.op.clone()).collect();
     let tx = TableTransaction {
         ops,
         all_or_none: false,
     };
-    let rows = match shell.platform.transact(tx).await {
-        Ok(answer) => answer.rows.into_iter().map(answer_of).collect(),
-        Err(_) => vec![ClaimAnswer::NoAnswer; requests.len()],
-    };
-    for (request, answer) in requests.into_iter().zip(rows) {
-        shell.step(Event::Claim { request, answer });
+    let rows = shell.platform.transact(tx).await.map(|answer| answer.rows);
+    for (i, write) in batch.into_iter().enumerate() {
+        let row = rows.as_ref().map(|rows| rows.get(i).cloned().flatten());
+        match write.then {
+            Then::Claim(request) => {
+                let answer = row.map_or(ClaimAnswer::NoAnswer, answer_of);
+                shell.step(Event::Claim { request, answer });
+            }
+            Then::Stored { tries } if row.is_err() && tries > 1 => {
+                let then = Then::Stored { tries: tries - 1 };
+                monoio::spawn(store_later(shell.clone(), Write { op: write.op, then }));
+            }
+            Then::Stored { .. } => {}
+        }
     }
 }
 
+/// Tries again to store an outcome, after a pause that grows with each try.
+async fn store_later(shell: Rc<Shell>, write: Write) {
+    const PAUSE: Duration = Duration::from_millis(100);
+    let Then::Stored { tries } = write.then else {
+        return;
+    };
+    monoio::time::sleep(PAUSE * 2u32.pow((STORE_TRIES - tries).min(8))).await;
+    shell.claims.push(&shell, write);
+}
+
 fn answer_of(row: Option<Row>) -> ClaimAnswer {
     let Some(row) = row else {
         return ClaimAnswer::NoRow;
@@ -176,40 +243,6 @@
     }
 }
 
-/// Stores the outcome of a call, with several tries while the table is down.
-pub async fn store_outcome(
-    shell: Rc<Shell>,
-    key: String,
-    token: String,
-    fingerprint: String,
-    outcome: StoredOutcome,
-) {
-    const FIRST_PAUSE: Duration = Duration::from_millis(50);
-    let mut value = ClaimValue {
-        token,
-        fingerprint,
-        outcome: None,
-    };
-    let claimed = value.text();
-    value.outcome = Some(outcome);
-    let op = TableOp {
-        key,
-        condition: Condition::Value(claimed),
-        value: Some(value.text()),
-        ttl_s: ttl(&shell),
-    };
-    let tx = TableTransaction {
-        ops: vec![op],
-        all_or_none: false,
-    };
-    for i in 0..STORE_TRIES {
-        if shell.platform.transact(tx.clone()).await.is_ok() {
-            return;
-        }
-        monoio::time::sleep(FIRST_PAUSE * 2u32.pow(i.min(8))).await;
-    }
-}
-
 /// Reads a stored outcome.
 pub async fn read_outcome(shell: &Shell, key: String) -> Option<StoredOutcome> {
     let answer = shell
--- a/crates/notchwalkd/src/service_proxy.rs
+++ b/crates/notchwalkd/src/service_proxy.rs
@@ -437,14 +437,9 @@
             content_type,
             body: (body.len() <= MAX_STORED_BODY).then_some(body),
         };
-        let (shell, token) = (self.shell.clone(), self.id.to_string());
-        monoio::spawn(claim_writer::store_outcome(
-            shell,
-            key,
-            token,
-            fingerprint,
-            outcome,
-        ));
+        let token = self.id.to_string();
+        let claims = &self.shell.claims;
+        claims.store(self.shell, key, token, fingerprint, outcome);
     }
 }
 
