Connections that may not be reused are closed, limits of open files raised

Ruled out: callers (one shared client changed nothing). Change: a fresh connection is closed after its call; lapsed idle connections are dropped when one is put back; daemons raise their limit of open files.

--- a/crates/notchwalk_http/src/client.rs
+++ b/crates/notchwalk_http/src/client.rs
@@ -32,7 +32,7 @@
     /// A pooled connection may be used; it can turn out to be closed.
     Pooled,
     /// Only a fresh connection, so that a refused one proves that nothing was
-    /// sent.
+    /// sent. It is closed afterwards.
     Fresh,
 }
 
@@ -194,7 +194,7 @@
             conn.write_all(&head).await?;
             conn.write_all(&req.body).await?;
         }
-        self.receive(addr, conn, &req.method).await
+        self.receive(addr, conn, &req.method, req.reuse).await
     }
 
     /// Reads the head of the response on a connection whose request was
@@ -208,6 +208,7 @@
         addr: SocketAddr,
         mut conn: Connection,
         method: &Method,
+        reuse: Reuse,
     ) -> Result<StreamedResponse, HttpError> {
         let head = conn.read_response_head().await?;
         let body = match *method {
@@ -218,7 +219,7 @@
         let close = close.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
         Ok(StreamedResponse {
             status: head.status,
-            reusable: !close && !matches!(body, BodyReader::UntilClose),
+            reusable: reuse == Reuse::Pooled && !close && !matches!(body, BodyReader::UntilClose),
             headers: head.headers,
             conn,
             body,
@@ -312,6 +313,11 @@
         }
         let mut pool = self.pool.borrow_mut();
         let idle = pool.entry(self.addr).or_default();
+        let lapsed = idle
+            .iter()
+            .take_while(|i| i.since.elapsed() >= IDLE_TIMEOUT);
+        let lapsed = lapsed.count();
+        idle.drain(..lapsed);
         if idle.len() < MAX_IDLE {
             idle.push(Idle {
                 conn: self.conn,
--- a/crates/notchwalk_standin/src/bench/once.rs
+++ b/crates/notchwalk_standin/src/bench/once.rs
@@ -133,10 +133,11 @@
     let began = Instant::now();
     let tries = Rc::new(RefCell::new(Tries::new()));
     let mut tasks = Vec::new();
+    let client = Client::new();
     for caller in 0..CALLERS {
         let (entries, key, tries) = (entries.clone(), key.clone(), tries.clone());
+        let client = client.clone();
         tasks.push(monoio::spawn(async move {
-            let client = Client::new();
             let mut n = 0;
             while began.elapsed() < over {
                 n += 1;
--- a/crates/notchwalkd/src/lib.rs
+++ b/crates/notchwalkd/src/lib.rs
@@ -12,6 +12,7 @@
 mod engine_driver;
 mod engine_poll;
 mod error;
+mod file_limit;
 mod metrics;
 mod operator_api;
 mod peer_link;
@@ -26,5 +27,6 @@
 
 pub use daemon::{run_until_stopped, start_in_thread, BoundAddresses, Listeners, RunningDaemon};
 pub use error::DaemonError;
+pub use file_limit::raise_file_limit;
 pub use peer_proof::{PeerKey, PeerKeys};
 pub use settings::{DaemonSettings, ListenAddresses};
--- a/crates/notchwalkd/src/main.rs
+++ b/crates/notchwalkd/src/main.rs
@@ -53,6 +53,7 @@
     for signal in [SIGTERM, SIGINT] {
         signal_hook::flag::register(signal, stop.clone()).map_err(DaemonError::Runtime)?;
     }
+    notchwalkd::raise_file_limit();
     let listeners = Listeners::bind(&settings)?;
     run_until_stopped(settings, listeners, stop, Arc::new(AtomicBool::new(false)))
 }
--- a/crates/notchwalkd/src/service_proxy.rs
+++ b/crates/notchwalkd/src/service_proxy.rs
@@ -358,7 +358,8 @@
         if matches!(self.body, Body::Streamed) {
             stream_body(exchange, &mut conn).await?;
         }
-        self.shell.client.receive(addr, conn, &self.method).await
+        let client = &self.shell.client;
+        client.receive(addr, conn, &self.method, reuse).await
     }
 
     /// Passes the service's answer on to the caller.
