--- a/crates/notchwalk_decide/src/attempt.rs
+++ b/crates/notchwalk_decide/src/attempt.rs
@@ -154,6 +154,7 @@
     let state = node.catalog.workspace(slot);
     state.served_us = state.served_us.saturating_add_signed(cost_us);
     let weight = state.weight;
+    node.membership.served_since.insert(slot);
     node.queue.charge(slot, cost_us, weight);
 }
 
--- a/crates/notchwalk_decide/src/membership.rs
+++ b/crates/notchwalk_decide/src/membership.rs
@@ -5,7 +5,8 @@
 //! promise.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -13,6 +14,7 @@
 use notchwalk_wire::{Heard, Heartbeat, PeerMessage, ServedCost};
 
 use crate::{
+    catalog::WorkspaceSlot,
     config::NodeConfig,
     credit,
     effect::Effect,
@@ -31,7 +33,7 @@
 /// Workspaces whose served cost is told to peers.
 const MAX_SERVED: usize = 32;
 /// Peers that are sent heartbeats; with more entries, a bounded choice.
-const MAX_PEERS: usize = 16;
+const MAX_PEERS: usize = 8;
 /// How often the scan for silent peers runs.
 const SCAN_EVERY: Duration = Duration::from_millis(100);
 
@@ -111,6 +113,8 @@
     next_heartbeat: Instant,
     next_scan: Instant,
     rotation: usize,
+    /// Workspaces whose served cost changed since the last heartbeat.
+    pub served_since: BTreeSet<WorkspaceSlot>,
     /// Counts changes of the set of live entries.
     pub epoch: u64,
 }
@@ -126,6 +130,7 @@
             seq: 0,
             next_heartbeat: Instant::ZERO,
             next_scan: Instant::ZERO,
+            served_since: BTreeSet::new(),
             rotation: cfg.seed as usize % 997,
             epoch: 1,
         }
@@ -429,17 +434,19 @@
     list
 }
 
-/// The workspaces with the most served cost; a bounded list.
-fn heaviest(node: &Node) -> Vec<ServedCost> {
-    let served = node.catalog.workspaces.iter().filter(|w| w.served_us > 0);
-    let mut heaviest: Vec<_> = served.map(|w| (w.served_us, w.name.as_str())).collect();
+/// Of the workspaces served since the last heartbeat, those with the most
+/// cost; a bounded list, and no scan of all workspaces.
+fn heaviest(node: &mut Node) -> Vec<ServedCost> {
+    let told = std::mem::take(&mut node.membership.served_since);
+    let state = |slot: &WorkspaceSlot| &node.catalog.workspaces[slot.index()];
+    let mut heaviest: Vec<_> = told.into_iter().collect();
     if heaviest.len() > MAX_SERVED {
-        heaviest.select_nth_unstable_by_key(MAX_SERVED, |(cost, _)| std::cmp::Reverse(*cost));
+        heaviest.select_nth_unstable_by_key(MAX_SERVED, |s| Reverse(state(s).served_us));
         heaviest.truncate(MAX_SERVED);
     }
-    let costs = heaviest.into_iter().map(|(cost_us, name)| ServedCost {
-        workspace: crate::catalog::name_hash(name),
-        cost_us,
+    let costs = heaviest.iter().map(|slot| ServedCost {
+        workspace: crate::catalog::name_hash(&state(slot).name),
+        cost_us: state(slot).served_us,
     });
     costs.collect()
 }
--- a/crates/notchwalk_decide/src/schedule.rs
+++ b/crates/notchwalk_decide/src/schedule.rs
@@ -30,7 +30,7 @@
 const RETRY_EVERY: Duration = Duration::from_millis(50);
 /// How far long work may run ahead of others that wait, in microseconds of
 /// engine time at weight 1.
-const LONG_LEAD_US: u64 = 2_000_000;
+const LONG_LEAD_US: u64 = 500_000;
 
 /// What scheduling remembers between steps.
 #[derive(Debug, Default)]
--- /dev/null
+++ b/crates/notchwalk_standin/src/bench/capacity.rs
@@ -0,0 +1,405 @@
+//! What control costs a node, as slopes over sizes, and worked out for the
+//! size the users aim at. `docs/CAPACITY.md` holds the table this prints.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant as WallInstant},
+};
+
+use notchwalk_bundle::Bundle;
+use notchwalk_core::{BootNumber, Instant, ServerId, VmId};
+use notchwalk_decide::{Effect, Event, Node, NodeConfig, PeerRecord, ServerKind, ServerRecord};
+use notchwalk_wire::{to_cbor, Heartbeat, LoadReport, LoadedModel, PeerMessage};
+use serde_json::json;
+
+use super::{policy, rounded, BenchOptions, Figures};
+use crate::{
+    fleet::{Fleet, FleetConfig},
+    operators::{BundleSpec, Operators, WorkspaceSpec},
+    report,
+};
+
+/// Sizes at which each slope is measured.
+const PEERS: [usize; 4] = [2, 4, 6, 8];
+const SERVERS: [usize; 4] = [20, 40, 80, 160];
+const WORKSPACES: [usize; 4] = [1_000, 5_000, 15_000, 37_000];
+/// The sizes the users aim at (letter 1), for one node.
+const TARGET_PEERS: f64 = 8.0;
+const TARGET_SERVERS: f64 = 5_500.0;
+const TARGET_WORKSPACES: f64 = 37_000.0;
+const TARGET_CHANGES_PER_DAY: f64 = 3_800.0;
+const SECONDS_PER_DAY: f64 = 86_400.0;
+/// Polls of one engine a second, as the daemon makes them.
+const POLLS_PER_S: f64 = 5.0;
+
+/// A straight line through measured points.
+#[derive(Clone, Copy, Debug)]
+struct Fit {
+    base: f64,
+    slope: f64,
+    /// The largest distance of a point, in parts of the largest value.
+    residual: f64,
+}
+
+impl Fit {
+    fn new(points: &[(f64, f64)]) -> Self {
+        let n = points.len() as f64;
+        let mean = |f: fn(&(f64, f64)) -> f64| points.iter().map(f).sum::<f64>() / n;
+        let (x, y) = (mean(|p| p.0), mean(|p| p.1));
+        let both: f64 = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
+        let square: f64 = points.iter().map(|p| (p.0 - x) * (p.0 - x)).sum();
+        let slope = both / square;
+        let base = y - slope * x;
+        let off = points.iter().map(|p| (base + slope * p.0 - p.1).abs());
+        let largest = points
+            .iter()
+            .map(|p| p.1.abs())
+            .fold(f64::EPSILON, f64::max);
+        Self {
+            base,
+            slope,
+            residual: off.fold(0.0, f64::max) / largest,
+        }
+    }
+
+    fn at(&self, x: f64) -> f64 {
+        self.base + self.slope * x
+    }
+}
+
+/// A measured line of the table.
+struct Line {
+    what: &'static str,
+    unit: &'static str,
+    points: Vec<(f64, f64)>,
+    fit: Fit,
+    target: f64,
+}
+
+impl Line {
+    fn new(what: &'static str, unit: &'static str, points: Vec<(f64, f64)>, size: f64) -> Self {
+        let fit = Fit::new(&points);
+        Self {
+            what,
+            unit,
+            target: fit.at(size),
+            points,
+            fit,
+        }
+    }
+}
+
+/// Runs the bench.
+pub fn run(options: &BenchOptions) -> Figures {
+    let by_peers: Vec<_> = PEERS.iter().map(|n| control_cost(*n, 20)).collect();
+    let by_servers: Vec<_> = SERVERS.iter().map(|n| control_cost(5, *n)).collect();
+    let pick = |sizes: &[usize], costs: &[Cost], f: fn(&Cost) -> f64| {
+        let pairs = sizes.iter().zip(costs);
+        pairs
+            .map(|(n, cost)| (*n as f64, f(cost)))
+            .collect::<Vec<_>>()
+    };
+    let workspaces: Vec<_> = WORKSPACES.iter().map(|n| bundle_cost(*n)).collect();
+    let over = |f: fn(&BundleCost) -> f64| {
+        let pairs = WORKSPACES.iter().zip(&workspaces);
+        pairs
+            .map(|(n, cost)| (*n as f64, f(cost)))
+            .collect::<Vec<_>>()
+    };
+    let lines = [
+        Line::new(
+            "heartbeats sent, by peers",
+            "B/s",
+            pick(&PEERS, &by_peers, |c| c.bytes_per_s),
+            TARGET_PEERS,
+        ),
+        Line::new(
+            "reducer for heartbeats, by peers",
+            "us/s",
+            pick(&PEERS, &by_peers, |c| c.us_per_s),
+            TARGET_PEERS,
+        ),
+        Line::new(
+            "heartbeats sent, by servers",
+            "B/s",
+            pick(&SERVERS, &by_servers, |c| c.bytes_per_s),
+            TARGET_SERVERS,
+        ),
+        Line::new(
+            "reducer for reports, by servers",
+            "us/s",
+            pick(&SERVERS, &by_servers, |c| c.us_per_s),
+            TARGET_SERVERS,
+        ),
+        Line::new(
+            "bundle in memory, by workspaces",
+            "KB",
+            over(|c| c.kb),
+            TARGET_WORKSPACES,
+        ),
+        Line::new(
+            "bundle parsed and put in force, by workspaces",
+            "ms",
+            over(|c| c.ms),
+            TARGET_WORKSPACES,
+        ),
+        Line::new(
+            "workspaces part of a bundle",
+            "KB",
+            over(|c| c.part_kb),
+            TARGET_WORKSPACES,
+        ),
+    ];
+    print_table(&lines);
+    let today = today(options);
+    let mut figures = Figures::new();
+    figures.insert(
+        "control_bytes_per_s".to_owned(),
+        rounded(today.bytes_per_s, 0),
+    );
+    figures.insert(
+        "control_core_percent".to_owned(),
+        rounded(today.core_percent, 2),
+    );
+    figures.insert("rss_mb".to_owned(), rounded(today.rss_mb, 1));
+    let change_ms = lines[5].target * TARGET_CHANGES_PER_DAY / SECONDS_PER_DAY;
+    let target_us = lines[1].target + lines[3].target + change_ms * 1_000.0;
+    let reports = report_bytes() * POLLS_PER_S * TARGET_SERVERS;
+    figures.insert(
+        "target".to_owned(),
+        json!({
+            "heartbeat_bytes_per_s": lines[0].target.round(),
+            "report_bytes_per_s_if_all_are_polled": reports.round(),
+            "reducer_core_percent": (target_us / 10_000.0 * 100.0).round() / 100.0,
+            "bundle_mb": (lines[4].target / 100.0).round() / 10.0,
+        }),
+    );
+    let measured = lines.iter().map(|line| {
+        json!({
+            "what": line.what, "unit": line.unit, "points": line.points,
+            "base": line.fit.base, "slope": line.fit.slope, "residual": line.fit.residual,
+            "target": line.target,
+        })
+    });
+    figures.insert("lines".to_owned(), measured.collect());
+    figures
+}
+
+fn print_table(lines: &[Line]) {
+    let mut table = report::table(&["what", "unit", "points", "slope", "residual", "at target"]);
+    for line in lines {
+        let points = line.points.iter().map(|(x, y)| format!("{x}: {y:.1}"));
+        table.add_row([
+            line.what.to_owned(),
+            line.unit.to_owned(),
+            points.collect::<Vec<_>>().join(", "),
+            format!("{:.3}", line.fit.slope),
+            format!("{:.1}%", line.fit.residual * 100.0),
+            format!("{:.0}", line.target),
+        ]);
+    }
+    println!("{table}");
+}
+
+struct Cost {
+    bytes_per_s: f64,
+    us_per_s: f64,
+}
+
+fn report() -> LoadReport {
+    LoadReport {
+        capacity_tokens: 400_000,
+        used_tokens: 123_456,
+        running: 12,
+        waiting: 1,
+        slots: 64,
+        backlog_tokens: 12_345,
+        backlog_by_priority: vec![(125, 345), (45, 12_000)],
+        prompt_token_ns: 40_000,
+        answer_token_ns: 100_000,
+        loaded: vec![LoadedModel {
+            model: "lampwise".to_owned(),
+            versions: vec!["v1".to_owned()],
+            adapters: vec!["tour".to_owned()],
+        }],
+        leaving: false,
+        evictions: 3,
+    }
+}
+
+fn report_bytes() -> f64 {
+    serde_json::to_vec(&report()).map_or(0.0, |json| json.len() as f64)
+}
+
+/// One node among peers and servers for some virtual seconds of control only.
+fn control_cost(peers: usize, servers: usize) -> Cost {
+    const SECONDS: u64 = 30;
+    const TICK_MS: u64 = 5;
+    let mut node = Node::new(NodeConfig::new(VmId(0), BootNumber(1), "d0", 1));
+    let mut out = Vec::new();
+    let mut now = Instant::from_millis(10_000);
+    node.step(now, Event::Bundle(Arc::new(small_bundle(10))), &mut out);
+    let records = (0..servers).map(|id| ServerRecord {
+        id: ServerId(id as u32),
+        kind: ServerKind::Engine,
+        failure_domain: format!("d{}", id % 3),
+        leaving: false,
+    });
+    let entries = (0..=peers).map(|id| PeerRecord {
+        vm: VmId(id as u32),
+        caller_address: "127.0.0.1:1".to_owned(),
+        failure_domain: format!("d{}", id % 3),
+        leaving: false,
+    });
+    let list = Event::VmList {
+        servers: records.collect(),
+        entries: entries.collect(),
+    };
+    node.step(now, list, &mut out);
+    let (mut bytes, mut spent) = (0_usize, Duration::ZERO);
+    for ms in (0..SECONDS * 1_000).step_by(TICK_MS as usize) {
+        let mut events = vec![Event::Tick];
+        if ms % 500 == 0 {
+            events.extend((1..=peers).map(|vm| peer_heartbeat(vm as u32, ms / 500 + 1)));
+        }
+        if ms % 200 == 0 {
+            events.extend((0..servers).map(|id| Event::Load {
+                server: ServerId(id as u32),
+                report: Box::new(report()),
+            }));
+        }
+        out.clear();
+        let began = WallInstant::now();
+        for event in events {
+            node.step(now, event, &mut out);
+        }
+        spent += began.elapsed();
+        for effect in &out {
+            if let Effect::Peer { message, .. } = effect {
+                bytes += to_cbor(message).len();
+            }
+        }
+        now = now.after(Duration::from_millis(TICK_MS));
+    }
+    Cost {
+        bytes_per_s: bytes as f64 / SECONDS as f64,
+        us_per_s: spent.as_micros() as f64 / SECONDS as f64,
+    }
+}
+
+fn peer_heartbeat(vm: u32, seq: u64) -> Event {
+    let heartbeat = Heartbeat {
+        vm: VmId(vm),
+        boot: BootNumber(1),
+        seq,
+        leaving: false,
+        bundle_version: 1,
+        heard: Vec::new(),
+        demand: vec![(1, 4_000)],
+        shares: Vec::new(),
+        served: Vec::new(),
+        leaving_servers: Vec::new(),
+        long_holds: Vec::new(),
+    };
+    Event::Peer {
+        from: VmId(vm),
+        message: PeerMessage::Heartbeat(heartbeat),
+    }
+}
+
+fn spec(workspaces: usize) -> BundleSpec {
+    let named = (0..workspaces).map(|i| WorkspaceSpec::new(&format!("workspace-{i}"), 1.0));
+    BundleSpec {
+        model: "lampwise".to_owned(),
+        context_tokens: 1_100_000,
+        service: "bookdesk".to_owned(),
+        workspaces: named.collect(),
+        policy: String::new(),
+    }
+}
+
+fn small_bundle(workspaces: usize) -> Bundle {
+    let parts = Operators::new(1).parts(&spec(workspaces));
+    Bundle::parse(1, &parts).expect("a valid bundle")
+}
+
+struct BundleCost {
+    kb: f64,
+    ms: f64,
+    part_kb: f64,
+}
+
+/// A bundle's memory, by the growth of this process, and its time.
+fn bundle_cost(workspaces: usize) -> BundleCost {
+    const COPIES: u32 = 4;
+    let parts = Operators::new(1).parts(&spec(workspaces));
+    let largest = parts.iter().map(|p| p.text.len()).max().unwrap_or(0);
+    let before = super::rss_mb();
+    let mut nodes = Vec::new();
+    let began = WallInstant::now();
+    for i in 0..COPIES {
+        let bundle = Bundle::parse(1, &parts).expect("a valid bundle");
+        let mut node = Node::new(NodeConfig::new(VmId(i), BootNumber(1), "d", 1));
+        let mut out = Vec::new();
+        node.step(
+            Instant::from_millis(1),
+            Event::Bundle(Arc::new(bundle)),
+            &mut out,
+        );
+        nodes.push(node);
+    }
+    let ms = began.elapsed().as_secs_f64() * 1_000.0 / f64::from(COPIES);
+    let grown = (super::rss_mb() - before).max(0.0) * 1_000.0 / f64::from(COPIES);
+    drop(nodes);
+    BundleCost {
+        kb: grown,
+        ms,
+        part_kb: largest as f64 / 1_000.0,
+    }
+}
+
+struct Today {
+    bytes_per_s: f64,
+    core_percent: f64,
+    rss_mb: f64,
+}
+
+/// Six daemons before twenty engines, with nothing to do but control.
+fn today(options: &BenchOptions) -> Today {
+    let config = FleetConfig::new(policy::workspaces()).with_entry_program(policy::this_program());
+    let fleet = Fleet::start(config);
+    let daemon = fleet.daemons[0].as_ref().expect("it runs");
+    let pid = daemon.process_id().expect("it is a process");
+    let operator = daemon.addresses.operator;
+    let bytes = || {
+        let text = fleet.read_text(operator, "/metrics");
+        let line = text
+            .lines()
+            .find(|l| l.starts_with("notchwalk_peer_bytes_total "));
+        line.and_then(|l| l.rsplit(' ').next()?.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
+    let (bytes_before, cpu_before) = (bytes(), process_cpu_s(pid));
+    let over = Duration::from_secs(options.seconds);
+    std::thread::sleep(over);
+    Today {
+        bytes_per_s: (bytes() - bytes_before) / over.as_secs_f64(),
+        core_percent: (process_cpu_s(pid) - cpu_before) / over.as_secs_f64() * 100.0,
+        rss_mb: process_rss_mb(pid),
+    }
+}
+
+fn process_cpu_s(pid: u32) -> f64 {
+    const TICKS_PER_S: f64 = 100.0;
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let after = stat.rsplit(") ").next().unwrap_or("");
+    let fields = after.split(' ').skip(11).take(2);
+    fields.filter_map(|f| f.parse::<f64>().ok()).sum::<f64>() / TICKS_PER_S
+}
+
+fn process_rss_mb(pid: u32) -> f64 {
+    const PAGE: f64 = 4_096.0;
+    let statm = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|n| n.parse::<f64>().ok());
+    pages.unwrap_or(0.0) * PAGE / 1e6
+}
--- a/crates/notchwalk_standin/src/bench/mod.rs
+++ b/crates/notchwalk_standin/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Benches: each measures one thing and prints one JSON object on its last
 //! line.
 
+mod capacity;
 mod fair;
 mod leaving;
 mod lengths;
@@ -87,6 +88,11 @@
         about: "goodput at ten times the load, and after it",
         run: overload::run,
     },
+    Bench {
+        name: "capacity",
+        about: "what control costs a node, as slopes, and worked out for the size aimed at",
+        run: capacity::run,
+    },
     Bench {
         name: "soak",
         about: "long randomised runs in virtual time, with faults; violations of what must hold",
--- a/crates/notchwalk_standin/src/entry.rs
+++ b/crates/notchwalk_standin/src/entry.rs
@@ -88,6 +88,14 @@
         }
     }
 
+    /// Returns the process's number, if it is one.
+    pub fn process_id(&self) -> Option<u32> {
+        match &self.kind {
+            Kind::Thread(_) => None,
+            Kind::Process(child) => Some(child.id()),
+        }
+    }
+
     /// Tells it to drain and end.
     pub fn stop(&self) {
         match &self.kind {
--- a/crates/notchwalk_standin/src/fleet.rs
+++ b/crates/notchwalk_standin/src/fleet.rs
@@ -284,18 +284,34 @@
         assert!(answer.status.is_success(), "{path}: {}", answer.status);
     }
 
+    /// Reads from a stand-in or an operator address.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no answer.
+    fn get(&self, addr: SocketAddr, path: &str) -> WholeResponse {
+        let req = OutgoingRequest::new(Method::GET, path);
+        let client = Client::new();
+        let answer = block_on(client.send(addr, req, Duration::from_secs(5), 64 << 20));
+        answer.expect("an answer")
+    }
+
     /// Reads JSON from a stand-in or an operator address.
     ///
     /// # Panics
     ///
     /// Panics if there is no answer of that type.
     pub fn read<T: DeserializeOwned>(&self, addr: SocketAddr, path: &str) -> T {
-        let req = OutgoingRequest::new(Method::GET, path);
-        let answer = block_on(Client::new().send(addr, req, Duration::from_secs(5), 64 << 20));
-        answer
-            .expect("an answer")
-            .json()
-            .expect("the expected type")
+        self.get(addr, path).json().expect("the expected type")
+    }
+
+    /// Reads text from a stand-in or an operator address.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no answer.
+    pub fn read_text(&self, addr: SocketAddr, path: &str) -> String {
+        String::from_utf8_lossy(&self.get(addr, path).body).into_owned()
     }
 
     /// Sets an engine's fault.
--- a/crates/notchwalk_wire/src/peer.rs
+++ b/crates/notchwalk_wire/src/peer.rs
@@ -1,10 +1,12 @@
-//! What daemons tell each other.
+//! What daemons tell each other. Structs travel as CBOR arrays: control may
+//! cost a node 3 KB a second, and names would be most of it.
 
 use notchwalk_core::{BootNumber, RequestId, ServerId, Tokens, VmId};
 use serde::{Deserialize, Serialize};
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 /// When a peer was last heard, as another one tells.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub struct Heard {
     /// The peer.
     pub vm: VmId,
@@ -15,7 +17,7 @@
 }
 
 /// The share of a server that its home grants an entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub struct ServerShare {
     /// The server.
     pub server: ServerId,
@@ -27,7 +29,7 @@
 }
 
 /// Cost served for a workspace since the boot, so that peers can count it in.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub struct ServedCost {
     /// The hash of the workspace's name.
     pub workspace: u64,
@@ -36,7 +38,7 @@
 }
 
 /// A reservation for long work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub struct LongHold {
     /// The server.
     pub server: ServerId,
@@ -49,7 +51,7 @@
 }
 
 /// Sent to each peer twice a second.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub struct Heartbeat {
     /// The sender.
     pub vm: VmId,
@@ -90,7 +92,7 @@
 }
 
 /// A request about long work to a server's home.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub struct LongRequest {
     /// The request.
     pub request: RequestId,
@@ -113,7 +115,7 @@
 }
 
 /// A home's answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub struct LongReply {
     /// The request.
     pub request: RequestId,
