Bundles move as differences, and from peers while the store is down

Cause: a change of one workspace's weight moved the whole part (7.24 MB at 37,000 workspaces) to each node, and an entry that started while the store was down could not become ready. Checking signatures fetched the whole bundle before; its operators are enough. Change: submit stores how a changed part differs; daemons apply it to the text they have and check the result's digest; a daemon without the store asks a live peer with a newer bundle.

--- a/crates/notchwalk_bundle/src/bundle.rs
+++ b/crates/notchwalk_bundle/src/bundle.rs
@@ -239,6 +239,24 @@
         build.finish(version).map_err(BundleError::Faulty)
     }
 
+    /// Parses only the operators, which is what checking the signatures of the
+    /// next bundle needs.
+    ///
+    /// # Errors
+    ///
+    /// Returns the findings in the operators part.
+    pub fn operators_only(version: u64, parts: &[Part]) -> Result<Self, BundleError> {
+        let mut build = Builder::default();
+        for part in parts.iter().filter(|p| p.name == PartName::Operators) {
+            build.read(part);
+        }
+        build.read(&Part {
+            name: PartName::Policy,
+            text: String::new(),
+        });
+        build.finish(version).map_err(BundleError::Faulty)
+    }
+
     /// Returns the workspace of a caller's key.
     pub fn workspace_of_key(&self, key: &str) -> Option<WorkspaceKey> {
         self.workspace_by_key.get(&crate::key_hash(key)).copied()
--- a/crates/notchwalk_bundle/src/lib.rs
+++ b/crates/notchwalk_bundle/src/lib.rs
@@ -3,6 +3,7 @@
 //! no I/O.
 
 mod bundle;
+mod delta;
 mod error;
 mod reader;
 mod sign;
@@ -13,6 +14,7 @@
     Bundle, Model, ModelKey, Operator, Part, PartName, PlainService, Policy, PolicyKind,
     ServiceKey, Workspace, WorkspaceKey, PART_NAMES,
 };
+pub use delta::Delta;
 pub use error::BundleError;
 pub use reader::{IniFile, SectionReader};
 pub use sign::{key_hash, new_signing_key, Manifest, Signature, SigningKey};
--- a/crates/notchwalk_bundle/tests/bundles.rs
+++ b/crates/notchwalk_bundle/tests/bundles.rs
@@ -2,7 +2,7 @@
 //! makes the parser panic.
 
 use notchwalk_bundle::{
-    new_signing_key, Bundle, BundleError, Manifest, Part, PartName, SigningKey, PART_NAMES,
+    new_signing_key, Bundle, BundleError, Delta, Manifest, Part, PartName, SigningKey, PART_NAMES,
 };
 use proptest::prelude::*;
 
@@ -127,4 +127,20 @@
         let parts: Vec<_> = PART_NAMES.into_iter().map(|name| part(name, &text)).collect();
         let _ = Bundle::parse(1, &parts);
     }
+
+    #[test]
+    fn a_delta_leads_from_one_text_to_the_other(
+        old in "([a-c]{0,2}\n){0,12}[a-c]{0,2}",
+        new in "([a-c]{0,2}\n){0,12}[a-c]{0,2}",
+    ) {
+        let delta = Delta::between(&old, &new);
+        prop_assert_eq!(delta.apply(&old), Some(new));
+    }
+
+    #[test]
+    fn a_delta_on_another_text_does_not_panic(
+        texts in prop::collection::vec("([a-c]{0,2}\n){0,8}", 3),
+    ) {
+        let _ = Delta::between(&texts[0], &texts[1]).apply(&texts[2]);
+    }
 }
--- a/crates/notchwalk_decide/src/membership.rs
+++ b/crates/notchwalk_decide/src/membership.rs
@@ -150,6 +150,16 @@
         1 + self.peers.values().filter(|p| p.counts_as_live()).count()
     }
 
+    /// Returns the live peer with the newest bundle.
+    pub fn newest_bundle(&self) -> Option<(VmId, u64)> {
+        let live = self
+            .peers
+            .iter()
+            .filter(|(_, p)| p.state == PeerState::Alive);
+        let newest = live.max_by_key(|(_, p)| p.bundle_version);
+        newest.map(|(vm, p)| (*vm, p.bundle_version))
+    }
+
     /// Tells whether any peer is known.
     pub fn has_peers(&self) -> bool {
         self.peers.values().any(Peer::counts_as_live)
@@ -252,6 +262,8 @@
         PeerMessage::Heartbeat(_) => {}
         PeerMessage::LongRequest(request) => long_work::on_request(node, cx, from, request),
         PeerMessage::LongReply(reply) => long_work::on_reply(node, cx, reply),
+        // The driver moves bundles; the reducer only ever sees a checked one.
+        PeerMessage::BundleAsk(_) | PeerMessage::BundleOffer(_) => {}
     }
 }
 
--- a/crates/notchwalk_decide/src/node.rs
+++ b/crates/notchwalk_decide/src/node.rs
@@ -242,6 +242,12 @@
         self.bundle().map_or(0, |b| b.version)
     }
 
+    /// Returns a live peer that has a newer bundle than this node.
+    pub fn peer_with_newer_bundle(&self) -> Option<notchwalk_core::VmId> {
+        let (vm, version) = self.membership.newest_bundle()?;
+        (version > self.bundle_version()).then_some(vm)
+    }
+
     /// Tells whether a bundle is in force and the node does not drain.
     pub fn is_ready(&self) -> bool {
         self.bundle().is_some() && !self.drain.is_on()
--- a/crates/notchwalk_platform/src/bundles.rs
+++ b/crates/notchwalk_platform/src/bundles.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
-use notchwalk_bundle::{Bundle, BundleError, Manifest, Part, PartName};
+use notchwalk_bundle::{Bundle, BundleError, Delta, Manifest, Part, PartName};
 use notchwalk_wire::{Condition, Row, TableOp, TableRead, TableTransaction};
 use serde::{Deserialize, Serialize};
 
@@ -33,6 +33,8 @@
     pub parts: Vec<Part>,
     /// The content.
     pub bundle: Bundle,
+    /// Bytes that were fetched for it.
+    pub fetched_bytes: u64,
 }
 
 /// Why a bundle was not accepted, or could not be fetched.
@@ -72,6 +74,10 @@
     format!("manifest/{digest}")
 }
 
+fn delta_key(old: &str, new: &str) -> String {
+    format!("delta/{old}/{new}")
+}
+
 fn part_key(digest: &str) -> String {
     format!("part/{digest}")
 }
@@ -137,7 +143,8 @@
 }
 
 /// Fetches a bundle by its manifest's digest and checks content and
-/// signatures. Parts found in `known` are not fetched again.
+/// signatures. Parts found in `known` are not fetched again, and of a changed
+/// part only what differs, if the difference is stored.
 ///
 /// # Errors
 ///
@@ -149,40 +156,106 @@
     known: &[Part],
 ) -> Result<FetchedBundle, SubmitError> {
     let manifest = fetch_manifest(objects, digest).await?;
-    let parts = fetch_parts(objects, &manifest, known).await?;
+    let mut fetch = PartFetch::new(objects, known);
+    fetch.bytes += serde_json::to_vec(&manifest).map_or(0, |json| json.len() as u64);
+    let parts = fetch.all(&manifest).await?;
     let bundle = Bundle::parse(manifest.version, &parts)?;
     if manifest.previous.is_empty() {
         manifest.verify(&bundle)?;
     } else {
         let before = fetch_manifest(objects, &manifest.previous).await?;
-        let before_parts = fetch_parts(objects, &before, &parts).await?;
-        let before = Bundle::parse(before.version, &before_parts)?;
-        manifest.verify(&before)?;
+        manifest.verify(&fetch.operators_of(&before, &parts).await?)?;
     }
     Ok(FetchedBundle {
+        fetched_bytes: fetch.bytes,
         manifest,
         parts,
         bundle,
     })
 }
 
-async fn fetch_parts(
-    objects: &dyn ObjectStore,
-    manifest: &Manifest,
-    known: &[Part],
-) -> Result<Vec<Part>, SubmitError> {
-    let mut parts = Vec::new();
-    for (name, digest) in &manifest.parts {
-        let found = known
-            .iter()
-            .find(|part| part.name == *name && part.digest() == *digest);
-        let part = match found {
-            Some(part) => part.clone(),
-            None => fetch_part(objects, *name, digest).await?,
+/// Fetches parts and counts what they cost.
+struct PartFetch<'a> {
+    objects: &'a dyn ObjectStore,
+    known: &'a [Part],
+    bytes: u64,
+}
+
+impl<'a> PartFetch<'a> {
+    fn new(objects: &'a dyn ObjectStore, known: &'a [Part]) -> Self {
+        Self {
+            objects,
+            known,
+            bytes: 0,
+        }
+    }
+
+    async fn all(&mut self, manifest: &Manifest) -> Result<Vec<Part>, SubmitError> {
+        let mut parts = Vec::new();
+        for (name, digest) in &manifest.parts {
+            parts.push(self.one(*name, digest).await?);
+        }
+        Ok(parts)
+    }
+
+    async fn one(&mut self, name: PartName, digest: &str) -> Result<Part, SubmitError> {
+        let known = self.known.iter().find(|part| part.name == name);
+        if let Some(known) = known {
+            let old = known.digest();
+            if old == digest {
+                return Ok(known.clone());
+            }
+            if let Some(part) = self.changed(known, &old, digest).await? {
+                return Ok(part);
+            }
+        }
+        let part = fetch_part(self.objects, name, digest).await?;
+        self.bytes += part.text.len() as u64;
+        Ok(part)
+    }
+
+    /// Makes a part from the known one and the stored difference; `None` if
+    /// there is none or it does not lead to the wanted part.
+    async fn changed(
+        &mut self,
+        known: &Part,
+        old: &str,
+        digest: &str,
+    ) -> Result<Option<Part>, SubmitError> {
+        let Some(data) = self.objects.get(delta_key(old, digest)).await? else {
+            return Ok(None);
         };
-        parts.push(part);
+        self.bytes += data.len() as u64;
+        let delta = serde_json::from_slice::<Delta>(&data).ok();
+        let text = delta.and_then(|delta| delta.apply(&known.text));
+        let part = text.map(|text| Part {
+            name: known.name,
+            text,
+        });
+        Ok(part.filter(|part| part.digest() == digest))
+    }
+
+    /// Returns a bundle that knows the operators of an earlier one, which is
+    /// all that its signatures need.
+    async fn operators_of(
+        &mut self,
+        before: &Manifest,
+        parts: &[Part],
+    ) -> Result<Bundle, SubmitError> {
+        let mut parts = parts.to_vec();
+        for (name, digest) in &before.parts {
+            if *name != PartName::Operators {
+                continue;
+            }
+            for part in parts.iter_mut().filter(|part| part.name == *name) {
+                if part.digest() != *digest {
+                    *part = self.one(*name, digest).await?;
+                }
+            }
+        }
+        parts.retain(|part| part.name == PartName::Operators);
+        Ok(Bundle::operators_only(before.version, &parts)?)
     }
-    Ok(parts)
 }
 
 /// Stores a signed bundle and moves the head to it. Safe to repeat: a bundle
@@ -207,11 +280,8 @@
     if head.as_ref() == Some(&wanted) {
         return Ok(wanted);
     }
-    check_follows(platform, manifest, &bundle, head.as_ref()).await?;
-    for part in parts {
-        let data = Bytes::from(part.text.clone());
-        platform.put(part_key(&part.digest()), data).await?;
-    }
+    check_follows(platform, manifest, parts, &bundle, head.as_ref()).await?;
+    store_parts(platform, head.as_ref(), parts).await?;
     let data = serde_json::to_vec(manifest).unwrap_or_default();
     platform
         .put(manifest_key(&digest), Bytes::from(data))
@@ -219,9 +289,41 @@
     move_head(platform, head, wanted).await
 }
 
+/// Stores parts, and how those that changed differ from what is in force.
+async fn store_parts(
+    platform: &dyn Platform,
+    head: Option<&BundleHead>,
+    parts: &[Part],
+) -> Result<(), SubmitError> {
+    let before = match head {
+        Some(head) => fetch_manifest(platform, &head.manifest).await?.parts,
+        None => Vec::new(),
+    };
+    for part in parts {
+        let digest = part.digest();
+        let old = before.iter().find(|(name, _)| *name == part.name);
+        let old = old.map(|(_, digest)| digest.as_str());
+        if old == Some(digest.as_str()) {
+            continue;
+        }
+        let data = Bytes::from(part.text.clone());
+        platform.put(part_key(&digest), data).await?;
+        if let Some(old) = old {
+            let text = fetch_part(platform, part.name, old).await?.text;
+            let delta = Delta::between(&text, &part.text);
+            let data = serde_json::to_vec(&delta).unwrap_or_default();
+            platform
+                .put(delta_key(old, &digest), Bytes::from(data))
+                .await?;
+        }
+    }
+    Ok(())
+}
+
 async fn check_follows(
     platform: &dyn Platform,
     manifest: &Manifest,
+    parts: &[Part],
     bundle: &Bundle,
     head: Option<&BundleHead>,
 ) -> Result<(), SubmitError> {
@@ -236,8 +338,11 @@
         let expected = manifest.version.saturating_sub(1);
         return Err(raced(platform, head.clone(), expected).await);
     }
-    let before = fetch_bundle(platform, &head.manifest, &[]).await?;
-    Ok(manifest.verify(&before.bundle)?)
+    let before = fetch_manifest(platform, &head.manifest).await?;
+    let operators = PartFetch::new(platform, &[])
+        .operators_of(&before, parts)
+        .await?;
+    Ok(manifest.verify(&operators)?)
 }
 
 async fn raced(objects: &dyn ObjectStore, in_force: BundleHead, expected: u64) -> SubmitError {
--- a/crates/notchwalk_standin/src/bench/mod.rs
+++ b/crates/notchwalk_standin/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Benches: each measures one thing and prints one JSON object on its last
 //! line.
 
+mod bundle;
 mod capacity;
 mod fair;
 mod leaving;
@@ -88,6 +89,11 @@
         about: "goodput at ten times the load, and after it",
         run: overload::run,
     },
+    Bench {
+        name: "bundle",
+        about: "how soon changes are in force everywhere, and what a change moves",
+        run: bundle::run,
+    },
     Bench {
         name: "capacity",
         about: "what control costs a node, as slopes, and worked out for the size aimed at",
--- a/crates/notchwalk_standin/src/platform/api.rs
+++ b/crates/notchwalk_standin/src/platform/api.rs
@@ -55,6 +55,8 @@
 pub struct PlatformFault {
     /// Nothing is answered; connections are closed.
     pub down: bool,
+    /// Table and objects don't answer, but the VM list does.
+    pub store_down: bool,
     /// Every answer takes this much longer, in milliseconds.
     pub slow_ms: u64,
     /// The part of writes that take effect but whose answer is lost, 0 to 1.
@@ -172,7 +174,8 @@
             return self.control(exchange, &path, &body).await;
         }
         let fault = state.fault.get();
-        if fault.down {
+        let is_store = path.starts_with("/table/") || path.starts_with("/objects/");
+        if fault.down || (fault.store_down && is_store) {
             return exchange.abort();
         }
         monoio::time::sleep(state.config.latency + Duration::from_millis(fault.slow_ms)).await;
--- a/crates/notchwalk_wire/src/peer.rs
+++ b/crates/notchwalk_wire/src/peer.rs
@@ -134,4 +134,8 @@
     LongRequest(LongRequest),
     /// About long work, from a home.
     LongReply(LongReply),
+    /// Asks for a bundle newer than this version; the store is down.
+    BundleAsk(u64),
+    /// A bundle: its manifest and parts as JSON.
+    BundleOffer(String),
 }
--- a/crates/notchwalkd/src/metrics.rs
+++ b/crates/notchwalkd/src/metrics.rs
@@ -13,6 +13,7 @@
     open_cancels: IntGauge,
     bundle_version: IntGauge,
     peer_bytes: IntGauge,
+    bundle_bytes: IntGauge,
     ready: IntGauge,
     retry_budget: Gauge,
 }
@@ -81,6 +82,7 @@
             open_cancels: gauge("notchwalk_open_cancels", "Cancels not confirmed"),
             bundle_version: gauge("notchwalk_bundle_version", "The bundle in force"),
             peer_bytes: gauge("notchwalk_peer_bytes_total", "Bytes sent to other daemons"),
+            bundle_bytes: gauge("notchwalk_bundle_bytes_total", "Bytes fetched for bundles"),
             ready: gauge(
                 "notchwalk_ready",
                 "1 if a bundle is in force and nothing drains",
@@ -118,6 +120,7 @@
             self.ready.set(i64::from(node.is_ready()));
             self.retry_budget.set(node.retry_budget());
         });
+        self.bundle_bytes.set(shell.bundle_bytes.get() as i64);
         self.peer_bytes.set(shell.links.sent_bytes() as i64);
         let mut buf = Vec::new();
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
--- a/crates/notchwalkd/src/peer_link.rs
+++ b/crates/notchwalkd/src/peer_link.rs
@@ -27,14 +27,15 @@
 };
 
 use crate::{
+    bundle_watch,
     peer_proof::{self, Challenge, Hello, Proof, PROOF_BYTES},
     shell::Shell,
 };
 
 /// Messages that wait for a peer at the most; later ones are dropped.
 const MAX_WAITING: usize = 64;
-/// The largest message.
-const MAX_MESSAGE: usize = 1 << 20;
+/// The largest message; a bundle offered to a peer is the largest.
+const MAX_MESSAGE: usize = 32 << 20;
 /// How long connecting and proving may take.
 const PROVE_WITHIN: Duration = Duration::from_secs(3);
 /// How long a link may be silent before it is closed.
@@ -254,7 +255,11 @@
             return;
         };
         n += 1;
-        shell.step(Event::Peer { from: vm, message });
+        match message {
+            PeerMessage::BundleAsk(have) => bundle_watch::offer(shell, vm, have),
+            PeerMessage::BundleOffer(text) => bundle_watch::take_offer(shell, vm, &text),
+            message => shell.step(Event::Peer { from: vm, message }),
+        }
     }
 }
 
--- a/crates/notchwalkd/src/shell.rs
+++ b/crates/notchwalkd/src/shell.rs
@@ -19,6 +19,7 @@
 use notchwalk_wire::{EngineFrame, Prompt};
 
 use crate::{
+    bundle_watch::BundleTexts,
     channel::{CallerEvent, CallerTx},
     claim_writer::ClaimWriter,
     engine_driver,
@@ -78,6 +79,10 @@
     pub links: PeerLinks,
     /// Claims on their way to the table.
     pub claims: ClaimWriter,
+    /// The bundle in force with its texts.
+    pub bundle_texts: RefCell<Option<BundleTexts>>,
+    /// Bytes fetched for bundles since the start.
+    pub bundle_bytes: Cell<u64>,
     node: RefCell<Node>,
     open: RefCell<HashMap<RequestKey, Open>>,
     arriving: RefCell<Option<Open>>,
@@ -116,6 +121,8 @@
             metrics: Metrics::new(),
             links: PeerLinks::default(),
             claims: ClaimWriter::default(),
+            bundle_texts: RefCell::default(),
+            bundle_bytes: Cell::new(0),
             open: RefCell::default(),
             arriving: RefCell::default(),
             refused: RefCell::default(),
