--- a/crates/notchwalk_bundle/src/delta.rs
+++ b/crates/notchwalk_bundle/src/delta.rs
@@ -4,12 +4,12 @@
 use serde::{Deserialize, Serialize};
 use similar::{capture_diff_slices, Algorithm, DiffOp};
 
-/// Lines that take the place of others.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Lines that stay, and what comes in the place of those behind them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Hunk {
-    /// The first line of the old text that goes.
-    line: usize,
-    /// How many go.
+    /// Lines of the old text that stay.
+    keep: usize,
+    /// Lines behind them that go.
     remove: usize,
     /// What comes instead.
     insert: String,
@@ -31,16 +31,22 @@
     pub fn between(old: &str, new: &str) -> Self {
         let (old, new) = (lines(old), lines(new));
         let mut hunks = Vec::new();
+        let mut hunk = Hunk::default();
+        // Only the order of the operations is relied on: an insertion may name
+        // a place in the old text before a removal that precedes it.
         for op in capture_diff_slices(Algorithm::Myers, &old, &new) {
-            if matches!(op, DiffOp::Equal { .. }) {
+            if let DiffOp::Equal { len, .. } = op {
+                if hunk.remove > 0 || !hunk.insert.is_empty() {
+                    hunks.push(std::mem::take(&mut hunk));
+                }
+                hunk.keep += len;
                 continue;
             }
-            let (from, to) = (op.old_range(), op.new_range());
-            hunks.push(Hunk {
-                line: from.start,
-                remove: from.len(),
-                insert: new[to].concat(),
-            });
+            hunk.remove += op.old_range().len();
+            hunk.insert.push_str(&new[op.new_range()].concat());
+        }
+        if hunk.remove > 0 || !hunk.insert.is_empty() {
+            hunks.push(hunk);
         }
         Self { hunks }
     }
@@ -51,10 +57,11 @@
         let mut text = String::with_capacity(old.len());
         let mut at = 0;
         for hunk in &self.hunks {
-            let kept = old_lines.get(at..hunk.line)?;
+            let end = usize::checked_add(at, hunk.keep)?;
+            let kept = old_lines.get(at..end)?;
             text.extend(kept.iter().copied());
             text.push_str(&hunk.insert);
-            at = hunk.line.checked_add(hunk.remove)?;
+            at = end.checked_add(hunk.remove)?;
         }
         text.extend(old_lines.get(at..)?.iter().copied());
         Some(text)
