--- a/crates/notchwalk_bundle/src/bundle.rs
+++ b/crates/notchwalk_bundle/src/bundle.rs
@@ -124,8 +124,10 @@
     /// Adapters that may be asked for as `MODEL:ADAPTER`.
     pub adapters: Vec<String>,
     /// Versions that may be asked for as `MODEL@VERSION`; the first is the
-    /// default.
+    /// default. Engines that serve the model are ordered to load all.
     pub versions: Vec<String>,
+    /// Whether the engines that serve it refuse old fencing numbers.
+    pub checks_fence: bool,
 }
 
 /// An application service beside the engines.
@@ -195,6 +197,9 @@
     pub ageing_ms: u64,
     /// Further attempts allowed for each hundred requests.
     pub retry_percent: u64,
+    /// The longest pause of a daemon that engines without fencing are guarded
+    /// against, in milliseconds.
+    pub order_pause_ms: u64,
     /// How long the outcome of a call with an idempotency key is kept, in
     /// seconds.
     pub outcome_ttl_s: u64,
@@ -366,6 +371,7 @@
                 context_tokens: section.within("context_tokens", 131_072, 1, 16_000_000),
                 adapters: section.list("adapters"),
                 versions,
+                checks_fence: section.or("checks_fence", true),
             });
         }
         if self.models.is_empty() {
@@ -441,6 +447,7 @@
             short_room_percent: section.within("short_room_percent", 25, 0, 90),
             ageing_ms: section.within("ageing_ms", 10_000, 1, 3_600_000),
             retry_percent: section.within("retry_percent", 20, 0, 1_000),
+            order_pause_ms: section.within("order_pause_ms", 10_000, 0, 3_600_000),
             outcome_ttl_s: section.within("outcome_ttl_s", 86_400, 1, 31_536_000),
         };
         if policy.default_timeout_ms > policy.max_timeout_ms {
--- a/crates/notchwalk_decide/src/credit.rs
+++ b/crates/notchwalk_decide/src/credit.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     catalog::{GroupKey, WorkspaceSlot},
-    long_work,
+    long_home,
     node::{Cx, Node},
     server::ServerKey,
 };
@@ -185,7 +185,7 @@
         if node.credits.homes.get(&server) != Some(&own) {
             continue;
         }
-        let pool = long_work::short_pool_per_mille(node, now, key);
+        let pool = long_home::short_pool_per_mille(node, now, key);
         let demand: Vec<u64> = live.iter().map(|vm| demand_of(node, *vm, key)).collect();
         for (vm, share) in live.iter().zip(shares(&demand)) {
             let share = ServerShare {
--- a/crates/notchwalk_decide/src/dump.rs
+++ b/crates/notchwalk_decide/src/dump.rs
@@ -121,6 +121,9 @@
     pub timers: usize,
     /// Retries saved up.
     pub retry_budget: f64,
+    /// The fencing number under which this node may give orders, if it holds
+    /// the lease.
+    pub order_fence: Option<u64>,
     /// Counts since the boot.
     pub counters: Counters,
     /// Lanes with waiting requests.
@@ -150,6 +153,7 @@
             open_claim_releases: self.releases.len(),
             timers: self.timers.len(),
             retry_budget: self.retry.saved(),
+            order_fence: self.orders.fence(now),
             counters: self.counters.clone(),
             lanes: dump_lanes(self),
             workspaces: dump_workspaces(self),
--- a/crates/notchwalk_decide/src/effect.rs
+++ b/crates/notchwalk_decide/src/effect.rs
@@ -1,9 +1,12 @@
 //! Everything a node can ask its driver to do.
 
 use notchwalk_core::{Attempt, LogEvent, RequestId, ServerId, Tokens, VmId};
-use notchwalk_wire::{OutcomeWord, PeerMessage};
+use notchwalk_wire::{OutcomeWord, PeerMessage, WantedState};
 
-use crate::request::{CallerKey, RequestKey};
+use crate::{
+    orders::LeaseRow,
+    request::{CallerKey, RequestKey},
+};
 
 /// Sends an attempt to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -178,6 +181,24 @@
         /// The digest of the call.
         fingerprint: String,
     },
+    /// Read the order lease's row.
+    LeaseRead,
+    /// Write the order lease's row, if it still is as expected.
+    LeaseWrite {
+        /// The row as it must be.
+        expected: Option<LeaseRow>,
+        /// The row to write.
+        row: LeaseRow,
+    },
+    /// Give an engine an order, if the lease still holds right before.
+    Order {
+        /// The engine.
+        server: ServerId,
+        /// The fencing number.
+        fence: u64,
+        /// What is wanted.
+        wanted: WantedState,
+    },
     /// Send a message to a peer.
     Peer {
         /// The peer.
--- a/crates/notchwalk_decide/src/event.rs
+++ b/crates/notchwalk_decide/src/event.rs
@@ -6,7 +6,10 @@
 use notchwalk_core::{Attempt, RequestId, ServerId, Tokens, VmId};
 use notchwalk_wire::{CacheEvents, Holding, LoadReport, PeerMessage};
 
-use crate::request::{CallerKey, RequestKey};
+use crate::{
+    orders::LeaseRow,
+    request::{CallerKey, RequestKey},
+};
 
 /// A generation.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -236,6 +239,22 @@
         /// Whether the table confirmed it.
         confirmed: bool,
     },
+    /// The table answered about the order lease.
+    Lease {
+        /// The row as it is now.
+        row: Option<LeaseRow>,
+        /// Whether a write of this node just made it so.
+        applied: bool,
+    },
+    /// The table did not answer about the order lease.
+    LeaseUnanswered,
+    /// An order ended.
+    OrderEnded {
+        /// The engine.
+        server: ServerId,
+        /// Whether the engine took it, or may take it when given again.
+        accepted: bool,
+    },
     /// A peer sent a message.
     Peer {
         /// The peer, as it proved itself.
@@ -266,6 +285,9 @@
             Self::CancelEnded { .. } => "cancel_ended",
             Self::Claim { .. } => "claim",
             Self::ClaimReleased { .. } => "claim_released",
+            Self::Lease { .. } => "lease",
+            Self::LeaseUnanswered => "lease_unanswered",
+            Self::OrderEnded { .. } => "order_ended",
             Self::Peer { .. } => "peer",
             Self::Drain => "drain",
         }
--- a/crates/notchwalk_decide/src/lib.rs
+++ b/crates/notchwalk_decide/src/lib.rs
@@ -18,9 +18,11 @@
 mod event;
 mod invariant;
 mod lane;
+mod long_home;
 mod long_work;
 mod membership;
 mod node;
+mod orders;
 mod placement;
 mod prefix;
 mod queue;
@@ -45,5 +47,6 @@
 pub use lane::{Lane, LANES};
 pub use membership::LiveEntry;
 pub use node::{Counters, Node};
+pub use orders::LeaseRow;
 pub use prefix::{block_hashes, BLOCK_TOKENS};
 pub use request::{CallerKey, RequestKey};
--- a/crates/notchwalk_decide/src/membership.rs
+++ b/crates/notchwalk_decide/src/membership.rs
@@ -19,7 +19,7 @@
     credit,
     effect::Effect,
     event::PeerRecord,
-    long_work,
+    long_home, long_work,
     node::{Cx, Node},
     schedule,
 };
@@ -260,7 +260,7 @@
             on_heartbeat(node, cx, heartbeat);
         }
         PeerMessage::Heartbeat(_) => {}
-        PeerMessage::LongRequest(request) => long_work::on_request(node, cx, from, request),
+        PeerMessage::LongRequest(request) => long_home::on_request(node, cx, from, request),
         PeerMessage::LongReply(reply) => long_work::on_reply(node, cx, reply),
         // The driver moves bundles; the reducer only ever sees a checked one.
         PeerMessage::BundleAsk(_) | PeerMessage::BundleOffer(_) => {}
@@ -301,7 +301,7 @@
     take_in_heard(node, cx.now, from, &heartbeat.heard);
     take_in_served(node, from, &heartbeat.served);
     credit::on_shares(node, cx.now, from, &heartbeat.shares);
-    long_work::on_peer_holds(node, cx.now, &heartbeat.long_holds);
+    long_home::on_peer_holds(node, cx.now, &heartbeat.long_holds);
     for server in &heartbeat.leaving_servers {
         if let Some(key) = node.servers.key(*server) {
             schedule::mark_leaving(node, cx, key);
--- a/crates/notchwalk_decide/src/node.rs
+++ b/crates/notchwalk_decide/src/node.rs
@@ -18,8 +18,10 @@
     drain::{self, Drain},
     effect::Effect,
     event::Event,
-    long_work::{self, LongLedgers},
+    long_home::{self, LongLedgers},
+    long_work,
     membership::{self, Membership},
+    orders::{self, Orders},
     queue::FairQueue,
     request::{Request, RequestKey},
     retry::RetryBudget,
@@ -95,10 +97,13 @@
     pub(crate) credits: Credits,
     pub(crate) membership: Membership,
     pub(crate) long: LongLedgers,
+    /// Requests that ask homes for room.
+    pub(crate) asking: usize,
     pub(crate) timers: Timers,
     pub(crate) retry: RetryBudget,
     pub(crate) cancels: Cancels,
     pub(crate) releases: ClaimReleases,
+    pub(crate) orders: Orders,
     pub(crate) drain: Drain,
     pub(crate) counters: Counters,
 }
@@ -121,10 +126,12 @@
             costs: Vec::new(),
             credits: Credits::default(),
             long: LongLedgers::default(),
+            asking: 0,
             timers: Timers::default(),
             retry: RetryBudget::default(),
             cancels: Cancels::default(),
             releases: ClaimReleases::default(),
+            orders: Orders::default(),
             drain: Drain::default(),
             counters: Counters::default(),
         }
@@ -189,6 +196,11 @@
             Event::ClaimReleased { key, confirmed } => {
                 self.releases.on_released(cx.now, &key, confirmed);
             }
+            Event::Lease { row, applied } => orders::on_lease(self, cx, row, applied),
+            Event::LeaseUnanswered => orders::on_no_lease_answer(self),
+            Event::OrderEnded { server, accepted } => {
+                orders::on_order_ended(self, cx, server, accepted);
+            }
             Event::Peer { from, message } => membership::on_message(self, cx, from, message),
             Event::Drain => drain::on_drain(self, cx),
         }
@@ -207,9 +219,10 @@
         }
         membership::on_tick(self, cx);
         credit::on_tick(self, cx);
-        long_work::on_tick(self, cx);
+        long_home::on_tick(self, cx);
         sweep::on_tick(self, cx);
         claim::on_tick(self, cx);
+        orders::on_tick(self, cx);
         schedule::on_tick(self, cx);
         drain::on_tick(self, cx);
     }
@@ -248,6 +261,12 @@
         (version > self.bundle_version()).then_some(vm)
     }
 
+    /// Tells whether an order may be given under a fencing number now. Drivers
+    /// ask right before they send one.
+    pub fn may_order(&self, now: Instant, fence: u64) -> bool {
+        self.orders.fence(now) == Some(fence)
+    }
+
     /// Tells whether a bundle is in force and the node does not drain.
     pub fn is_ready(&self) -> bool {
         self.bundle().is_some() && !self.drain.is_on()
--- a/crates/notchwalk_decide/tests/decisions/main.rs
+++ b/crates/notchwalk_decide/tests/decisions/main.rs
@@ -3,4 +3,5 @@
 mod attempts;
 mod claims;
 mod common;
+mod orders;
 mod policy;
--- a/crates/notchwalk_http/src/client.rs
+++ b/crates/notchwalk_http/src/client.rs
@@ -183,7 +183,22 @@
         addr: SocketAddr,
         req: OutgoingRequest,
     ) -> Result<StreamedResponse, HttpError> {
-        let mut conn = self.connection(addr, req.reuse).await?;
+        let conn = self.connection(addr, req.reuse).await?;
+        self.send_on(addr, conn, req).await
+    }
+
+    /// Sends a request on a connection that is already there, and reads the
+    /// response's head.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the connection does.
+    pub async fn send_on(
+        &self,
+        addr: SocketAddr,
+        mut conn: Connection,
+        req: OutgoingRequest,
+    ) -> Result<StreamedResponse, HttpError> {
         let host = addr.to_string();
         let length = Some(req.body.len());
         let mut head = request_head(&req.method, &req.path, &host, &req.headers, length);
--- a/crates/notchwalk_standin/src/bench/lengths.rs
+++ b/crates/notchwalk_standin/src/bench/lengths.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use super::{policy, rounded, BenchOptions, Figures};
+use super::{ideal, policy, rounded, BenchOptions, Figures};
 use crate::{
     fleet::Fleet,
     report::{class_of, Durations},
@@ -36,6 +36,9 @@
         let before = tokens_made(&fleet);
         let over = Duration::from_secs(options.seconds);
         let planned = plan(options, &fleet, over);
+        if throughput.is_empty() {
+            add_ideal(&mut figures, &fleet, &planned);
+        }
         let (measured, made) = std::thread::scope(|scope| {
             let fleet = &fleet;
             let sender = scope.spawn(move || policy::send(fleet, planned));
@@ -105,13 +108,31 @@
 }
 
 fn add_multiples(figures: &mut Figures, name: &str, measured: &[Measured], idle: &[(f64, f64)]) {
+    let multiples = measured.iter().map(|m| {
+        let took = m.result.first_token.unwrap_or(m.result.total);
+        let tokens = m.planned.prompt_tokens;
+        (tokens, took.as_secs_f64() / idle_time(idle, tokens as f64))
+    });
+    add_quantiles(figures, name, multiples);
+}
+
+/// The same work, placed by one who knows everything.
+fn add_ideal(figures: &mut Figures, fleet: &Fleet, planned: &[Planned]) {
+    let one_engine = policy::capacity_per_s(fleet) / fleet.config.engines as f64;
+    let times = ideal::first_token_times(planned, fleet.config.engines, one_engine);
+    let multiples = planned.iter().zip(&times).map(|(call, took)| {
+        let alone = call.prompt_tokens as f64 / one_engine;
+        (call.prompt_tokens, took.as_secs_f64() / alone)
+    });
+    add_quantiles(figures, "ideal", multiples);
+}
+
+/// Adds the quantiles of multiples, by the class of their prompts' lengths.
+fn add_quantiles(figures: &mut Figures, name: &str, of_prompts: impl Iterator<Item = (u64, f64)>) {
     // Multiples are kept as durations, a second for each whole one.
     let mut multiples: [Durations; 4] = Default::default();
-    for m in measured {
-        let took = m.result.first_token.unwrap_or(m.result.total).as_secs_f64();
-        let multiple = took / idle_time(idle, m.planned.prompt_tokens as f64);
-        let class = class_of(m.planned.prompt_tokens);
-        multiples[class].add(Duration::from_secs_f64(multiple.max(0.0)));
+    for (tokens, multiple) in of_prompts {
+        multiples[class_of(tokens)].add(Duration::from_secs_f64(multiple.max(0.0)));
     }
     for (key, times) in KEYS.iter().zip(&multiples) {
         for (quantile, q) in [("p50", 0.5), ("p95", 0.95)] {
--- a/crates/notchwalk_standin/src/bench/mod.rs
+++ b/crates/notchwalk_standin/src/bench/mod.rs
@@ -4,10 +4,12 @@
 mod bundle;
 mod capacity;
 mod fair;
+mod ideal;
 mod leaving;
 mod lengths;
 mod memory;
 mod once;
+mod orders;
 mod overload;
 mod policy;
 mod recovery;
@@ -94,6 +96,11 @@
         about: "how soon changes are in force everywhere, and what a change moves",
         run: bundle::run,
     },
+    Bench {
+        name: "orders",
+        about: "orders under the lease with its holder paused, on both kinds of engine",
+        run: orders::run,
+    },
     Bench {
         name: "capacity",
         about: "what control costs a node, as slopes, and worked out for the size aimed at",
--- a/crates/notchwalk_standin/src/bench/soak.rs
+++ b/crates/notchwalk_standin/src/bench/soak.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::{rounded, BenchOptions, Figures};
-use crate::soak::{SoakOptions, World};
+use crate::soak::{Mechanism, SoakOptions, World};
 
 /// Virtual seconds of one run.
 const RUN_SECONDS: u64 = 120;
@@ -28,6 +28,7 @@
     for what in violations.iter().take(20) {
         eprintln!("{what}");
     }
+    let per_s = steps as f64 / began.elapsed().as_secs_f64();
     let mut figures = Figures::new();
     figures.insert("steps".to_owned(), steps.into());
     figures.insert("violations".to_owned(), violations.len().into());
@@ -36,7 +37,15 @@
     figures.insert("admitted".to_owned(), admitted.into());
     figures.insert("completed".to_owned(), completed.into());
     figures.insert("faults".to_owned(), faults.into());
-    let per_s = steps as f64 / began.elapsed().as_secs_f64();
+    for (key, mechanism) in [
+        ("violations_without_cancels", Mechanism::Cancels),
+        ("violations_without_claims", Mechanism::Claims),
+    ] {
+        let mut without = SoakOptions::new(options.seed, RUN_SECONDS);
+        without.without = Some(mechanism);
+        let found = World::new(without).run().violations.len();
+        figures.insert(key.to_owned(), found.into());
+    }
     figures.insert("steps_per_s".to_owned(), rounded(per_s, 0));
     figures
 }
--- a/crates/notchwalk_standin/src/bench/steps.rs
+++ b/crates/notchwalk_standin/src/bench/steps.rs
@@ -35,6 +35,8 @@
     let spec = BundleSpec {
         model: "m".to_owned(),
         context_tokens: 1_100_000,
+        versions: vec!["v1".to_owned()],
+        checks_fence: true,
         service: "s".to_owned(),
         workspaces: names.collect(),
         policy: "max_requests = 1000000\n".to_owned(),
--- a/crates/notchwalk_standin/src/fleet.rs
+++ b/crates/notchwalk_standin/src/fleet.rs
@@ -80,6 +80,8 @@
             bundle: BundleSpec {
                 model: "lampwise".to_owned(),
                 context_tokens: 1_100_000,
+                versions: vec!["v1".to_owned()],
+                checks_fence: true,
                 service: "bookdesk".to_owned(),
                 workspaces,
                 policy: "kind = fair\n".to_owned(),
@@ -451,7 +453,8 @@
         let addr = listener.local_addr().expect("an address");
         let mut engine = EngineConfig::new(ServerId(id), loaded.clone())
             .with_time_scale(config.time_scale)
-            .with_capacity(config.capacity_tokens);
+            .with_capacity(config.capacity_tokens)
+            .with_checks_fence(config.bundle.checks_fence);
         engine.slots = config.slots;
         records.push(VmRecord {
             id,
--- a/crates/notchwalk_standin/src/operators.rs
+++ b/crates/notchwalk_standin/src/operators.rs
@@ -33,6 +33,10 @@
     pub model: String,
     /// Its context, in tokens.
     pub context_tokens: u64,
+    /// The model's versions, the default first.
+    pub versions: Vec<String>,
+    /// Whether the engines refuse old fencing numbers.
+    pub checks_fence: bool,
     /// The plain service's name.
     pub service: String,
     /// The workspaces.
@@ -66,8 +70,11 @@
             hex(&self.reviewer)
         );
         let models = format!(
-            "[model {}]\ncontext_tokens = {}\nversions = v1, v2\nadapters = tour\n",
-            spec.model, spec.context_tokens
+            "[model {}]\ncontext_tokens = {}\nversions = {}\nadapters = tour\nchecks_fence = {}\n",
+            spec.model,
+            spec.context_tokens,
+            spec.versions.join(", "),
+            spec.checks_fence
         );
         let services = format!("[service {}]\ntimeout_ms = 10000\n", spec.service);
         let mut workspaces = String::new();
--- a/crates/notchwalk_standin/src/soak/mod.rs
+++ b/crates/notchwalk_standin/src/soak/mod.rs
@@ -4,8 +4,9 @@
 //! hold is checked at the fakes, besides the reducer's own invariants.
 
 mod callers;
+mod delivery;
 mod fakes;
 mod faults;
 mod world;
 
-pub use world::{SoakOptions, SoakReport, World};
+pub use world::{Mechanism, SoakOptions, SoakReport, World};
--- a/crates/notchwalk_standin/src/soak/world.rs
+++ b/crates/notchwalk_standin/src/soak/world.rs
@@ -9,10 +9,9 @@
 use notchwalk_bundle::{Bundle, ModelKey, ServiceKey, WorkspaceKey};
 use notchwalk_core::{Attempt, BootNumber, Instant, RequestId, ServerId, VmId};
 use notchwalk_decide::{
-    Arrival, AttemptEnd, CallWork, CallerKey, ClaimAnswer, Dispatch, Effect, Event, GenerateWork,
-    Node, NodeConfig, PeerRecord, RequestKey, ServerKind, ServerRecord, Work,
+    Arrival, CallWork, CallerKey, ClaimAnswer, Dispatch, Effect, Event, GenerateWork, Node,
+    NodeConfig, PeerRecord, RequestKey, ServerKind, ServerRecord, Work,
 };
-use notchwalk_wire::PeerMessage;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -50,6 +49,18 @@
     pub engines: usize,
     /// Whether faults happen.
     pub faults: bool,
+    /// A mechanism that is cut off at its interface, to show what it is worth
+    /// and that its absence is noticed.
+    pub without: Option<Mechanism>,
+}
+
+/// A mechanism that can be cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mechanism {
+    /// Cancels and the sweep reach no engine.
+    Cancels,
+    /// Every claim is granted at once, whoever has the key.
+    Claims,
 }
 
 impl SoakOptions {
@@ -61,6 +72,7 @@
             nodes: 3,
             engines: 6,
             faults: true,
+            without: None,
         }
     }
 }
@@ -86,11 +98,11 @@
 
 /// One place for a node.
 pub(super) struct Slot {
-    node: Option<Node>,
-    boot: u64,
-    paused_until_us: u64,
+    pub(super) node: Option<Node>,
+    pub(super) boot: u64,
+    pub(super) paused_until_us: u64,
     down_since_us: Option<u64>,
-    requests: OpenRequests,
+    pub(super) requests: OpenRequests,
     arriving: Option<(Wanted, u64)>,
 }
 
@@ -105,14 +117,14 @@
     /// What happened so far.
     pub report: SoakReport,
     options: SoakOptions,
+    pub(super) runs: HashMap<String, u32>,
+    pub(super) called_not_run: HashSet<RequestId>,
+    pub(super) closed: HashSet<(RequestId, Attempt)>,
+    pub(super) latest: HashMap<RequestId, Attempt>,
     actions: BTreeMap<(u64, u64), Action>,
     next_action: u64,
     next_caller: u64,
     bundle: Arc<Bundle>,
-    runs: HashMap<String, u32>,
-    called_not_run: HashSet<RequestId>,
-    closed: HashSet<(RequestId, Attempt)>,
-    latest: HashMap<RequestId, Attempt>,
 }
 
 fn soak_bundle() -> Bundle {
@@ -120,6 +132,8 @@
     let spec = BundleSpec {
         model: "m".to_owned(),
         context_tokens: 200_000,
+        versions: vec!["v1".to_owned()],
+        checks_fence: true,
         service: "s".to_owned(),
         workspaces: named.collect(),
         policy: "retry_percent = 100\n".to_owned(),
@@ -189,13 +203,13 @@
         }
     }
 
-    fn at(&mut self, at_us: u64, action: impl FnOnce(&mut World) + 'static) {
+    pub(super) fn at(&mut self, at_us: u64, action: impl FnOnce(&mut World) + 'static) {
         self.next_action += 1;
         let key = (at_us.max(self.now_us), self.next_action);
         self.actions.insert(key, Box::new(action));
     }
 
-    fn after(&mut self, us: u64, action: impl FnOnce(&mut World) + 'static) {
+    pub(super) fn after(&mut self, us: u64, action: impl FnOnce(&mut World) + 'static) {
         self.at(self.now_us + us, action);
     }
 
@@ -204,25 +218,29 @@
         self.after(us, heal);
     }
 
-    fn chance(&mut self, percent: u32) -> bool {
+    pub(super) fn lacks(&self, mechanism: Mechanism) -> bool {
+        self.options.without == Some(mechanism)
+    }
+
+    pub(super) fn chance(&mut self, percent: u32) -> bool {
         self.rng.random_range(0..100) < percent
     }
 
-    fn delay(&mut self) -> u64 {
+    pub(super) fn delay(&mut self) -> u64 {
         match self.rng.random_range(0..50) {
             0 => self.rng.random_range(50_000..800_000),
             _ => self.rng.random_range(200..6_000),
         }
     }
 
-    fn violated(&mut self, what: String) {
+    pub(super) fn violated(&mut self, what: String) {
         let at_ms = self.now_us / 1_000;
         self.report
             .violations
             .push(format!("at {at_ms} ms: {what}"));
     }
 
-    fn start_node(&mut self, i: usize) {
+    pub(super) fn start_node(&mut self, i: usize) {
         let seed = self.rng.random();
         let slot = &mut self.nodes[i];
         slot.boot += 1;
@@ -395,7 +413,7 @@
         (Wanted::Call(key), Work::Call(work))
     }
 
-    fn feed(&mut self, i: usize, boot: u64, event: Event) {
+    pub(super) fn feed(&mut self, i: usize, boot: u64, event: Event) {
         let slot = &mut self.nodes[i];
         if slot.boot != boot {
             return;
@@ -461,6 +479,15 @@
                 self.nodes[i].requests.open.remove(&request);
                 self.report.completed += 1;
             }
+            Effect::Cancel { server, id, .. } if self.lacks(Mechanism::Cancels) => {
+                let confirmed = true;
+                let event = Event::CancelEnded {
+                    server,
+                    id,
+                    confirmed,
+                };
+                self.after(1_000, move |w| w.feed(i, boot, event));
+            }
             Effect::Cancel { server, id, up_to } => {
                 let delay = self.delay();
                 self.after(delay, move |w| w.cancel(i, boot, server, id, up_to));
@@ -504,6 +531,8 @@
                 });
             }
             Effect::Peer { to, message } => self.send_peer(i, to.0 as usize, *message),
+            // The lease is shown by `bench orders`, with real daemons.
+            Effect::LeaseRead | Effect::LeaseWrite { .. } | Effect::Order { .. } => {}
             Effect::Log(_) | Effect::Stop => {}
         }
     }
@@ -576,271 +605,6 @@
         self.after(delay, move |w| w.accept(i, boot, id, dispatch, max_tokens));
     }
 
-    /// Tells whether a stream's other end has been closed.
-    fn is_closed(&self, id: RequestId, attempt: Attempt) -> bool {
-        self.closed.contains(&(id, Attempt(u16::MAX)))
-            || self.latest.get(&id).is_some_and(|latest| *latest > attempt)
-    }
-
-    fn note_ran(&mut self, i: usize, boot: u64, key: RequestKey, id: RequestId) {
-        if self.called_not_run.contains(&id) {
-            self.violated(format!("{id} was called not run and then ran"));
-        }
-        if self.nodes[i].boot == boot {
-            if let Some(open) = self.nodes[i].requests.open.get_mut(&key) {
-                open.ran = true;
-            }
-        }
-    }
-
-    fn ended(
-        &mut self,
-        i: usize,
-        boot: u64,
-        request: RequestKey,
-        attempt: Attempt,
-        end: AttemptEnd,
-    ) {
-        let event = Event::AttemptEnded {
-            request,
-            attempt,
-            end,
-        };
-        self.feed(i, boot, event);
-    }
-
-    fn accept(&mut self, i: usize, boot: u64, id: RequestId, d: Dispatch, max_tokens: u32) {
-        let engine = d.server.0 as usize;
-        if self.is_closed(id, d.attempt) {
-            return;
-        }
-        if self.engines[engine].dead {
-            return self.ended(i, boot, d.request, d.attempt, AttemptEnd::NotSent);
-        }
-        if self.engines[engine].hung {
-            return;
-        }
-        if self.chance(3) {
-            let code = "overloaded".to_owned();
-            return self.ended(i, boot, d.request, d.attempt, AttemptEnd::Refused { code });
-        }
-        self.note_ran(i, boot, d.request, id);
-        let now = self.now_us;
-        self.engines[engine].accept(id, d.attempt, 1_000, now);
-        self.stream(i, boot, id, d, d.offset, max_tokens);
-    }
-
-    /// Makes the next frame of a stream.
-    fn stream(&mut self, i: usize, boot: u64, id: RequestId, d: Dispatch, at: u32, max: u32) {
-        let gap = self.rng.random_range(2_000..30_000);
-        self.after(gap, move |w| {
-            let engine = d.server.0 as usize;
-            if !w.engines[engine].works_on(id, d.attempt) {
-                return w.ended(i, boot, d.request, d.attempt, AttemptEnd::Broken);
-            }
-            if w.is_closed(id, d.attempt) || w.nodes[i].boot != boot {
-                // The engine notices a closed connection most of the time.
-                if w.chance(70) {
-                    w.engines[engine].cancel(id, d.attempt);
-                }
-                return;
-            }
-            if w.engines[engine].hung {
-                return w.stream(i, boot, id, d, at, max);
-            }
-            if w.chance(1) {
-                // The connection breaks; the engine does not notice.
-                return w.ended(i, boot, d.request, d.attempt, AttemptEnd::Broken);
-            }
-            let count = w.rng.random_range(1..=8).min(max - at);
-            w.frame(i, boot, id, d, at, count);
-            if at + count < max {
-                return w.stream(i, boot, id, d, at + count, max);
-            }
-            w.engines[engine].held.remove(&id);
-            let end = AttemptEnd::Complete {
-                prompt_tokens: 100,
-                cached_tokens: 0,
-                completion_tokens: max,
-            };
-            w.ended(i, boot, d.request, d.attempt, end);
-        });
-    }
-
-    fn frame(&mut self, i: usize, boot: u64, id: RequestId, d: Dispatch, offset: u32, count: u32) {
-        let engine = d.server.0 as usize;
-        let frame = |id, attempt, offset| Event::Frame {
-            request: d.request,
-            id,
-            attempt,
-            offset,
-            count,
-        };
-        if self.engines[engine].crossed {
-            let other = RequestId {
-                seq: id.seq + 1,
-                ..id
-            };
-            self.feed(i, boot, frame(other, d.attempt, offset));
-            self.feed(i, boot, frame(id, Attempt(d.attempt.0 - 1), offset));
-        }
-        self.feed(i, boot, frame(id, d.attempt, offset));
-        if self.chance(2) {
-            // The same frame comes again.
-            self.feed(i, boot, frame(id, d.attempt, offset));
-        }
-    }
-
-    #[allow(clippy::too_many_arguments)]
-    fn segment(
-        &mut self,
-        i: usize,
-        boot: u64,
-        engine: usize,
-        request: RequestKey,
-        id: RequestId,
-        attempt: Attempt,
-        tokens: u64,
-    ) {
-        if self.is_closed(id, attempt) {
-            return;
-        }
-        if self.engines[engine].dead {
-            return self.ended(i, boot, request, attempt, AttemptEnd::NotSent);
-        }
-        self.note_ran(i, boot, request, id);
-        let now = self.now_us;
-        self.engines[engine].accept(id, attempt, tokens, now);
-        let took = self.rng.random_range(5_000..200_000);
-        self.after(took, move |w| {
-            let works = w.engines[engine].works_on(id, attempt) && !w.chance(5);
-            match works {
-                true => w.feed(i, boot, Event::SegmentReady { request, attempt }),
-                false => w.ended(i, boot, request, attempt, AttemptEnd::Broken),
-            }
-        });
-    }
-
-    fn cancel(&mut self, i: usize, boot: u64, server: ServerId, id: RequestId, up_to: Attempt) {
-        let lost = self.chance(15);
-        let engine = &mut self.engines[server.0 as usize];
-        let reached = !engine.hung && !engine.dead && !lost;
-        if reached {
-            engine.cancel(id, up_to);
-        }
-        let confirmed = reached && !self.chance(5);
-        let event = Event::CancelEnded {
-            server,
-            id,
-            confirmed,
-        };
-        let delay = self.delay();
-        self.after(delay, move |w| w.feed(i, boot, event));
-    }
-
-    fn call(&mut self, i: usize, boot: u64, id: RequestId, d: Dispatch) {
-        if self.is_closed(id, d.attempt) {
-            return;
-        }
-        if self.chance(6) {
-            return self.ended(i, boot, d.request, d.attempt, AttemptEnd::NotSent);
-        }
-        self.note_ran(i, boot, d.request, id);
-        let open = self.nodes[i].requests.open.get(&d.request);
-        let idempotency = open.filter(|o| o.id == id).and_then(|o| match &o.wanted {
-            Wanted::Call(key) => key.clone(),
-            Wanted::Answer(_) => None,
-        });
-        let workspace_key = idempotency.as_ref().map(|_| self.claim_of(id));
-        let name = workspace_key
-            .clone()
-            .flatten()
-            .unwrap_or_else(|| id.to_string());
-        let runs = self.runs.entry(name.clone()).or_default();
-        *runs += 1;
-        if *runs > 1 {
-            self.violated(format!("call {name} ran twice"));
-        }
-        let took = self.rng.random_range(1_000..400_000);
-        self.after(took, move |w| {
-            if w.chance(8) {
-                return w.ended(i, boot, d.request, d.attempt, AttemptEnd::Broken);
-            }
-            if let (Some(Some(key)), false) = (workspace_key, w.table.down) {
-                w.table.finish(&key, &id.to_string());
-            }
-            let end = AttemptEnd::Complete {
-                prompt_tokens: 0,
-                cached_tokens: 0,
-                completion_tokens: 0,
-            };
-            w.ended(i, boot, d.request, d.attempt, end);
-        });
-    }
-
-    /// Returns the key of the claim that a request holds.
-    fn claim_of(&self, id: RequestId) -> Option<String> {
-        let token = id.to_string();
-        let mut rows = self.table.rows.iter();
-        rows.find(|(_, row)| row.token == token)
-            .map(|(key, _)| key.clone())
-    }
-
-    fn claim_insert(
-        &mut self,
-        i: usize,
-        boot: u64,
-        request: RequestKey,
-        key: String,
-        token: String,
-        fingerprint: String,
-    ) {
-        let delay = self.delay();
-        self.after(delay, move |w| {
-            if w.table.down {
-                let late = w.chance(10);
-                if late {
-                    // The write takes effect long after it was given up.
-                    let wait = w.rng.random_range(500_000..4_000_000);
-                    w.after(wait, move |w| w.table.insert(&key, &token, &fingerprint));
-                }
-                return w.answer_claim(i, boot, request, ClaimAnswer::NoAnswer);
-            }
-            w.table.insert(&key, &token, &fingerprint);
-            let answer = match w.chance(15) {
-                true => ClaimAnswer::NoAnswer,
-                false => w.table.read(&key),
-            };
-            w.answer_claim(i, boot, request, answer);
-        });
-    }
-
-    fn answer_claim(&mut self, i: usize, boot: u64, request: RequestKey, answer: ClaimAnswer) {
-        let delay = self.delay();
-        self.after(delay, move |w| {
-            w.feed(i, boot, Event::Claim { request, answer })
-        });
-    }
-
-    fn send_peer(&mut self, from: usize, to: usize, message: PeerMessage) {
-        if to >= self.nodes.len() || self.chance(5) {
-            return;
-        }
-        if let Some(alone) = self.partition_at {
-            if (from == alone) != (to == alone) {
-                return;
-            }
-        }
-        let copies = if self.chance(3) { 2 } else { 1 };
-        for _ in 0..copies {
-            let (delay, message) = (self.delay(), message.clone());
-            self.after(delay, move |w| {
-                let (boot, from) = (w.nodes[to].boot, VmId(from as u32));
-                w.feed(to, boot, Event::Peer { from, message });
-            });
-        }
-    }
-
     /// After everything has healed and ended, nothing may be left over.
     fn check_settled(&mut self) {
         let now = Instant::from_micros(self.now_us);
--- a/crates/notchwalk_standin/tests/bad_input.rs
+++ b/crates/notchwalk_standin/tests/bad_input.rs
@@ -213,7 +213,7 @@
 
 #[test]
 fn idle_connections_do_not_hinder_others() {
-    const IDLE: usize = 500;
+    const IDLE: usize = 2_000;
     let idle: Vec<_> = (0..IDLE).map(|_| connect()).collect();
     let body = r#"{"model":"lampwise","prompt":"x","max_tokens":2}"#;
     let answer = post("/v1/completions", "", body);
@@ -221,6 +221,101 @@
     drop(idle);
 }
 
+#[test]
+fn a_caller_that_reads_nothing_is_cut_off_and_frees_the_engine() {
+    // A fleet of its own: the answer fills its engine.
+    let mut config = FleetConfig::new(vec![WorkspaceSpec::new("desk", 1.0)])
+        .with_sizes(1, 1, 0)
+        .with_time_scale(500.0);
+    config.capacity_tokens = 1_000_000;
+    let fleet = Fleet::start(config);
+    // More than the daemon keeps for a slow caller and sockets hold.
+    let body = r#"{"model":"lampwise","prompt":"slow","max_tokens":900000,"stream":true}"#;
+    let raw = format!(
+        "POST /v1/completions HTTP/1.1\r\nauthorization: Bearer key-of-desk\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(fleet.entries()[0]).expect("the entry listens");
+    stream.write_all(raw.as_bytes()).expect("sent");
+    wait_until(&fleet, "the answer never began", |counts| {
+        counts.generated_tokens > 0
+    });
+    wait_until(&fleet, "the engine is not freed", |counts| {
+        counts.used_tokens == 0
+    });
+    let made = fleet.engine_counts(0).generated_tokens;
+    assert!(made < 900_000, "the answer was made to its end");
+    drop(stream);
+}
+
+fn wait_until(fleet: &Fleet, otherwise: &str, holds: impl Fn(&EngineCounts) -> bool) {
+    let began = Instant::now();
+    while !holds(&fleet.engine_counts(0)) {
+        assert!(began.elapsed() < Duration::from_secs(60), "{otherwise}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn bodies_of_plain_services_are_streamed() {
+    const BYTES: usize = 8 << 20;
+    let mut stream = connect();
+    let head = "PUT /v1/services/bookdesk/plots/7 HTTP/1.1\r\nconnection: close\r\n\
+                authorization: Bearer key-of-desk\r\ntransfer-encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).expect("sent");
+    let piece = vec![b'x'; 64 * 1024];
+    for _ in 0..BYTES / piece.len() {
+        stream
+            .write_all(format!("{:x}\r\n", piece.len()).as_bytes())
+            .expect("sent");
+        stream.write_all(&piece).expect("sent");
+        stream.write_all(b"\r\n").expect("sent");
+    }
+    stream.write_all(b"0\r\n\r\n").expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(
+        answer.contains(&format!("\"body_bytes\":{BYTES}")),
+        "{answer}"
+    );
+}
+
+#[test]
+fn strangers_and_garbage_at_the_peers_door_harm_nobody() {
+    let fleet = shared().fleet.lock().expect("no test panicked with it");
+    let peer = fleet.daemons[0].as_ref().expect("a daemon").addresses.peer;
+    drop(fleet);
+    let upgrade = "GET / HTTP/1.1\r\nhost: x\r\nupgrade: websocket\r\nconnection: upgrade\r\n\
+                   sec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\nsec-websocket-version: 13\r\n\r\n";
+    // An empty binary frame, then one that lies about its length.
+    let frames = [
+        0x82, 0x80, 0, 0, 0, 0, 0x82, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff,
+    ];
+    for bytes in [
+        b"garbage\r\n\r\n".to_vec(),
+        [upgrade.as_bytes(), &frames].concat(),
+    ] {
+        let mut stream = TcpStream::connect(peer).expect("it listens");
+        let patience = Some(Duration::from_secs(10));
+        stream.set_read_timeout(patience).expect("a timeout");
+        stream.write_all(&bytes).expect("sent");
+        let mut answer = Vec::new();
+        let ended = stream.read_to_end(&mut answer);
+        assert!(
+            ended.is_ok() || !answer.is_empty(),
+            "the daemon closes the connection"
+        );
+    }
+    let answer = post(
+        "/v1/completions",
+        "",
+        r#"{"model":"lampwise","prompt":"x","max_tokens":2}"#,
+    );
+    assert_eq!(answer.0, 200);
+}
+
 #[test]
 fn the_operators_interface_answers() {
     for (path, expected) in [
--- a/crates/notchwalk_standin/tests/random_runs.rs
+++ b/crates/notchwalk_standin/tests/random_runs.rs
@@ -1,7 +1,7 @@
 //! Randomised runs of several reducers against fakes, with faults. Fixed
 //! seeds; longer ones run with `notchwalk-standin bench soak`.
 
-use notchwalk_standin::soak::{SoakOptions, World};
+use notchwalk_standin::soak::{Mechanism, SoakOptions, World};
 
 const SECONDS: u64 = 60;
 
@@ -39,3 +39,13 @@
     let run = || World::new(SoakOptions::new(9, 20)).run();
     assert_eq!(run(), run());
 }
+
+#[test]
+fn a_missing_mechanism_is_noticed() {
+    for mechanism in [Mechanism::Cancels, Mechanism::Claims] {
+        let mut options = SoakOptions::new(1, SECONDS);
+        options.without = Some(mechanism);
+        let report = World::new(options).run();
+        assert!(!report.violations.is_empty(), "{mechanism:?}");
+    }
+}
--- a/crates/notchwalkd/src/caller_api.rs
+++ b/crates/notchwalkd/src/caller_api.rs
@@ -10,8 +10,8 @@
 use crate::{
     api_error::ApiFailure,
     auth::{authenticate, Caller},
-    completions::{self, Dialect},
-    service_proxy,
+    completion_request::Dialect,
+    completions, service_proxy,
     shell::Shell,
 };
 
--- /dev/null
+++ b/crates/notchwalkd/src/completion_request.rs
@@ -0,0 +1,209 @@
+//! Reading the bodies of `/v1/completions` and `/v1/chat/completions`.
+
+use http::StatusCode;
+use notchwalk_wire::{
+    ChatRequest, CompletionRequest, Prompt, PromptInput, StopInput, StreamOptions,
+};
+use serde_json::{json, Map, Value};
+
+use crate::api_error::ApiFailure;
+
+/// The two interfaces to the same work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dialect {
+    /// `/v1/completions`.
+    Completions,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+/// A request as read from its body.
+pub struct Wanted {
+    /// The model's name, with adapter or version.
+    pub model: String,
+    /// The prompt.
+    pub prompt: Prompt,
+    /// The longest answer.
+    pub max_tokens: Option<u32>,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Whether a stream ends with the usage.
+    pub include_usage: bool,
+    /// Texts that end the answer.
+    pub stop: Vec<String>,
+    /// Sampling parameters as given.
+    pub sampling: Map<String, Value>,
+}
+
+/// Reads a body.
+///
+/// # Errors
+///
+/// Says which parameter is wrong, unknown or not served.
+pub fn parse(dialect: Dialect, body: &[u8]) -> Result<Wanted, ApiFailure> {
+    match dialect {
+        Dialect::Completions => parse_completion(body),
+        Dialect::Chat => parse_chat(body),
+    }
+}
+
+fn unsupported(param: &str) -> ApiFailure {
+    let message = format!("{param} is not served");
+    ApiFailure::bad_param("unsupported_parameter", param, message)
+}
+
+/// Refuses parameters that would change the answer and aren't served.
+fn refuse_set(params: &[(&str, bool)]) -> Result<(), ApiFailure> {
+    for (name, set) in params {
+        if *set {
+            return Err(unsupported(name));
+        }
+    }
+    Ok(())
+}
+
+fn is_set(value: &Option<Value>) -> bool {
+    !matches!(value, None | Some(Value::Null) | Some(Value::Bool(false)))
+}
+
+fn stop_texts(stop: Option<StopInput>) -> Vec<String> {
+    match stop {
+        None => Vec::new(),
+        Some(StopInput::One(text)) => vec![text],
+        Some(StopInput::Many(texts)) => texts,
+    }
+}
+
+fn sampling(params: [(&str, Option<Value>); 6]) -> Map<String, Value> {
+    let given = params.into_iter().filter_map(|(name, value)| {
+        let value = value.filter(|v| !v.is_null())?;
+        Some((name.to_owned(), value))
+    });
+    given.collect()
+}
+
+fn json_failure(error: &serde_json::Error) -> ApiFailure {
+    let text = error.to_string();
+    if let Some(rest) = text.strip_prefix("unknown field `") {
+        let name = rest.split('`').next().unwrap_or("");
+        let message = format!("{name} is no parameter of this request");
+        return ApiFailure::bad_param("unknown_parameter", name, message);
+    }
+    let code = match error.classify() {
+        serde_json::error::Category::Data => "invalid_parameter",
+        _ => "malformed_json",
+    };
+    ApiFailure::not_run(StatusCode::BAD_REQUEST, code, format!("the body: {text}"))
+}
+
+fn parse_completion(body: &[u8]) -> Result<Wanted, ApiFailure> {
+    let req: CompletionRequest = serde_json::from_slice(body).map_err(|e| json_failure(&e))?;
+    refuse_set(&[
+        ("n", req.n.is_some_and(|n| n != 1)),
+        ("best_of", req.best_of.is_some_and(|n| n != 1)),
+        ("echo", req.echo == Some(true)),
+        ("suffix", is_set(&req.suffix)),
+        ("logprobs", is_set(&req.logprobs)),
+    ])?;
+    Ok(Wanted {
+        model: req.model,
+        prompt: single_prompt(req.prompt)?,
+        max_tokens: req.max_tokens,
+        stream: req.stream.unwrap_or(false),
+        include_usage: includes_usage(req.stream_options),
+        stop: stop_texts(req.stop),
+        sampling: sampling([
+            ("temperature", req.temperature),
+            ("top_p", req.top_p),
+            ("seed", req.seed),
+            ("presence_penalty", req.presence_penalty),
+            ("frequency_penalty", req.frequency_penalty),
+            ("logit_bias", req.logit_bias),
+        ]),
+    })
+}
+
+fn includes_usage(options: Option<StreamOptions>) -> bool {
+    options.is_some_and(|o| o.include_usage)
+}
+
+fn single_prompt(input: PromptInput) -> Result<Prompt, ApiFailure> {
+    let one = || {
+        let message = "a batch of prompts is not served; send one prompt a request";
+        ApiFailure::bad_param("unsupported_parameter", "prompt", message)
+    };
+    let empty = || ApiFailure::bad_param("invalid_parameter", "prompt", "the prompt is empty");
+    match input {
+        PromptInput::Text(text) => Ok(Prompt::Text(text)),
+        PromptInput::Tokens(tokens) if tokens.is_empty() => Err(empty()),
+        PromptInput::Tokens(tokens) => Ok(Prompt::Tokens(tokens)),
+        PromptInput::Texts(mut texts) => match (texts.pop(), texts.is_empty()) {
+            (Some(text), true) => Ok(Prompt::Text(text)),
+            (None, _) => Err(empty()),
+            _ => Err(one()),
+        },
+        PromptInput::TokenLists(mut lists) => match (lists.pop(), lists.is_empty()) {
+            (Some(tokens), true) => Ok(Prompt::Tokens(tokens)),
+            (None, _) => Err(empty()),
+            _ => Err(one()),
+        },
+    }
+}
+
+fn parse_chat(body: &[u8]) -> Result<Wanted, ApiFailure> {
+    let req: ChatRequest = serde_json::from_slice(body).map_err(|e| json_failure(&e))?;
+    let format = req.response_format.as_ref().and_then(|f| f.get("type"));
+    let plain = format.is_none_or(|kind| kind == "text");
+    refuse_set(&[
+        ("n", req.n.is_some_and(|n| n != 1)),
+        ("tools", is_set(&req.tools)),
+        (
+            "tool_choice",
+            is_set(&req.tool_choice) && req.tool_choice != Some(json!("none")),
+        ),
+        ("functions", is_set(&req.functions)),
+        ("logprobs", is_set(&req.logprobs)),
+        ("top_logprobs", is_set(&req.top_logprobs)),
+        ("response_format", !plain),
+    ])?;
+    if req.messages.is_empty() {
+        let message = "at least one message is needed";
+        return Err(ApiFailure::bad_param(
+            "invalid_parameter",
+            "messages",
+            message,
+        ));
+    }
+    let mut prompt = String::new();
+    for (i, message) in req.messages.iter().enumerate() {
+        let Some(text) = message.text() else {
+            let param = format!("messages[{i}].content");
+            return Err(ApiFailure::bad_param(
+                "invalid_parameter",
+                &param,
+                "only text is served",
+            ));
+        };
+        prompt.push_str(&message.role);
+        prompt.push_str(": ");
+        prompt.push_str(&text);
+        prompt.push('\n');
+    }
+    prompt.push_str("assistant: ");
+    Ok(Wanted {
+        model: req.model,
+        prompt: Prompt::Text(prompt),
+        max_tokens: req.max_completion_tokens.or(req.max_tokens),
+        stream: req.stream.unwrap_or(false),
+        include_usage: includes_usage(req.stream_options),
+        stop: stop_texts(req.stop),
+        sampling: sampling([
+            ("temperature", req.temperature),
+            ("top_p", req.top_p),
+            ("seed", req.seed),
+            ("presence_penalty", req.presence_penalty),
+            ("frequency_penalty", req.frequency_penalty),
+            ("logit_bias", req.logit_bias),
+        ]),
+    })
+}
--- a/crates/notchwalkd/src/completions.rs
+++ b/crates/notchwalkd/src/completions.rs
@@ -1,211 +1,27 @@
 //! `/v1/completions` and `/v1/chat/completions`.
 
-use std::{rc::Rc, time::SystemTime};
+use std::rc::Rc;
 
 use bytes::Bytes;
 use http::{header, HeaderMap, HeaderValue, StatusCode};
 use notchwalk_bundle::{Bundle, Model};
-use notchwalk_decide::{
-    block_hashes, Arrival, CallerKey, Completion, Event, GenerateWork, RequestKey, Work,
-};
+use notchwalk_decide::{block_hashes, Arrival, CallerKey, Event, GenerateWork, RequestKey, Work};
 use notchwalk_http::{chunk_into, Exchange};
-use notchwalk_wire::{
-    ChatRequest, CompletionRequest, Prompt, PromptInput, StopInput, StreamOptions, Usage,
-};
-use serde_json::{json, Map, Value};
+use notchwalk_wire::Prompt;
 
 use crate::{
+    answer_template::{usage_of, Template},
     api_error::ApiFailure,
     auth::Caller,
     caller_api::RequestOptions,
     channel::{caller_channel, CallerEvent, CallerRx},
+    completion_request::{self, Dialect, Wanted},
     shell::{GeneratePayload, Shell},
 };
 
 /// Tokens of an answer whose request names no limit.
 const DEFAULT_MAX_TOKENS: u32 = 256;
 
-/// The two interfaces to the same work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Dialect {
-    /// `/v1/completions`.
-    Completions,
-    /// `/v1/chat/completions`.
-    Chat,
-}
-
-/// A request as read from its body.
-struct Wanted {
-    model: String,
-    prompt: Prompt,
-    max_tokens: Option<u32>,
-    stream: bool,
-    include_usage: bool,
-    stop: Vec<String>,
-    sampling: Map<String, Value>,
-}
-
-fn unsupported(param: &str) -> ApiFailure {
-    let message = format!("{param} is not served");
-    ApiFailure::bad_param("unsupported_parameter", param, message)
-}
-
-/// Refuses parameters that would change the answer and aren't served.
-fn refuse_set(params: &[(&str, bool)]) -> Result<(), ApiFailure> {
-    for (name, set) in params {
-        if *set {
-            return Err(unsupported(name));
-        }
-    }
-    Ok(())
-}
-
-fn is_set(value: &Option<Value>) -> bool {
-    !matches!(value, None | Some(Value::Null) | Some(Value::Bool(false)))
-}
-
-fn stop_texts(stop: Option<StopInput>) -> Vec<String> {
-    match stop {
-        None => Vec::new(),
-        Some(StopInput::One(text)) => vec![text],
-        Some(StopInput::Many(texts)) => texts,
-    }
-}
-
-fn sampling(params: [(&str, Option<Value>); 6]) -> Map<String, Value> {
-    let given = params.into_iter().filter_map(|(name, value)| {
-        let value = value.filter(|v| !v.is_null())?;
-        Some((name.to_owned(), value))
-    });
-    given.collect()
-}
-
-fn json_failure(error: &serde_json::Error) -> ApiFailure {
-    let text = error.to_string();
-    if let Some(rest) = text.strip_prefix("unknown field `") {
-        let name = rest.split('`').next().unwrap_or("");
-        let message = format!("{name} is no parameter of this request");
-        return ApiFailure::bad_param("unknown_parameter", name, message);
-    }
-    let code = match error.classify() {
-        serde_json::error::Category::Data => "invalid_parameter",
-        _ => "malformed_json",
-    };
-    ApiFailure::not_run(StatusCode::BAD_REQUEST, code, format!("the body: {text}"))
-}
-
-fn parse_completion(body: &[u8]) -> Result<Wanted, ApiFailure> {
-    let req: CompletionRequest = serde_json::from_slice(body).map_err(|e| json_failure(&e))?;
-    refuse_set(&[
-        ("n", req.n.is_some_and(|n| n != 1)),
-        ("best_of", req.best_of.is_some_and(|n| n != 1)),
-        ("echo", req.echo == Some(true)),
-        ("suffix", is_set(&req.suffix)),
-        ("logprobs", is_set(&req.logprobs)),
-    ])?;
-    Ok(Wanted {
-        model: req.model,
-        prompt: single_prompt(req.prompt)?,
-        max_tokens: req.max_tokens,
-        stream: req.stream.unwrap_or(false),
-        include_usage: includes_usage(req.stream_options),
-        stop: stop_texts(req.stop),
-        sampling: sampling([
-            ("temperature", req.temperature),
-            ("top_p", req.top_p),
-            ("seed", req.seed),
-            ("presence_penalty", req.presence_penalty),
-            ("frequency_penalty", req.frequency_penalty),
-            ("logit_bias", req.logit_bias),
-        ]),
-    })
-}
-
-fn includes_usage(options: Option<StreamOptions>) -> bool {
-    options.is_some_and(|o| o.include_usage)
-}
-
-fn single_prompt(input: PromptInput) -> Result<Prompt, ApiFailure> {
-    let one = || {
-        let message = "a batch of prompts is not served; send one prompt a request";
-        ApiFailure::bad_param("unsupported_parameter", "prompt", message)
-    };
-    let empty = || ApiFailure::bad_param("invalid_parameter", "prompt", "the prompt is empty");
-    match input {
-        PromptInput::Text(text) => Ok(Prompt::Text(text)),
-        PromptInput::Tokens(tokens) if tokens.is_empty() => Err(empty()),
-        PromptInput::Tokens(tokens) => Ok(Prompt::Tokens(tokens)),
-        PromptInput::Texts(mut texts) => match (texts.pop(), texts.is_empty()) {
-            (Some(text), true) => Ok(Prompt::Text(text)),
-            (None, _) => Err(empty()),
-            _ => Err(one()),
-        },
-        PromptInput::TokenLists(mut lists) => match (lists.pop(), lists.is_empty()) {
-            (Some(tokens), true) => Ok(Prompt::Tokens(tokens)),
-            (None, _) => Err(empty()),
-            _ => Err(one()),
-        },
-    }
-}
-
-fn parse_chat(body: &[u8]) -> Result<Wanted, ApiFailure> {
-    let req: ChatRequest = serde_json::from_slice(body).map_err(|e| json_failure(&e))?;
-    let format = req.response_format.as_ref().and_then(|f| f.get("type"));
-    let plain = format.is_none_or(|kind| kind == "text");
-    refuse_set(&[
-        ("n", req.n.is_some_and(|n| n != 1)),
-        ("tools", is_set(&req.tools)),
-        (
-            "tool_choice",
-            is_set(&req.tool_choice) && req.tool_choice != Some(json!("none")),
-        ),
-        ("functions", is_set(&req.functions)),
-        ("logprobs", is_set(&req.logprobs)),
-        ("top_logprobs", is_set(&req.top_logprobs)),
-        ("response_format", !plain),
-    ])?;
-    if req.messages.is_empty() {
-        let message = "at least one message is needed";
-        return Err(ApiFailure::bad_param(
-            "invalid_parameter",
-            "messages",
-            message,
-        ));
-    }
-    let mut prompt = String::new();
-    for (i, message) in req.messages.iter().enumerate() {
-        let Some(text) = message.text() else {
-            let param = format!("messages[{i}].content");
-            return Err(ApiFailure::bad_param(
-                "invalid_parameter",
-                &param,
-                "only text is served",
-            ));
-        };
-        prompt.push_str(&message.role);
-        prompt.push_str(": ");
-        prompt.push_str(&text);
-        prompt.push('\n');
-    }
-    prompt.push_str("assistant: ");
-    Ok(Wanted {
-        model: req.model,
-        prompt: Prompt::Text(prompt),
-        max_tokens: req.max_completion_tokens.or(req.max_tokens),
-        stream: req.stream.unwrap_or(false),
-        include_usage: includes_usage(req.stream_options),
-        stop: stop_texts(req.stop),
-        sampling: sampling([
-            ("temperature", req.temperature),
-            ("top_p", req.top_p),
-            ("seed", req.seed),
-            ("presence_penalty", req.presence_penalty),
-            ("frequency_penalty", req.frequency_penalty),
-            ("logit_bias", req.logit_bias),
-        ]),
-    })
-}
-
 /// A model with the adapter or version asked for.
 struct Variant<'a> {
     key: notchwalk_bundle::ModelKey,
@@ -269,10 +85,7 @@
     dialect: Dialect,
 ) -> Result<(), ApiFailure> {
     let body = read_body(shell, exchange).await?;
-    let wanted = match dialect {
-        Dialect::Completions => parse_completion(&body)?,
-        Dialect::Chat => parse_chat(&body)?,
-    };
+    let wanted = completion_request::parse(dialect, &body)?;
     drop(body);
     let variant = resolve(&caller.bundle, caller, &wanted.model)?;
     let max_tokens = wanted.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
@@ -358,129 +171,6 @@
     (work, payload)
 }
 
-/// The parts of a chunk that stay the same over a stream.
-struct Template {
-    dialect: Dialect,
-    id: String,
-    model: String,
-    created: u64,
-    before_text: String,
-}
-
-impl Template {
-    fn new(dialect: Dialect, id: &str, model: &str) -> Self {
-        let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-        let created = since.map_or(0, |d| d.as_secs());
-        let (prefix, object, field) = match dialect {
-            Dialect::Completions => ("cmpl", "text_completion", "\"text\":"),
-            Dialect::Chat => (
-                "chatcmpl",
-                "chat.completion.chunk",
-                "\"delta\":{\"content\":",
-            ),
-        };
-        let id = format!("{prefix}-{id}");
-        let before_text = format!(
-            "data: {{\"id\":{},\"object\":\"{object}\",\"created\":{created},\"model\":{},\
-             \"choices\":[{{\"index\":0,{field}",
-            json!(id),
-            json!(model)
-        );
-        Self {
-            dialect,
-            id,
-            model: model.to_owned(),
-            created,
-            before_text,
-        }
-    }
-
-    /// Appends the chunk of one token.
-    fn token_into(&self, buf: &mut Vec<u8>, token: &str) {
-        buf.extend_from_slice(self.before_text.as_bytes());
-        let _ = serde_json::to_writer(&mut *buf, token);
-        buf.extend_from_slice(match self.dialect {
-            Dialect::Completions => b",\"logprobs\":null,\"finish_reason\":null}]}\n\n".as_slice(),
-            Dialect::Chat => b"},\"logprobs\":null,\"finish_reason\":null}]}\n\n",
-        });
-    }
-
-    fn chunk(&self, choices: Value, usage: Option<Usage>) -> Vec<u8> {
-        let object = match self.dialect {
-            Dialect::Completions => "text_completion",
-            Dialect::Chat => "chat.completion.chunk",
-        };
-        let mut chunk = json!({
-            "id": self.id, "object": object, "created": self.created,
-            "model": self.model, "choices": choices,
-        });
-        if let Some(usage) = usage {
-            chunk["usage"] = json!(usage);
-        }
-        format!("data: {chunk}\n\n").into_bytes()
-    }
-
-    /// Returns the chunk that opens a stream, if the dialect has one.
-    fn opening(&self) -> Vec<u8> {
-        match self.dialect {
-            Dialect::Completions => Vec::new(),
-            Dialect::Chat => {
-                let delta = json!({"role": "assistant", "content": ""});
-                self.chunk(
-                    json!([{"index": 0, "delta": delta, "logprobs": null, "finish_reason": null}]),
-                    None,
-                )
-            }
-        }
-    }
-
-    /// Returns the chunks that end a stream.
-    fn closing(&self, reason: &str, usage: Option<Usage>) -> Vec<u8> {
-        let choice = match self.dialect {
-            Dialect::Completions => {
-                json!({"index": 0, "text": "", "logprobs": null, "finish_reason": reason})
-            }
-            Dialect::Chat => {
-                json!({"index": 0, "delta": {}, "logprobs": null, "finish_reason": reason})
-            }
-        };
-        let mut buf = self.chunk(json!([choice]), None);
-        if usage.is_some() {
-            buf.extend_from_slice(&self.chunk(json!([]), usage));
-        }
-        buf.extend_from_slice(b"data: [DONE]\n\n");
-        buf
-    }
-
-    fn whole(&self, text: String, reason: &str, usage: Usage) -> Value {
-        let (object, choice) = match self.dialect {
-            Dialect::Completions => (
-                "text_completion",
-                json!({"index": 0, "text": text, "logprobs": null, "finish_reason": reason}),
-            ),
-            Dialect::Chat => (
-                "chat.completion",
-                json!({
-                    "index": 0, "logprobs": null, "finish_reason": reason,
-                    "message": {"role": "assistant", "content": text, "refusal": null},
-                }),
-            ),
-        };
-        json!({
-            "id": self.id, "object": object, "created": self.created,
-            "model": self.model, "choices": [choice], "usage": usage,
-        })
-    }
-}
-
-fn usage_of(completion: &Completion) -> Usage {
-    Usage {
-        prompt_tokens: completion.prompt_tokens,
-        completion_tokens: completion.completion_tokens,
-        total_tokens: completion.prompt_tokens + completion.completion_tokens,
-    }
-}
-
 /// An answer in the making.
 struct Answer<'a> {
     shell: &'a Rc<Shell>,
--- a/crates/notchwalkd/src/lib.rs
+++ b/crates/notchwalkd/src/lib.rs
@@ -1,12 +1,14 @@
 //! The entry daemon: drivers that turn sockets and timers into events of the
 //! reducer, and its effects into I/O. No decision stands here.
 
+mod answer_template;
 mod api_error;
 mod auth;
 mod bundle_watch;
 mod caller_api;
 mod channel;
 mod claim_writer;
+mod completion_request;
 mod completions;
 mod daemon;
 mod engine_driver;
@@ -15,6 +17,7 @@
 mod file_limit;
 mod metrics;
 mod operator_api;
+mod order_driver;
 mod peer_link;
 mod peer_proof;
 mod service_proxy;
--- a/crates/notchwalkd/src/shell.rs
+++ b/crates/notchwalkd/src/shell.rs
@@ -24,6 +24,7 @@
     claim_writer::ClaimWriter,
     engine_driver,
     metrics::Metrics,
+    order_driver,
     peer_link::PeerLinks,
     settings::DaemonSettings,
 };
@@ -303,6 +304,17 @@
                 token,
                 fingerprint,
             } => self.claims.release(self, key, token, fingerprint),
+            Effect::LeaseRead => drop(monoio::spawn(order_driver::read_lease(self.clone()))),
+            Effect::LeaseWrite { expected, row } => {
+                monoio::spawn(order_driver::write_lease(self.clone(), expected, row));
+            }
+            Effect::Order {
+                server,
+                fence,
+                wanted,
+            } => {
+                monoio::spawn(order_driver::give(self.clone(), server, fence, wanted));
+            }
             Effect::Peer { to, message } => self.links.send(to, *message),
             Effect::Log(event) => event.emit(),
             Effect::Stop => self.stopped.set(true),
