--- a/crates/notchwalk_decide/src/admission.rs
+++ b/crates/notchwalk_decide/src/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use notchwalk_bundle::PolicyKind;
+use notchwalk_bundle::{PolicyKind, WorkspaceKey};
 use notchwalk_core::{Attempt, RequestId, Tokens};
 use notchwalk_wire::OutcomeWord;
 use rand::Rng;
@@ -55,25 +55,65 @@
     }
 }
 
-fn admit(
-    node: &mut Node,
-    cx: &mut Cx<'_>,
-    arrival: Arrival,
-) -> Result<(), (FailureCode, Option<u64>)> {
-    const SOON_MS: u64 = 1_000;
+type Refusal = (FailureCode, Option<u64>);
+
+/// When to come back after a refusal that passes soon, in milliseconds.
+const SOON_MS: u64 = 1_000;
+
+/// Refuses what can be refused without knowing the request: an entry that
+/// isn't ready or full, or a workspace whose queue is full.
+fn refuse_unread(node: &mut Node, cx: &Cx<'_>, key: WorkspaceKey) -> Result<(), Refusal> {
     let Some(bundle) = node.catalog.bundle.clone() else {
         return Err((FailureCode::NotReady, Some(SOON_MS)));
     };
     if node.drain.refuses(cx.now) {
         return Err((FailureCode::Draining, Some(SOON_MS)));
     }
+    if node.requests.len() >= bundle.policy.max_requests as usize {
+        return Err((FailureCode::EntryFull, Some(SOON_MS)));
+    }
+    let workspace = bundle.workspace(key);
+    let slot = node.catalog.slot(key);
+    let state = node.catalog.workspace(slot);
+    let queue_is_full = state.queued >= workspace.max_queued;
+    let all_run = state.in_flight >= workspace.max_in_flight;
+    if queue_is_full && all_run || state.queued > workspace.max_queued {
+        let wait = queue_ms(node, cx, slot);
+        return Err((FailureCode::WorkspaceQueueFull, Some(wait.max(SOON_MS))));
+    }
+    Ok(())
+}
+
+/// Estimates how long a workspace's queue takes, in milliseconds, over all
+/// models.
+fn queue_ms(node: &mut Node, cx: &Cx<'_>, slot: WorkspaceSlot) -> u64 {
+    let weight = node.catalog.workspace(slot).weight;
+    let groups = node.catalog.groups.len() as u32;
+    let waits = (0..groups).map(|g| waiting_ms(node, cx, GroupKey(g), slot, weight));
+    waits.max().unwrap_or(0)
+}
+
+/// Returns the refusal that a request of a workspace would get before its body
+/// is even read.
+pub(crate) fn early_refusal(node: &mut Node, cx: &Cx<'_>, key: WorkspaceKey) -> Option<Failure> {
+    let (code, retry_ms) = refuse_unread(node, cx, key).err()?;
+    node.counters.arrived += 1;
+    node.counters.refused += 1;
+    Some(Failure {
+        code,
+        outcome: OutcomeWord::NotRun,
+        retry_after_ms: retry_ms.and_then(|ms| retry_after(node, ms)),
+    })
+}
+
+fn admit(node: &mut Node, cx: &mut Cx<'_>, arrival: Arrival) -> Result<(), Refusal> {
+    refuse_unread(node, cx, arrival.workspace)?;
+    let Some(bundle) = node.catalog.bundle.clone() else {
+        return Err((FailureCode::NotReady, Some(SOON_MS)));
+    };
     let workspace = bundle.workspace(arrival.workspace);
     let slot = node.catalog.slot(arrival.workspace);
     let policy = &bundle.policy;
-    if node.requests.len() >= policy.max_requests as usize {
-        let wait = waiting_ms(node, cx, None, slot, workspace.weight);
-        return Err((FailureCode::EntryFull, Some(wait.max(SOON_MS))));
-    }
     if let Work::Generate(work) = &arrival.work {
         let model = &bundle.models[work.model.index()];
         let whole = work.prompt_tokens + Tokens::from(work.max_tokens);
@@ -82,17 +122,10 @@
         }
     }
     let sized = size_up(node, &arrival.work);
-    let state = node.catalog.workspace(slot);
-    if state.queued >= workspace.max_queued && state.in_flight >= workspace.max_in_flight
-        || state.queued > workspace.max_queued
-    {
-        let wait = waiting_ms(node, cx, Some(sized.group), slot, workspace.weight);
-        return Err((FailureCode::WorkspaceQueueFull, Some(wait.max(SOON_MS))));
-    }
     let timeout_ms = arrival.timeout_ms.unwrap_or(policy.default_timeout_ms);
     let timeout_ms = timeout_ms.clamp(1, policy.max_timeout_ms);
     if policy.kind == PolicyKind::Fair {
-        let wait = waiting_ms(node, cx, Some(sized.group), slot, workspace.weight);
+        let wait = waiting_ms(node, cx, sized.group, slot, workspace.weight);
         let alone_ms = sized.alone_us / 1_000;
         if alone_ms > timeout_ms {
             // Coming back later would not help.
@@ -193,13 +226,10 @@
 pub(crate) fn waiting_ms(
     node: &mut Node,
     cx: &Cx<'_>,
-    group: Option<GroupKey>,
+    group: GroupKey,
     slot: WorkspaceSlot,
     weight: f64,
 ) -> u64 {
-    let Some(group) = group else {
-        return MIN_RETRY_AFTER_MS;
-    };
     let ahead = node.queue.group_cost_us(group);
     if ahead == 0 {
         return 0;
--- a/crates/notchwalk_decide/src/node.rs
+++ b/crates/notchwalk_decide/src/node.rs
@@ -16,7 +16,7 @@
     cost::CostModel,
     credit::{self, Credits},
     drain::{self, Drain},
-    effect::Effect,
+    effect::{Effect, Failure},
     event::Event,
     long_home::{self, LongLedgers},
     long_work,
@@ -245,6 +245,18 @@
         cx.log(LogEventKind::BundleInForce, format!("version={version}"));
     }
 
+    /// Returns the refusal that a request of a workspace would get whatever it
+    /// asks for, so that its body need not be read.
+    pub fn early_refusal(
+        &mut self,
+        now: Instant,
+        workspace: notchwalk_bundle::WorkspaceKey,
+    ) -> Option<Failure> {
+        let mut out = Vec::new();
+        let cx = Cx { now, out: &mut out };
+        admission::early_refusal(self, &cx, workspace)
+    }
+
     /// Returns the bundle in force.
     pub fn bundle(&self) -> Option<&Arc<Bundle>> {
         self.catalog.bundle.as_ref()
--- a/crates/notchwalk_http/examples/hello.rs
+++ b/crates/notchwalk_http/examples/hello.rs
@@ -17,10 +17,6 @@
             exchange.respond_text(StatusCode::OK, &text).await;
         })
     }
-
-    fn refuse<'a>(&'a self, exchange: &'a mut Exchange, _: HttpError) -> LocalBoxFuture<'a, ()> {
-        Box::pin(async move { exchange.abort() })
-    }
 }
 
 fn main() {
--- a/crates/notchwalk_http/src/server.rs
+++ b/crates/notchwalk_http/src/server.rs
@@ -53,8 +53,14 @@
     fn call<'a>(&'a self, exchange: &'a mut Exchange) -> LocalBoxFuture<'a, ()>;
 
     /// Answers a request that could not be read; the connection closes after.
-    fn refuse<'a>(&'a self, exchange: &'a mut Exchange, error: HttpError)
-        -> LocalBoxFuture<'a, ()>;
+    /// Without a better answer it closes at once.
+    fn refuse<'a>(
+        &'a self,
+        exchange: &'a mut Exchange,
+        _error: HttpError,
+    ) -> LocalBoxFuture<'a, ()> {
+        Box::pin(async move { exchange.abort() })
+    }
 
     /// Hears that a call panicked; its connection closes.
     fn panicked(&self) {}
--- a/crates/notchwalk_http/tests/panics.rs
+++ b/crates/notchwalk_http/tests/panics.rs
@@ -24,10 +24,6 @@
         })
     }
 
-    fn refuse<'a>(&'a self, exchange: &'a mut Exchange, _: HttpError) -> LocalBoxFuture<'a, ()> {
-        Box::pin(async move { exchange.abort() })
-    }
-
     fn panicked(&self) {
         self.panics.set(self.panics.get() + 1);
     }
--- a/crates/notchwalk_standin/src/bench/fair.rs
+++ b/crates/notchwalk_standin/src/bench/fair.rs
@@ -74,8 +74,7 @@
 /// Returns the prompt tokens a second served for each workspace.
 fn served(options: &BenchOptions, name: &str, flood: bool) -> Vec<f64> {
     let fleet = policy::fleet(name);
-    let specs = &fleet.config.bundle.workspaces;
-    let keys: Vec<_> = specs.iter().map(|w| w.key.clone()).collect();
+    let keys = fleet.keys();
     let over = WARM_UP + Duration::from_secs(options.seconds);
     let callers = callers(&fleet, options, flood);
     let model = &fleet.config.bundle.model;
--- a/crates/notchwalk_standin/src/bench/leaving.rs
+++ b/crates/notchwalk_standin/src/bench/leaving.rs
@@ -54,17 +54,8 @@
     let over = Duration::from_secs(options.seconds.max(8));
     let ttl = fleet.config.entries_ttl;
     let planned = plan(options, over, ttl, fleet.config.entries);
-    let entries = fleet.entries();
-    let keys: Vec<_> = fleet
-        .config
-        .bundle
-        .workspaces
-        .iter()
-        .map(|w| w.key.clone())
-        .collect();
-    let model = fleet.config.bundle.model.clone();
     let began = Instant::now();
-    let sender = std::thread::spawn(move || crate::workload::run(&entries, &keys, &model, planned));
+    let sending = fleet.start_sending(planned);
     sleep_until(began, over.mul_f64(LEAVE_AT));
     let left_at = Instant::now();
     fleet.control(fleet.engines[BY_REPORT].addr, "/standin/leave", &());
@@ -83,7 +74,7 @@
             0.0
         }
     };
-    let measured = sender.join().expect("the callers end");
+    let measured = sending.wait();
     for line in crate::report::outcomes(&measured) {
         log::info!("{line:?}");
     }
--- a/crates/notchwalk_standin/src/bench/lengths.rs
+++ b/crates/notchwalk_standin/src/bench/lengths.rs
@@ -41,7 +41,7 @@
         }
         let (measured, made) = std::thread::scope(|scope| {
             let fleet = &fleet;
-            let sender = scope.spawn(move || policy::send(fleet, planned));
+            let sender = scope.spawn(move || fleet.send(planned));
             std::thread::sleep(over);
             let made = tokens_made(fleet) - before;
             (sender.join().expect("the callers end"), made)
@@ -87,7 +87,7 @@
         timeout: policy::TIMEOUT,
         salt: 77_000 + i as u64,
     });
-    let measured = policy::send(fleet, planned.collect());
+    let measured = fleet.send(planned.collect());
     let mut times: Vec<_> = measured
         .iter()
         .filter_map(|m| {
--- a/crates/notchwalk_standin/src/bench/memory.rs
+++ b/crates/notchwalk_standin/src/bench/memory.rs
@@ -73,8 +73,7 @@
         seed: options.seed * 7_919 + i as u64,
     });
     let callers: Vec<_> = callers.collect();
-    let specs = &fleet.config.bundle.workspaces;
-    let keys: Vec<_> = specs.iter().map(|w| w.key.clone()).collect();
+    let keys = fleet.keys();
     let over = WARM_UP + Duration::from_secs(options.seconds);
     let (results, running) = std::thread::scope(|scope| {
         let fleet = &fleet;
--- a/crates/notchwalk_standin/src/bench/overload.rs
+++ b/crates/notchwalk_standin/src/bench/overload.rs
@@ -24,7 +24,8 @@
 /// Runs the bench.
 pub fn run(options: &BenchOptions) -> Figures {
     let mut figures = Figures::new();
-    for name in ["fair", "fifo"] {
+    let measured = policy::measured_policies(options).into_iter();
+    for name in measured.filter(|name| *name != "least_loaded") {
         let fleet = fleet(name);
         let seconds = Duration::from_secs(options.seconds);
         let peak = goodput(&send(&fleet, options.seed, PEAK, seconds), seconds);
@@ -59,7 +60,7 @@
     stream.timeout = TIMEOUT;
     let all: Vec<usize> = (0..10).collect();
     let planned: Vec<Planned> = stream.plan(seed, over, &all, fleet.config.entries);
-    policy::send(fleet, planned)
+    fleet.send(planned)
 }
 
 /// Whole answers a second, in time.
--- a/crates/notchwalk_standin/src/bench/policy.rs
+++ b/crates/notchwalk_standin/src/bench/policy.rs
@@ -8,7 +8,7 @@
     caller::CallEnd,
     fleet::{Fleet, FleetConfig},
     operators::WorkspaceSpec,
-    workload::{self, Measured, Planned, Stream},
+    workload::{Measured, Planned, Stream},
 };
 
 /// How many times faster than real the engines run.
@@ -44,13 +44,6 @@
     Fleet::start(config)
 }
 
-/// Sends planned calls to a fleet.
-pub fn send(fleet: &Fleet, planned: Vec<Planned>) -> Vec<Measured> {
-    let specs = fleet.config.bundle.workspaces.iter();
-    let keys: Vec<_> = specs.map(|w| w.key.clone()).collect();
-    workload::run(&fleet.entries(), &keys, &fleet.config.bundle.model, planned)
-}
-
 /// A stream of prompts of a length class.
 pub fn stream(per_s: f64, prompts: (u64, u64), answers: (u32, u32)) -> Stream {
     Stream {
--- a/crates/notchwalk_standin/src/bench/recovery.rs
+++ b/crates/notchwalk_standin/src/bench/recovery.rs
@@ -8,7 +8,7 @@
     engine::Fault,
     fleet::{Fleet, FleetConfig},
     report::Durations,
-    workload::{self, Measured},
+    workload::Measured,
 };
 
 /// When the daemon and the engines die, in parts of the run.
@@ -61,12 +61,12 @@
         .with_policy(lines);
     let mut fleet = Fleet::start(config);
     let over = Duration::from_secs(options.seconds.max(10));
-    let entries = fleet.entries();
+    let entries = fleet.config.entries;
     let all: Vec<usize> = (0..10).collect();
     let short = policy::stream(80.0, (1_000, 8_000), (20, 120));
-    let mut planned = short.plan(options.seed, over, &all, entries.len());
+    let mut planned = short.plan(options.seed, over, &all, entries);
     let long = policy::stream(2.0, (30_000, 90_000), (40, 160));
-    planned.extend(long.plan(options.seed + 1, over, &all, entries.len()));
+    planned.extend(long.plan(options.seed + 1, over, &all, entries));
     let died_at = over.mul_f64(DIE_AT);
     // Callers of the dead daemon turn to the next one.
     for call in planned
@@ -76,16 +76,8 @@
         call.entry += 1;
     }
     let planned = policy::with_timeout(planned, TIMEOUT);
-    let keys: Vec<_> = fleet
-        .config
-        .bundle
-        .workspaces
-        .iter()
-        .map(|w| w.key.clone())
-        .collect();
-    let model = fleet.config.bundle.model.clone();
     let began = Instant::now();
-    let sender = std::thread::spawn(move || workload::run(&entries, &keys, &model, planned));
+    let sending = fleet.start_sending(planned);
     std::thread::sleep(died_at.saturating_sub(began.elapsed()));
     fleet.kill_daemon(DEAD_DAEMON);
     for engine in DEAD_ENGINES {
@@ -93,7 +85,7 @@
     }
     std::thread::sleep(Duration::from_secs(2));
     fleet.unlist(DEAD_DAEMON as u32 + 1);
-    let measured = sender.join().expect("the callers end");
+    let measured = sending.wait();
     for line in crate::report::outcomes(&measured) {
         log::info!("{line:?}");
     }
--- a/crates/notchwalk_standin/src/bench/slowdown.rs
+++ b/crates/notchwalk_standin/src/bench/slowdown.rs
@@ -28,10 +28,10 @@
         let capacity = policy::capacity_per_s(&fleet);
         let over = Duration::from_secs(options.seconds);
         let short = short_plan(options.seed, over, capacity);
-        let alone = p95_short(&policy::send(&fleet, short.clone()));
+        let alone = p95_short(&fleet.send(short.clone()));
         let mut mixed = short;
         mixed.extend(long_plan(options.seed, over, capacity));
-        let mixed = policy::send(&fleet, mixed);
+        let mixed = fleet.send(mixed);
         let shared = p95_short(&mixed);
         if name == "fair" {
             dropped += dropped_long(&mixed);
--- a/crates/notchwalk_standin/src/demo.rs
+++ b/crates/notchwalk_standin/src/demo.rs
@@ -16,7 +16,7 @@
     fleet::{Fleet, FleetConfig},
     operators::WorkspaceSpec,
     report,
-    workload::{self, Measured, Planned, Stream},
+    workload::{Measured, Planned, Stream},
 };
 
 /// How many times faster than real the demo's engines run.
@@ -100,11 +100,11 @@
         "Ready after {:.1} s. Short prompts alone ...",
         began.elapsed().as_secs_f64()
     );
-    let alone = send(&fleet, short_plan(11, fleet.config.entries));
+    let alone = fleet.send(short_plan(11, fleet.config.entries));
     println!("Short prompts together with long ones ...");
     let mut mixed = short_plan(12, fleet.config.entries);
     mixed.extend(long_plan(fleet.config.entries));
-    let mixed = send(&fleet, mixed);
+    let mixed = fleet.send(mixed);
     fleet.stop();
     println!(
         "\nFirst token, by prompt length (engines run {TIME_SCALE} times faster than real ones):"
@@ -122,17 +122,6 @@
     whole
 }
 
-fn send(fleet: &Fleet, planned: Vec<Planned>) -> Vec<Measured> {
-    let keys: Vec<_> = fleet
-        .config
-        .bundle
-        .workspaces
-        .iter()
-        .map(|w| w.key.clone())
-        .collect();
-    workload::run(&fleet.entries(), &keys, &fleet.config.bundle.model, planned)
-}
-
 fn slowdown_table(alone: &[Measured], mixed: &[Measured]) -> comfy_table::Table {
     let (alone, mixed) = (report::first_tokens(alone), report::first_tokens(mixed));
     let mut table = report::table(&["short prompts", "alone", "with long ones", "slowdown"]);
--- a/crates/notchwalk_standin/src/engine/api.rs
+++ b/crates/notchwalk_standin/src/engine/api.rs
@@ -8,9 +8,7 @@
 use monoio::net::TcpListener;
 use notchwalk_core::{Attempt, RequestId};
 use notchwalk_decide::block_hashes;
-use notchwalk_http::{
-    chunk_into, serve, Exchange, HttpError, LocalBoxFuture, ServerLimits, Service,
-};
+use notchwalk_http::{chunk_into, serve, Exchange, LocalBoxFuture, ServerLimits, Service};
 use notchwalk_wire::{
     CancelAnswer, CancelRequest, EngineFinish, EngineFrame, EngineRefusal, GenerateRequest,
     Holdings, OrderAnswer, OrderRequest, Prompt, SegmentAnswer, SegmentRequest, WantedState,
@@ -529,12 +527,4 @@
     fn call<'a>(&'a self, exchange: &'a mut Exchange) -> LocalBoxFuture<'a, ()> {
         Box::pin(self.route(exchange))
     }
-
-    fn refuse<'a>(
-        &'a self,
-        exchange: &'a mut Exchange,
-        _error: HttpError,
-    ) -> LocalBoxFuture<'a, ()> {
-        Box::pin(async move { exchange.abort() })
-    }
 }
--- a/crates/notchwalk_standin/src/fleet.rs
+++ b/crates/notchwalk_standin/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::{
     net::{SocketAddr, TcpListener},
     path::PathBuf,
+    thread::JoinHandle,
     time::{Duration, Instant},
 };
 
@@ -23,6 +24,7 @@
     platform::{serve_platform, PlatformConfig, PlatformFault},
     service::serve_service,
     thread::{block_on, ServingThread},
+    workload::{self, Measured, Planned},
 };
 
 /// The first number of engines in the VM list.
@@ -129,6 +131,20 @@
     pub addr: SocketAddr,
 }
 
+/// Calls on their way.
+pub struct Sending(JoinHandle<Vec<Measured>>);
+
+impl Sending {
+    /// Waits for all calls.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a caller panicked.
+    pub fn wait(self) -> Vec<Measured> {
+        self.0.join().expect("the callers end")
+    }
+}
+
 /// A running fleet. Dropping it ends everything.
 pub struct Fleet {
     /// What it consists of.
@@ -340,6 +356,25 @@
             .collect()
     }
 
+    /// Returns the keys of all workspaces, in order.
+    pub fn keys(&self) -> Vec<String> {
+        let workspaces = self.config.bundle.workspaces.iter();
+        workspaces.map(|w| w.key.clone()).collect()
+    }
+
+    /// Sends planned calls to the daemons and waits for all.
+    pub fn send(&self, planned: Vec<Planned>) -> Vec<Measured> {
+        self.start_sending(planned).wait()
+    }
+
+    /// Starts to send planned calls to the daemons that run now.
+    pub fn start_sending(&self, planned: Vec<Planned>) -> Sending {
+        let (entries, keys) = (self.entries(), self.keys());
+        let model = self.config.bundle.model.clone();
+        let run = move || workload::run(&entries, &keys, &model, planned);
+        Sending(std::thread::spawn(run))
+    }
+
     /// Returns the key of workspace `i`.
     pub fn key(&self, i: usize) -> &str {
         &self.config.bundle.workspaces[i].key
--- a/crates/notchwalk_standin/src/platform/api.rs
+++ b/crates/notchwalk_standin/src/platform/api.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use monoio::net::TcpListener;
-use notchwalk_http::{serve, Exchange, HttpError, LocalBoxFuture, ServerLimits, Service};
+use notchwalk_http::{serve, Exchange, LocalBoxFuture, ServerLimits, Service};
 use notchwalk_wire::{TableRead, TableReadAnswer, TableTransaction, VmRecord};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -293,12 +293,4 @@
     fn call<'a>(&'a self, exchange: &'a mut Exchange) -> LocalBoxFuture<'a, ()> {
         Box::pin(self.route(exchange))
     }
-
-    fn refuse<'a>(
-        &'a self,
-        exchange: &'a mut Exchange,
-        _error: HttpError,
-    ) -> LocalBoxFuture<'a, ()> {
-        Box::pin(async move { exchange.abort() })
-    }
 }
--- a/crates/notchwalk_standin/src/service.rs
+++ b/crates/notchwalk_standin/src/service.rs
@@ -11,7 +11,7 @@
 
 use http::StatusCode;
 use monoio::net::TcpListener;
-use notchwalk_http::{serve, Exchange, HttpError, LocalBoxFuture, ServerLimits, Service};
+use notchwalk_http::{serve, Exchange, LocalBoxFuture, ServerLimits, Service};
 use serde::{Deserialize, Serialize};
 
 /// The largest body, in bytes.
@@ -113,12 +113,4 @@
     fn call<'a>(&'a self, exchange: &'a mut Exchange) -> LocalBoxFuture<'a, ()> {
         Box::pin(self.route(exchange))
     }
-
-    fn refuse<'a>(
-        &'a self,
-        exchange: &'a mut Exchange,
-        _error: HttpError,
-    ) -> LocalBoxFuture<'a, ()> {
-        Box::pin(async move { exchange.abort() })
-    }
 }
--- /dev/null
+++ b/crates/notchwalk_standin/src/soak/arrivals.rs
@@ -0,0 +1,77 @@
+//! The requests that come in a randomised run.
+
+use notchwalk_bundle::{ModelKey, ServiceKey, WorkspaceKey};
+use notchwalk_decide::{Arrival, CallWork, CallerKey, Event, GenerateWork, Work};
+use rand::Rng;
+
+use super::{callers::Wanted, world::World};
+
+impl World {
+    pub(super) fn schedule_arrivals(&mut self, end_us: u64) {
+        let gap = self.rng.random_range(2_000..40_000);
+        self.after(gap, move |w| {
+            if w.now_us < end_us {
+                w.arrive();
+                w.schedule_arrivals(end_us);
+            }
+        });
+    }
+
+    fn arrive(&mut self) {
+        let i = self.rng.random_range(0..self.nodes.len());
+        let boot = self.nodes[i].boot;
+        if self.nodes[i].node.is_none() || self.now_us < self.nodes[i].paused_until_us {
+            return;
+        }
+        let (wanted, work) = match self.rng.random_range(0..10) {
+            0..=6 => self.random_generation(),
+            _ => self.random_call(),
+        };
+        let timeout_ms = self.rng.random_range(200..12_000);
+        let caller = CallerKey(self.next_caller);
+        self.next_caller += 1;
+        let arrival = Arrival {
+            caller,
+            workspace: WorkspaceKey(self.rng.random_range(0..4)),
+            work,
+            priority: Some(self.rng.random_range(0..9)),
+            timeout_ms: Some(timeout_ms),
+        };
+        let deadline_us = self.now_us + timeout_ms * 1_000;
+        self.nodes[i].arriving = Some((wanted, deadline_us));
+        self.feed(i, boot, Event::Arrive(Box::new(arrival)));
+    }
+
+    fn random_generation(&mut self) -> (Wanted, Work) {
+        let prompt_tokens = match self.rng.random_range(0..20) {
+            0 => self.rng.random_range(40_000..70_000),
+            1 => self.rng.random_range(33_000..38_000),
+            _ => self.rng.random_range(50..4_000),
+        };
+        let max_tokens = self.rng.random_range(1..200);
+        let work = GenerateWork {
+            model: ModelKey(0),
+            adapter: None,
+            version: None,
+            prompt_tokens,
+            max_tokens,
+            prefix: Vec::new(),
+        };
+        (Wanted::Answer(max_tokens), Work::Generate(work))
+    }
+
+    fn random_call(&mut self) -> (Wanted, Work) {
+        let key = self.chance(70).then(|| {
+            // Few enough keys that several tries meet.
+            let epoch = self.now_us / 3_000_000;
+            format!("k{epoch}-{}", self.rng.random_range(0..20))
+        });
+        let work = CallWork {
+            service: ServiceKey(0),
+            repeatable: false,
+            idempotency_key: key.clone(),
+            fingerprint: "same".to_owned(),
+        };
+        (Wanted::Call(key), Work::Call(work))
+    }
+}
--- a/crates/notchwalk_standin/src/soak/mod.rs
+++ b/crates/notchwalk_standin/src/soak/mod.rs
@@ -3,6 +3,7 @@
 //! reordering, duplication, pauses, crashes, lost answers. What must always
 //! hold is checked at the fakes, besides the reducer's own invariants.
 
+mod arrivals;
 mod callers;
 mod delivery;
 mod fakes;
--- a/crates/notchwalk_standin/tests/processes.rs
+++ b/crates/notchwalk_standin/tests/processes.rs
@@ -1,10 +1,7 @@
 //! Real processes under load: one is killed, one paused for longer than any
 //! lease, one stopped in order, and the store is down meanwhile.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use notchwalk_standin::{
     caller::CallEnd,
@@ -12,7 +9,7 @@
     operators::WorkspaceSpec,
     platform::PlatformFault,
     report,
-    workload::{self, Measured, Stream},
+    workload::{Measured, Stream},
 };
 
 const OVER: Duration = Duration::from_secs(8);
@@ -36,13 +33,10 @@
         timeout: Duration::from_secs(40),
     };
     let planned = stream.plan(5, OVER, &[0], fleet.config.entries);
-    let entries: Vec<SocketAddr> = fleet.entries();
-    let keys = vec![fleet.key(0).to_owned()];
-    let model = fleet.config.bundle.model.clone();
-    let sender = std::thread::spawn(move || workload::run(&entries, &keys, &model, planned));
+    let sending = fleet.start_sending(planned);
     std::thread::sleep(Duration::from_secs(2));
     faults(fleet);
-    sender.join().expect("the callers end")
+    sending.wait()
 }
 
 #[track_caller]
--- a/crates/notchwalkd/src/completions.rs
+++ b/crates/notchwalkd/src/completions.rs
@@ -84,6 +84,7 @@
     options: &RequestOptions,
     dialect: Dialect,
 ) -> Result<(), ApiFailure> {
+    refuse_unread(shell, caller)?;
     let body = read_body(shell, exchange).await?;
     let wanted = completion_request::parse(dialect, &body)?;
     drop(body);
@@ -124,6 +125,17 @@
     }
 }
 
+/// Refuses what is refused whatever the body says, before it is read: a
+/// refusal must cost less than the work it refuses.
+fn refuse_unread(shell: &Shell, caller: &Caller) -> Result<(), ApiFailure> {
+    let now = shell.now();
+    let refusal = shell.with_node(|node| node.early_refusal(now, caller.workspace));
+    match refusal {
+        Some(failure) => Err(ApiFailure::from_decision(failure)),
+        None => Ok(()),
+    }
+}
+
 async fn read_body(shell: &Shell, exchange: &mut Exchange) -> Result<Bytes, ApiFailure> {
     let limit = shell.settings.max_body_bytes;
     exchange.body_bytes(limit).await.map_err(|e| {
