--- a/crates/notchwalk_cli/src/arguments.rs
+++ b/crates/notchwalk_cli/src/arguments.rs
@@ -4,6 +4,17 @@
 
 use bpaf::Bpaf;
 
+/// What stands at the end of the help.
+const EXAMPLES: &str = "Examples:
+    
+    notchwalk check --settings entry.ini --bundle bundle/
+    notchwalk status --operator 10.0.0.1:7300 --operator 10.0.0.2:7300
+    notchwalk bundle propose bundle/ --platform 10.0.0.9:7000 --as amna
+        --key amna.key --reason 'more for rig checks' --out change.json
+    Exit codes:
+    0 done, 1 a file can't be used, 2 faulty input, 3 another operator
+    was faster, 4 the platform or a daemon did not answer";
+
 /// Operates notchwalk.
 ///
 ///
@@ -11,16 +22,8 @@
 /// rolled out. Shell completion: `notchwalk --bpaf-complete-style-bash`, and
 /// likewise for zsh, fish and elvish.
 ///
-///
-/// Exit codes: 0 done, 1 a file can't be used, 2 faulty input, 3 another
-/// operator was faster, 4 the platform or a daemon did not answer.
-/// Examples:
-///     notchwalk check --settings entry.ini --bundle bundle/
-///     notchwalk status --operator 10.0.0.1:7300 --operator 10.0.0.2:7300
-///     notchwalk bundle propose bundle/ --platform 10.0.0.9:7000 --as amna
-///         --key amna.key --reason 'more for rig checks' --out change.json
 #[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version)]
+#[bpaf(options, version, footer(EXAMPLES))]
 pub enum Command {
     /// Check a daemon's settings or a bundle's folder; all findings at once
     #[bpaf(command)]
--- a/crates/notchwalkd/src/caller_api.rs
+++ b/crates/notchwalkd/src/caller_api.rs
@@ -107,13 +107,11 @@
         match path.as_str() {
             "/v1/entries" => {
                 let answer = self.entries();
-                exchange.respond_json(StatusCode::OK, &answer).await;
+                respond(exchange, &answer).await;
             }
             "/v1/models" => {
                 let caller = self.caller(exchange)?;
-                exchange
-                    .respond_json(StatusCode::OK, &models(&caller))
-                    .await;
+                respond(exchange, &models(&caller)).await;
             }
             _ => {
                 let caller = self.caller(exchange)?;
@@ -149,6 +147,18 @@
     }
 }
 
+/// Answers with JSON and the caller's request id.
+async fn respond<T: serde::Serialize>(exchange: &mut Exchange, value: &T) {
+    let mut headers = HeaderMap::new();
+    let json = HeaderValue::from_static("application/json");
+    headers.insert(http::header::CONTENT_TYPE, json);
+    if let Some(id) = request_id(exchange) {
+        headers.insert("x-request-id", id);
+    }
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    exchange.respond(StatusCode::OK, headers, &body).await;
+}
+
 /// The models a workspace may reach, with their adapters and versions.
 fn models(caller: &Caller) -> ModelList {
     let workspace = caller.bundle.workspace(caller.workspace);
