--- a/crates/notchwalk_standin/src/engine/api.rs
+++ b/crates/notchwalk_standin/src/engine/api.rs
@@ -341,6 +341,9 @@
                     Err(_) => break,
                 }
             }
+            if let Fault::Late(ms) = self.fault() {
+                monoio::time::sleep(Duration::from_millis(ms)).await;
+            }
             let written = if begun {
                 let mut framed = Vec::with_capacity(data.len() + 16);
                 chunk_into(&mut framed, &data);
--- a/crates/notchwalk_standin/src/engine/fault.rs
+++ b/crates/notchwalk_standin/src/engine/fault.rs
@@ -11,6 +11,8 @@
     None,
     /// Everything takes this many times longer.
     Slow(f64),
+    /// Every frame comes this many milliseconds late.
+    Late(u64),
     /// Connections are closed without an answer, and its memory is lost.
     Dead,
     /// Connections stay open, but nothing happens.
--- a/crates/notchwalkd/src/lib.rs
+++ b/crates/notchwalkd/src/lib.rs
@@ -19,11 +19,11 @@
 mod operator_api;
 mod order_driver;
 mod peer_link;
-mod peer_proof;
+pub mod peer_proof;
 mod service_proxy;
 mod settings;
 mod shell;
-mod sse;
+pub mod sse;
 mod vm_watch;
 
 pub mod prelude;
