The platform down for a minute; a pause longer than any lease

Cause: outages and pauses were shown for seconds only, shorter than the order lease. Change: bench outage; the paused entry sleeps seven seconds, the longest lease is six.

--- a/crates/notchwalk_standin/src/bench/mod.rs
+++ b/crates/notchwalk_standin/src/bench/mod.rs
@@ -10,6 +10,7 @@
 mod memory;
 mod once;
 mod orders;
+mod outage;
 mod overload;
 mod policy;
 mod recovery;
@@ -86,6 +87,11 @@
         about: "a daemon and two engines die under load",
         run: recovery::run,
     },
+    Bench {
+        name: "outage",
+        about: "requests while the platform is down for a minute",
+        run: outage::run,
+    },
     Bench {
         name: "overload",
         about: "goodput at ten times the load, and after it",
--- a/crates/notchwalk_standin/tests/processes.rs
+++ b/crates/notchwalk_standin/tests/processes.rs
@@ -75,12 +75,13 @@
 }
 
 #[test]
-fn an_entry_paused_for_longer_than_its_shares_goes_on_when_it_wakes() {
+fn an_entry_paused_for_longer_than_any_lease_goes_on_when_it_wakes() {
     let mut fleet = fleet();
     let measured = under_load(&mut fleet, |fleet| {
         let daemon = fleet.daemons[1].as_ref().expect("it runs");
         daemon.pause();
-        std::thread::sleep(Duration::from_secs(5));
+        // The longest lease, that for orders, holds for six seconds.
+        std::thread::sleep(Duration::from_secs(7));
         daemon.resume();
     });
     assert!(
