Sampling parameters are taken out of both dialects in one place

Cause: the two request readers listed the same six parameters; one effect was carried out in another style than its neighbours. Change: one macro, with the reason why no flattened struct serves. Looked at and left: the fields of the two requests themselves (same reason), and runs of constants that only look alike.

--- a/crates/notchwalkd/src/completion_request.rs
+++ b/crates/notchwalkd/src/completion_request.rs
@@ -74,6 +74,23 @@
     }
 }
 
+/// Takes the sampling parameters out of a request of either dialect. They are
+/// fields of both, and not a struct flattened into them, since serde can't
+/// refuse unknown fields beside a flattened struct.
+macro_rules! sampling_of {
+    ($req:ident) => {
+        sampling([
+            ("temperature", $req.temperature),
+            ("top_p", $req.top_p),
+            ("seed", $req.seed),
+            ("presence_penalty", $req.presence_penalty),
+            ("frequency_penalty", $req.frequency_penalty),
+            ("logit_bias", $req.logit_bias),
+        ])
+    };
+}
+
+/// Returns the parameters that were given.
 fn sampling(params: [(&str, Option<Value>); 6]) -> Map<String, Value> {
     let given = params.into_iter().filter_map(|(name, value)| {
         let value = value.filter(|v| !v.is_null())?;
@@ -112,14 +129,7 @@
         stream: req.stream.unwrap_or(false),
         include_usage: includes_usage(req.stream_options),
         stop: stop_texts(req.stop),
-        sampling: sampling([
-            ("temperature", req.temperature),
-            ("top_p", req.top_p),
-            ("seed", req.seed),
-            ("presence_penalty", req.presence_penalty),
-            ("frequency_penalty", req.frequency_penalty),
-            ("logit_bias", req.logit_bias),
-        ]),
+        sampling: sampling_of!(req),
     })
 }
 
@@ -197,13 +207,6 @@
         stream: req.stream.unwrap_or(false),
         include_usage: includes_usage(req.stream_options),
         stop: stop_texts(req.stop),
-        sampling: sampling([
-            ("temperature", req.temperature),
-            ("top_p", req.top_p),
-            ("seed", req.seed),
-            ("presence_penalty", req.presence_penalty),
-            ("frequency_penalty", req.frequency_penalty),
-            ("logit_bias", req.logit_bias),
-        ]),
+        sampling: sampling_of!(req),
     })
 }
--- a/crates/notchwalkd/src/shell.rs
+++ b/crates/notchwalkd/src/shell.rs
@@ -304,7 +304,9 @@
                 token,
                 fingerprint,
             } => self.claims.release(self, key, token, fingerprint),
-            Effect::LeaseRead => drop(monoio::spawn(order_driver::read_lease(self.clone()))),
+            Effect::LeaseRead => {
+                monoio::spawn(order_driver::read_lease(self.clone()));
+            }
             Effect::LeaseWrite { expected, row } => {
                 monoio::spawn(order_driver::write_lease(self.clone(), expected, row));
             }
