--- a/crates/notchwalk_core/src/log_event.rs
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -40,10 +40,19 @@
     DrainStarted = 1003, Info, "the daemon was told to stop and drains";
     DaemonStopped = 1004, Info, "the last request ended; the daemon ends";
     RequestPanicked = 1005, Error, "a task panicked; its request failed and the daemon goes on";
+    SettingsReloaded = 1006, Info, "the settings file was read again";
+    LogLinesDropped = 1007, Warn, "log lines were dropped";
     BundleInForce = 2001, Info, "a bundle version came into force";
     BundleRefused = 2002, Warn, "an offered bundle was refused: older, unsigned or faulty";
     PlatformDown = 2003, Warn, "a call to the platform failed";
     PlatformUp = 2004, Info, "the platform answers again";
+    ConfigInForce = 2101, Info, "the operator's configuration came into force";
+    ConfigRefused = 2102, Warn, "a configuration was refused: older or faulty";
+    StoreLost = 2103, Warn, "the platform's store no longer answers";
+    StoreRegained = 2104, Info, "the platform's store answers again";
+    HistoryGone = 2105, Info, "the store's history is gone; the table is read whole";
+    ServerRecordFaulty = 2106, Warn, "a backend server's record can't be read";
+    PresenceWritten = 2107, Info, "this entry is on record";
     PeerAlive = 3001, Info, "a peer daemon answers";
     PeerSuspect = 3002, Info, "a peer's heartbeat is late; others are asked";
     PeerDead = 3003, Warn, "a peer daemon is taken for dead";
@@ -53,15 +62,22 @@
     CircuitOpened = 4002, Warn, "a backend server failed repeatedly; it gets no work for a while";
     CircuitClosed = 4003, Info, "a backend server serves again";
     MemorySwept = 4004, Info, "memory of ended requests was freed on an engine";
+    ServerRegistered = 4101, Info, "a backend server is on record";
+    ServerGone = 4102, Info, "a backend server is gone from the record";
     AttemptRetried = 5001, Info, "an attempt broke; the request goes on with another";
     RequestTimedOut = 5002, Info, "a request reached its deadline";
     RequestRefused = 5003, Debug, "a request was refused before it ran";
     ClaimUnknown = 5004, Warn, "a claim's fate could not be learned in time";
     FrameDropped = 5005, Info, "a late or crossed frame was dropped";
+    RequestSent = 5101, Info, "a request went to a backend server";
+    AttemptFailed = 5102, Info, "sending to a backend server did not succeed";
+    RequestEnded = 5103, Info, "a request ended";
+    RequestRejected = 5104, Info, "a request was not accepted";
     OrderSent = 6001, Info, "an order went to an engine";
     OrderRefused = 6002, Warn, "an engine refused an order";
     LeaseHeld = 6003, Info, "this daemon holds the order lease";
     LeaseLost = 6004, Warn, "the order lease lapsed or was taken";
+    ReservationFailed = 6101, Info, "memory could not be set aside on an engine";
 }
 
 /// One event to log: its kind and the facts that belong to it.
--- a/crates/notchwalk_http/src/client.rs
+++ b/crates/notchwalk_http/src/client.rs
@@ -116,15 +116,25 @@
 
 struct Idle {
     conn: Connection,
-    since: Instant,
+    until: Instant,
 }
 
 type Pool = Rc<RefCell<HashMap<SocketAddr, Vec<Idle>>>>;
 
 /// A client; clones share the pool.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Client {
     pool: Pool,
+    connect_timeout: Duration,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self {
+            pool: Pool::default(),
+            connect_timeout: CONNECT_TIMEOUT,
+        }
+    }
 }
 
 impl Client {
@@ -133,9 +143,15 @@
         Self::default()
     }
 
-    async fn connect(addr: SocketAddr) -> Result<Connection, HttpError> {
+    /// Sets how long connecting may take.
+    pub fn with_connect_timeout(mut self, timeout: Duration) -> Self {
+        self.connect_timeout = timeout;
+        self
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Result<Connection, HttpError> {
         let connect = TcpStream::connect_addr(addr);
-        let stream = match monoio::time::timeout(CONNECT_TIMEOUT, connect).await {
+        let stream = match monoio::time::timeout(self.connect_timeout, connect).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) => return Err(HttpError::Connect(e)),
             Err(_) => return Err(HttpError::Connect(std::io::ErrorKind::TimedOut.into())),
@@ -148,7 +164,7 @@
         loop {
             let idle = self.pool.borrow_mut().get_mut(&addr)?.pop();
             let mut idle = idle?;
-            if idle.since.elapsed() < IDLE_TIMEOUT && !idle.conn.is_stale().await {
+            if Instant::now() < idle.until && !idle.conn.is_stale().await {
                 return Some(idle.conn);
             }
         }
@@ -169,7 +185,7 @@
                 return Ok(conn);
             }
         }
-        Self::connect(addr).await
+        self.connect(addr).await
     }
 
     /// Sends a request and reads the response's head.
@@ -235,6 +251,7 @@
         Ok(StreamedResponse {
             status: head.status,
             reusable: reuse == Reuse::Pooled && !close && !matches!(body, BodyReader::UntilClose),
+            idle: idle_time(&head.headers),
             headers: head.headers,
             conn,
             body,
@@ -275,6 +292,7 @@
     addr: SocketAddr,
     pool: Pool,
     reusable: bool,
+    idle: Duration,
 }
 
 impl StreamedResponse {
@@ -320,6 +338,34 @@
         })
     }
 
+    /// Drops this response, after reading it whole, and reads the head of the
+    /// next one on the same connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the connection does, and if nothing can follow this response.
+    pub async fn next_response(mut self, method: &Method) -> Result<Self, HttpError> {
+        if matches!(self.body, BodyReader::UntilClose) {
+            return Err(HttpError::Closed);
+        }
+        while self.next().await?.is_some() {}
+        let client = Client {
+            pool: self.pool,
+            connect_timeout: CONNECT_TIMEOUT,
+        };
+        let reuse = if self.reusable {
+            Reuse::Pooled
+        } else {
+            Reuse::Fresh
+        };
+        client.receive(self.addr, self.conn, method, reuse).await
+    }
+
+    /// Keeps the connection out of the pool.
+    pub fn forbid_reuse(&mut self) {
+        self.reusable = false;
+    }
+
     /// Gives the connection back to the pool if its body was read whole, and
     /// closes it otherwise.
     pub fn release(self) {
@@ -328,16 +374,31 @@
         }
         let mut pool = self.pool.borrow_mut();
         let idle = pool.entry(self.addr).or_default();
-        let lapsed = idle
-            .iter()
-            .take_while(|i| i.since.elapsed() >= IDLE_TIMEOUT);
-        let lapsed = lapsed.count();
-        idle.drain(..lapsed);
+        let now = Instant::now();
+        idle.retain(|idle| now < idle.until);
         if idle.len() < MAX_IDLE {
             idle.push(Idle {
                 conn: self.conn,
-                since: Instant::now(),
+                until: now + self.idle,
             });
         }
     }
 }
+
+/// Returns how long a connection may lie idle after an answer with these
+/// headers: less than the server said, so that it doesn't close first.
+fn idle_time(headers: &HeaderMap) -> Duration {
+    const MARGIN: Duration = Duration::from_millis(500);
+    let keep_alive = headers.get("keep-alive").and_then(|v| v.to_str().ok());
+    let timeout = keep_alive.and_then(|text| {
+        let parameters = text.split(',').map(str::trim);
+        let mut timeouts = parameters.filter_map(|p| p.strip_prefix("timeout="));
+        timeouts.next()?.trim().parse::<u64>().ok()
+    });
+    match timeout {
+        Some(s) => Duration::from_secs(s)
+            .saturating_sub(MARGIN)
+            .min(IDLE_TIMEOUT),
+        None => IDLE_TIMEOUT,
+    }
+}
--- a/crates/notchwalk_http/src/connection.rs
+++ b/crates/notchwalk_http/src/connection.rs
@@ -19,7 +19,7 @@
 /// The largest head accepted, in bytes.
 pub const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Bytes read at a time.
-const READ_BYTES: usize = 16 * 1024;
+const READ_BYTES: usize = 4 * 1024;
 /// Bytes a peer may send ahead while its last request is still being served.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
 
--- a/crates/notchwalk_platform/src/lib.rs
+++ b/crates/notchwalk_platform/src/lib.rs
@@ -5,6 +5,7 @@
 mod bundles;
 mod error;
 mod http_client;
+mod rows;
 mod traits;
 
 pub mod prelude;
@@ -15,4 +16,8 @@
 };
 pub use error::PlatformError;
 pub use http_client::HttpPlatform;
+pub use rows::{FeedError, Row, RowPage, RowStore, RowWrite, WriteOutcome};
 pub use traits::{ObjectStore, Platform, PlatformFuture, TableStore, VmList, WeightStore};
+
+/// A future that stays on its thread.
+pub type LocalFuture<'a, T> = std::pin::Pin<Box<dyn std::future::Future<Output = T> + 'a>>;
--- a/crates/notchwalk_platform/src/traits.rs
+++ b/crates/notchwalk_platform/src/traits.rs
@@ -1,17 +1,15 @@
 //! The platform's services as trait objects, so that tests put small fakes in
 //! their place.
 
-use std::{future::Future, pin::Pin};
-
 use bytes::Bytes;
 use notchwalk_wire::{
     TableRead, TableReadAnswer, TableTransaction, TableTransactionAnswer, VmRecord,
 };
 
-use crate::PlatformError;
+use crate::{LocalFuture, PlatformError};
 
 /// The future of a call.
-pub type PlatformFuture<'a, T> = Pin<Box<dyn Future<Output = Result<T, PlatformError>> + 'a>>;
+pub type PlatformFuture<'a, T> = LocalFuture<'a, Result<T, PlatformError>>;
 
 /// The transactional table.
 pub trait TableStore {
--- /dev/null
+++ b/crates/notchwalk_relay/src/directory.rs
@@ -0,0 +1,78 @@
+//! Tells callers which entries to use, and the platform whether this one is
+//! ready.
+
+use std::rc::Rc;
+
+use http::{header, HeaderMap, HeaderValue, StatusCode};
+use notchwalk_http::prelude::*;
+
+use crate::{shell::Shell, DirectoryAnswer};
+
+/// Addresses in one answer at most, as callers take them.
+const MAX_ADDRESSES: usize = 64;
+
+/// Answers questions about this entry and its peers.
+pub(crate) struct Directory {
+    shell: Rc<Shell>,
+}
+
+impl Directory {
+    pub fn new(shell: Rc<Shell>) -> Self {
+        Self { shell }
+    }
+
+    fn addresses(&self) -> Vec<std::net::SocketAddr> {
+        let shell = &self.shell;
+        let mut addresses = shell.peers.borrow().ready(shell.now());
+        if shell.is_ready() {
+            addresses.push(shell.settings.caller);
+        }
+        addresses.sort_unstable();
+        addresses.truncate(MAX_ADDRESSES);
+        addresses
+    }
+
+    async fn answer(&self, exchange: &mut Exchange) {
+        let addresses = self.addresses();
+        if addresses.is_empty() {
+            exchange
+                .respond_text(StatusCode::SERVICE_UNAVAILABLE, "no entry is ready\n")
+                .await;
+            return;
+        }
+        let answer = DirectoryAnswer {
+            addresses,
+            ttl: self.shell.settings.directory_ttl,
+        };
+        let body = self.shell.dialect.directory_answer(&answer);
+        let mut headers = HeaderMap::new();
+        let json = HeaderValue::from_static("application/json");
+        headers.insert(header::CONTENT_TYPE, json);
+        exchange.respond(StatusCode::OK, headers, &body).await;
+    }
+}
+
+impl Service for Directory {
+    fn call<'a>(&'a self, exchange: &'a mut Exchange) -> LocalBoxFuture<'a, ()> {
+        Box::pin(async move {
+            if self.shell.dialect.asks_readiness(exchange.path()) {
+                let status = match self.shell.is_ready() {
+                    true => StatusCode::OK,
+                    false => StatusCode::SERVICE_UNAVAILABLE,
+                };
+                return exchange.respond_text(status, "").await;
+            }
+            if self
+                .shell
+                .dialect
+                .directory_question(&exchange.head.uri)
+                .is_some()
+            {
+                return self.answer(exchange).await;
+            }
+            exchange
+                .respond_text(StatusCode::NOT_FOUND, "no such question\n")
+                .await;
+        })
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_relay/src/engine_orders.rs
@@ -0,0 +1,67 @@
+//! Sends orders for memory to engines.
+
+use std::{rc::Rc, time::Duration};
+
+use http::{Method, StatusCode};
+use notchwalk_core::{LogEvent, LogEventKind};
+use notchwalk_http::prelude::*;
+use notchwalk_route::{Event, RequestKey, ReservationOrder};
+
+use crate::shell::Shell;
+
+/// How long an order may take. Engines answer within a few milliseconds; one
+/// that doesn't is taken to be lost.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// The largest answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
+async fn send(shell: &Shell, order: &ReservationOrder) -> Result<StatusCode, HttpError> {
+    let (path, body) = shell.dialect.reservation_order(order);
+    let json = http::HeaderValue::from_static("application/json");
+    let req = OutgoingRequest::new(Method::POST, path)
+        .with_header(http::header::CONTENT_TYPE, json)
+        .with_body(body);
+    let sent = shell
+        .client
+        .send(order.addr, req, ORDER_TIMEOUT, MAX_ANSWER_BYTES);
+    Ok(sent.await?.status)
+}
+
+/// Sets memory aside on several engines and tells the router whether all of it
+/// was granted.
+pub(crate) async fn reserve(shell: Rc<Shell>, request: RequestKey, orders: Vec<ReservationOrder>) {
+    let sends = orders.iter().map(|order| send(&shell, order));
+    let answers = futures_util::future::join_all(sends).await;
+    let mut granted = true;
+    let mut answers_lost = false;
+    for (order, answer) in orders.iter().zip(answers) {
+        let reason = match answer {
+            Ok(status) if status.is_success() => continue,
+            Ok(status) => status.to_string(),
+            Err(e) => {
+                answers_lost = true;
+                e.to_string()
+            }
+        };
+        granted = false;
+        let facts = format!(
+            "reservation={} addr={} reason={reason:?}",
+            order.id, order.addr
+        );
+        LogEvent::new(LogEventKind::ReservationFailed, facts).emit();
+    }
+    shell.step(Event::Reserved {
+        request,
+        granted,
+        answers_lost,
+    });
+}
+
+/// Renews a reservation or gives its memory back. Failures are logged; the
+/// router repeats the order.
+pub(crate) async fn give_back(shell: Rc<Shell>, order: ReservationOrder) {
+    if let Err(e) = send(&shell, &order).await {
+        let facts = format!("reservation={} addr={} reason={e:?}", order.id, order.addr);
+        LogEvent::new(LogEventKind::ReservationFailed, facts).emit();
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_relay/src/lib.rs
@@ -0,0 +1,37 @@
+//! The daemon's drivers for routed requests: they turn sockets, timers and the
+//! platform's rows into events of [`notchwalk_route::Router`], and its effects
+//! into I/O. No decision about a request stands here.
+//!
+//! How callers, backend servers and the platform spell things is behind the
+//! trait object [`Dialect`]; where rows lie is behind
+//! [`notchwalk_platform::RowStore`].
+
+mod answer;
+mod attempt;
+mod config_watch;
+mod daemon;
+mod dialect;
+mod directory;
+mod engine_orders;
+mod error;
+mod front;
+mod log_sink;
+mod metrics;
+mod operator;
+mod peer_link;
+mod presence;
+mod server_watch;
+mod settings;
+mod shell;
+mod stream_events;
+mod table_watch;
+
+pub mod prelude;
+
+pub use answer::{AnswerFacts, AnswerWord};
+pub use daemon::run;
+pub use dialect::{BackendRequest, CallerFacts, Dialect, DirectoryAnswer};
+pub use error::RelayError;
+pub use log_sink::start_logging;
+pub use settings::RelaySettings;
+pub use stream_events::EventSplitter;
--- /dev/null
+++ b/crates/notchwalk_relay/src/metrics.rs
@@ -0,0 +1,127 @@
+//! Counters and histograms in Prometheus' text format.
+
+use prometheus::{
+    exponential_buckets, Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
+};
+
+/// The figures of one process.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests that ended, by route and outcome.
+    pub requests: IntCounterVec,
+    /// Sends to backend servers, by how they ended.
+    pub attempts: IntCounterVec,
+    /// Seconds from arrival to the first event or the whole answer, by route.
+    pub first_byte: HistogramVec,
+    /// Predicted over seen time to the first event, by route.
+    pub prediction: HistogramVec,
+    /// Whether the store answers, by table.
+    pub store_up: prometheus::IntGaugeVec,
+    /// The version of the configuration in force.
+    pub config_version: IntGauge,
+    /// Requests being served.
+    pub open_requests: IntGauge,
+    /// Peers that answer.
+    pub peers_alive: IntGauge,
+    /// Backend servers on record.
+    pub servers: IntGauge,
+}
+
+fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let counter = IntCounterVec::new(Opts::new(name, help), labels);
+    let counter = counter.expect("name and labels are valid");
+    register(registry, counter.clone());
+    counter
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("the name is valid");
+    register(registry, gauge.clone());
+    gauge
+}
+
+fn register(registry: &Registry, metric: impl prometheus::core::Collector + 'static) {
+    let registered = registry.register(Box::new(metric));
+    registered.expect("each name is registered once");
+}
+
+impl Metrics {
+    /// Builds all figures at zero.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a name stands twice in this file.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let buckets = exponential_buckets(0.02, 1.7, 14).expect("the bounds rise");
+        let opts = HistogramOpts::new(
+            "notchwalk_first_byte_seconds",
+            "Time from arrival to the first event or the whole answer",
+        );
+        let first_byte = HistogramVec::new(opts.buckets(buckets), &["route"]);
+        let first_byte = first_byte.expect("name and labels are valid");
+        register(&registry, first_byte.clone());
+        let opts = HistogramOpts::new(
+            "notchwalk_prediction_ratio",
+            "Predicted over seen time to the first event",
+        );
+        let buckets = vec![0.25, 0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0, 4.0];
+        let prediction = HistogramVec::new(opts.buckets(buckets), &["route"]);
+        let prediction = prediction.expect("name and labels are valid");
+        register(&registry, prediction.clone());
+        let opts = Opts::new("notchwalk_store_up", "Whether the store answers");
+        let store_up = prometheus::IntGaugeVec::new(opts, &["table"]);
+        let store_up = store_up.expect("name and labels are valid");
+        register(&registry, store_up.clone());
+        Self {
+            requests: counter(
+                &registry,
+                "notchwalk_requests_total",
+                "Requests that ended",
+                &["route", "outcome"],
+            ),
+            attempts: counter(
+                &registry,
+                "notchwalk_attempts_total",
+                "Sends to backend servers",
+                &["end"],
+            ),
+            config_version: gauge(
+                &registry,
+                "notchwalk_config_version",
+                "Version of the configuration in force",
+            ),
+            open_requests: gauge(
+                &registry,
+                "notchwalk_open_requests",
+                "Requests being served",
+            ),
+            peers_alive: gauge(&registry, "notchwalk_peers_alive", "Peers that answer"),
+            servers: gauge(
+                &registry,
+                "notchwalk_backend_servers",
+                "Backend servers on record",
+            ),
+            first_byte,
+            prediction,
+            store_up,
+            registry,
+        }
+    }
+
+    /// Returns all figures as text.
+    pub fn text(&self) -> String {
+        let mut buf = Vec::new();
+        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            return format!("# {e}\n");
+        }
+        String::from_utf8_lossy(&buf).into_owned()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -0,0 +1,280 @@
+//! What entries tell each other: that they live, whether they take requests,
+//! and what work they have on which server.
+//!
+//! Datagrams with CBOR. Every message carries whole facts, never differences,
+//! so that a lost one costs nothing but time, and the newest is all that
+//! counts: a stream would deliver old facts late after a loss.
+
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use monoio::net::udp::UdpSocket;
+use notchwalk_core::{Instant, LogEvent, LogEventKind};
+use notchwalk_route::{Event, PeerWork};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    presence::PresenceRecord,
+    shell::{Shell, Stopping},
+};
+
+/// How often an entry says that it lives.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+/// Every so many heartbeats all work is told, not only what changed.
+const WHOLE_EVERY: u32 = 4;
+/// A peer silent for longer gets no callers.
+const SILENCE: Duration = Duration::from_millis(1_000);
+/// A peer silent for longer no longer counts for shares.
+const GONE: Duration = Duration::from_secs(3);
+/// Works told in one datagram at most, so that it fits one packet.
+const MAX_WORKS: usize = 60;
+/// The largest datagram read, in bytes.
+const MAX_DATAGRAM: usize = 16 * 1024;
+
+/// One message.
+#[derive(Debug, Serialize, Deserialize)]
+struct PeerMessage {
+    /// Who sends it.
+    from: PresenceRecord,
+    /// Whether it takes requests.
+    ready: bool,
+    /// The version of its configuration.
+    config_version: u64,
+    /// The servers it tells about.
+    servers: Vec<u32>,
+    /// What it has there.
+    work: Vec<PeerWork>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    number: u32,
+    record: PresenceRecord,
+    heard: Option<Instant>,
+    ready: bool,
+    config_version: u64,
+}
+
+/// The other entries, by the address that peers reach them at.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    by_addr: HashMap<SocketAddr, Peer>,
+    next_number: u32,
+}
+
+impl Peers {
+    fn peer(&mut self, record: &PresenceRecord) -> &mut Peer {
+        let next = &mut self.next_number;
+        self.by_addr.entry(record.peer).or_insert_with(|| {
+            *next += 1;
+            Peer {
+                number: *next,
+                record: record.clone(),
+                heard: None,
+                ready: false,
+                config_version: 0,
+            }
+        })
+    }
+
+    /// Adds an entry that is on record.
+    pub fn add(&mut self, record: &PresenceRecord) {
+        self.peer(record);
+    }
+
+    /// Forgets an entry that is no longer on record, unless it was heard.
+    pub fn remove(&mut self, name: &str) {
+        self.by_addr
+            .retain(|_, peer| peer.record.name != name || peer.heard.is_some());
+    }
+
+    /// Returns the addresses for callers of the peers that take requests.
+    pub fn ready(&self, now: Instant) -> Vec<SocketAddr> {
+        let since = now.before(SILENCE);
+        let ready = self
+            .by_addr
+            .values()
+            .filter(|peer| peer.ready && peer.heard.is_some_and(|heard| heard >= since));
+        ready.map(|peer| peer.record.caller).collect()
+    }
+
+    /// Returns how many peers live.
+    pub fn alive(&self, now: Instant) -> u32 {
+        let since = now.before(GONE);
+        let alive = self.by_addr.values();
+        let alive = alive.filter(|peer| peer.heard.is_some_and(|heard| heard >= since));
+        alive.count() as u32
+    }
+
+    /// Returns the newest configuration that a peer has.
+    pub fn newest_config(&self) -> u64 {
+        let versions = self.by_addr.values().map(|peer| peer.config_version);
+        versions.max().unwrap_or(0)
+    }
+
+    fn targets(&self) -> Vec<SocketAddr> {
+        self.by_addr.keys().copied().collect()
+    }
+}
+
+fn message(shell: &Shell, servers: Vec<u32>, work: Vec<PeerWork>) -> PeerMessage {
+    PeerMessage {
+        from: PresenceRecord::of(shell),
+        ready: shell.is_ready(),
+        config_version: shell.router.borrow().version(),
+        servers,
+        work,
+    }
+}
+
+/// Cuts what is told into messages that fit a packet; a server's work is never
+/// divided, since a message replaces what was told of its servers.
+fn messages(shell: &Shell, servers: Vec<u32>, work: Vec<PeerWork>) -> Vec<PeerMessage> {
+    if work.len() <= MAX_WORKS {
+        return vec![message(shell, servers, work)];
+    }
+    let mut messages = Vec::new();
+    let (mut some, mut some_work) = (Vec::new(), Vec::new());
+    for server in servers {
+        some.push(server);
+        some_work.extend(work.iter().filter(|work| work.server == server).cloned());
+        if some_work.len() >= MAX_WORKS {
+            let (some, some_work) = (std::mem::take(&mut some), std::mem::take(&mut some_work));
+            messages.push(message(shell, some, some_work));
+        }
+    }
+    messages.push(message(shell, some, some_work));
+    messages
+}
+
+async fn tell(shell: &Shell, socket: &UdpSocket, messages: Vec<PeerMessage>) {
+    let targets = shell.peers.borrow().targets();
+    for message in messages {
+        let mut buf = Vec::with_capacity(256);
+        if let Err(e) = ciborium::into_writer(&message, &mut buf) {
+            log::error!("a message to peers can't be written: {e}");
+            continue;
+        }
+        for &target in &targets {
+            let (sent, returned) = socket.send_to(buf, target).await;
+            buf = returned;
+            // Nobody may listen there yet or any more; the next heartbeat
+            // tells again.
+            drop(sent);
+        }
+    }
+}
+
+/// Tells peers what changed; called by the daemon's tick.
+pub(crate) async fn tell_changes(shell: &Shell, socket: &UdpSocket) {
+    let now = shell.now();
+    let (servers, work) = shell.router.borrow_mut().take_changed_work(now);
+    if servers.is_empty() {
+        return;
+    }
+    tell(shell, socket, messages(shell, servers, work)).await;
+}
+
+/// Says for ever that this entry lives.
+pub(crate) async fn heartbeats(shell: Rc<Shell>, socket: Rc<UdpSocket>) {
+    let mut beat = 0u32;
+    loop {
+        let now = shell.now();
+        let (servers, work) = match beat % WHOLE_EVERY {
+            0 => shell.router.borrow().all_own_work(now),
+            _ => (Vec::new(), Vec::new()),
+        };
+        tell(&shell, &socket, messages(&shell, servers, work)).await;
+        beat = beat.wrapping_add(1);
+        watch_peers(&shell);
+        monoio::time::sleep(HEARTBEAT).await;
+    }
+}
+
+/// Tells peers at once that this entry stops.
+pub(crate) async fn tell_stopping(shell: &Shell, socket: &UdpSocket) {
+    debug_assert!(shell.stopping.get() != Stopping::No);
+    let told = message(shell, Vec::new(), Vec::new());
+    tell(shell, socket, vec![told]).await;
+}
+
+/// Notices peers that fell silent and tells the router how many live.
+fn watch_peers(shell: &Rc<Shell>) {
+    let now = shell.now();
+    let mut gone = Vec::new();
+    {
+        let mut peers = shell.peers.borrow_mut();
+        for peer in peers.by_addr.values_mut() {
+            let silent = peer.heard.is_some_and(|heard| heard < now.before(GONE));
+            if !silent {
+                continue;
+            }
+            peer.heard = None;
+            peer.ready = false;
+            gone.push(peer.number);
+            let facts = format!("entry={} silent_ms={}", peer.record.name, GONE.as_millis());
+            LogEvent::new(LogEventKind::PeerDead, facts).emit();
+        }
+    }
+    for peer in gone {
+        shell.step(Event::PeerGone { peer });
+    }
+    let alive = shell.peers.borrow().alive(now);
+    shell.metrics.peers_alive.set(alive.into());
+    shell.step(Event::Entries { alive: alive + 1 });
+}
+
+/// Hears peers for ever.
+pub(crate) async fn hear(shell: Rc<Shell>, socket: Rc<UdpSocket>) {
+    const PAUSE: Duration = Duration::from_millis(50);
+    let mut buf = vec![0; MAX_DATAGRAM];
+    loop {
+        let (received, returned) = socket.recv_from(buf).await;
+        buf = returned;
+        let Ok((n, from)) = received else {
+            // A port that was closed reports here; go on after a pause.
+            monoio::time::sleep(PAUSE).await;
+            continue;
+        };
+        match ciborium::from_reader::<PeerMessage, _>(&buf[..n]) {
+            Ok(message) => heard(&shell, message),
+            Err(e) => {
+                let facts = format!("from={from} reason={e:?}");
+                LogEvent::new(LogEventKind::PeerGarbage, facts).emit();
+            }
+        }
+    }
+}
+
+fn heard(shell: &Rc<Shell>, message: PeerMessage) {
+    if message.from.peer == shell.settings.peer {
+        return;
+    }
+    let now = shell.now();
+    let (number, started_anew) = {
+        let mut peers = shell.peers.borrow_mut();
+        let peer = peers.peer(&message.from);
+        if message.from.boot < peer.record.boot {
+            return;
+        }
+        let started_anew = message.from.boot > peer.record.boot;
+        if peer.heard.is_none() || started_anew {
+            let facts = format!("entry={} boot={}", message.from.name, message.from.boot);
+            LogEvent::new(LogEventKind::PeerAlive, facts).emit();
+        }
+        peer.record = message.from;
+        peer.heard = Some(now);
+        peer.ready = message.ready;
+        peer.config_version = message.config_version;
+        (peer.number, started_anew)
+    };
+    if started_anew {
+        shell.step(Event::PeerGone { peer: number });
+    }
+    if !message.servers.is_empty() {
+        shell.step(Event::PeerWork {
+            peer: number,
+            servers: message.servers,
+            work: message.work,
+        });
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_relay/src/presence.rs
@@ -0,0 +1,91 @@
+//! The record by which entries find each other: a row in the platform's store
+//! that each writes when it starts.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use notchwalk_core::{LogEvent, LogEventKind};
+use notchwalk_platform::{Row, RowWrite};
+use serde::{Deserialize, Serialize};
+
+use crate::{shell::Shell, table_watch::Backoff};
+
+/// The table that holds the records.
+pub(crate) const TABLE: &str = "entries";
+
+/// What an entry says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PresenceRecord {
+    /// The VM's name.
+    pub name: String,
+    /// Rises with each start on that VM.
+    pub boot: u64,
+    /// Where peers reach it.
+    pub peer: SocketAddr,
+    /// Where callers reach it.
+    pub caller: SocketAddr,
+}
+
+impl PresenceRecord {
+    /// Returns this entry's own record.
+    pub fn of(shell: &Shell) -> Self {
+        Self {
+            name: shell.settings.name.clone(),
+            boot: shell.boot,
+            peer: shell.settings.peer,
+            caller: shell.settings.caller,
+        }
+    }
+}
+
+/// Writes this entry's record, as often as it takes.
+pub(crate) async fn announce(shell: Rc<Shell>) {
+    let record = PresenceRecord::of(&shell);
+    let mut value = Vec::new();
+    if let Err(e) = ciborium::into_writer(&record, &mut value) {
+        log::error!("the entry's record can't be written: {e}");
+        return;
+    }
+    let write = RowWrite {
+        table: TABLE.to_owned(),
+        key: record.name.clone(),
+        value: Some(Bytes::from(value)),
+        expected: None,
+    };
+    let mut backoff = Backoff::new(Duration::from_millis(200));
+    // A write whose answer was lost is repeated: it states the same facts.
+    while shell.store.write(write.clone()).await.is_err() {
+        backoff.pause().await;
+    }
+    let facts = format!("name={} boot={}", record.name, record.boot);
+    LogEvent::new(LogEventKind::PresenceWritten, facts).emit();
+}
+
+/// Takes this entry's record back, before it ends. One try: peers notice a
+/// silent entry by themselves.
+pub(crate) async fn withdraw(shell: &Shell) {
+    const WAIT: Duration = Duration::from_millis(200);
+    let write = RowWrite {
+        table: TABLE.to_owned(),
+        key: shell.settings.name.clone(),
+        value: None,
+        expected: None,
+    };
+    let written = monoio::time::timeout(WAIT, shell.store.write(write)).await;
+    if !matches!(written, Ok(Ok(_))) {
+        log::warn!("the entry's record could not be withdrawn: {written:?}");
+    }
+}
+
+/// Learns of an entry's record.
+pub(crate) fn learn(shell: &Shell, row: &Row) {
+    let Some(value) = &row.value else {
+        shell.peers.borrow_mut().remove(&row.key);
+        return;
+    };
+    match ciborium::from_reader::<PresenceRecord, _>(value.as_ref()) {
+        Ok(record) if record.name == shell.settings.name => {}
+        Ok(record) => shell.peers.borrow_mut().add(&record),
+        Err(e) => log::warn!("the record of entry {} can't be read: {e}", row.key),
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_relay/src/server_watch.rs
@@ -0,0 +1,167 @@
+//! Keeps the register of backend servers.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use notchwalk_core::{Instant, LogEvent, LogEventKind};
+use notchwalk_platform::Row;
+use notchwalk_route::{Event, ServerChange, ServerRecord};
+
+use crate::{presence, shell::Shell, table_watch::TableReader};
+
+/// How long a question for changes waits. A leaving server may get no work two
+/// seconds after it said so.
+const WAIT: Duration = Duration::from_millis(1_900);
+/// How long records that lapsed while the store was away may take to come
+/// back, before their servers are taken as gone: about two seconds.
+const RETURN_TIME: Duration = Duration::from_millis(1_800);
+
+/// Reads the table of backend servers.
+pub(crate) struct ServerReader {
+    shell: Rc<Shell>,
+    /// Servers whose records lapsed while the store was away, and when they
+    /// are taken as gone.
+    missing: HashMap<String, Instant>,
+    /// Until when a record that is missing may be one that lapsed.
+    doubt_until: Instant,
+    known: HashMap<String, ServerRecord>,
+}
+
+impl ServerReader {
+    pub fn new(shell: Rc<Shell>) -> Self {
+        Self {
+            shell,
+            missing: HashMap::new(),
+            doubt_until: Instant::ZERO,
+            known: HashMap::new(),
+        }
+    }
+
+    fn record(&self, row: &Row) -> Option<ServerRecord> {
+        match self.shell.dialect.server(row) {
+            Ok(record) => Some(record),
+            Err(reason) => {
+                let facts = format!("server={} reason={reason:?}", row.key);
+                LogEvent::new(LogEventKind::ServerRecordFaulty, facts).emit();
+                None
+            }
+        }
+    }
+
+    fn present(&mut self, record: ServerRecord) {
+        self.missing.remove(&record.instance);
+        if self.known.get(&record.instance) == Some(&record) {
+            return;
+        }
+        let facts = format!(
+            "server={} service={} addr={} stage={:?}",
+            record.instance, record.service, record.addr, record.stage
+        );
+        LogEvent::new(LogEventKind::ServerRegistered, facts).emit();
+        self.known.insert(record.instance.clone(), record.clone());
+        self.shell
+            .step(Event::Servers(ServerChange::Present(record)));
+    }
+
+    fn lapsed(&mut self, instance: &str) {
+        if !self.known.contains_key(instance) {
+            return;
+        }
+        let now = self.shell.now();
+        if now < self.doubt_until {
+            self.missing
+                .entry(instance.to_owned())
+                .or_insert(self.doubt_until);
+            return;
+        }
+        self.gone(instance);
+    }
+
+    fn gone(&mut self, instance: &str) {
+        self.missing.remove(instance);
+        self.known.remove(instance);
+        let facts = format!("server={instance}");
+        LogEvent::new(LogEventKind::ServerGone, facts).emit();
+        let change = ServerChange::Gone(instance.to_owned());
+        self.shell.step(Event::Servers(change));
+    }
+
+    fn take_missing_as_gone(&mut self) {
+        let now = self.shell.now();
+        let due = self.missing.iter().filter(|(_, &at)| now >= at);
+        let due: Vec<String> = due.map(|(instance, _)| instance.clone()).collect();
+        for instance in due {
+            self.gone(&instance);
+        }
+    }
+}
+
+impl TableReader for ServerReader {
+    fn table(&self) -> &str {
+        self.shell.dialect.server_table()
+    }
+
+    fn wait(&self) -> Duration {
+        if self.missing.is_empty() {
+            return WAIT;
+        }
+        RETURN_TIME / 4
+    }
+
+    fn whole(&mut self, rows: Vec<Row>) {
+        let known: Vec<String> = self.known.keys().cloned().collect();
+        for instance in known {
+            if !rows.iter().any(|row| row.key == instance) {
+                self.lapsed(&instance);
+            }
+        }
+        self.changed(rows);
+    }
+
+    fn changed(&mut self, rows: Vec<Row>) {
+        for row in rows {
+            if row.value.is_none() {
+                self.lapsed(&row.key);
+                continue;
+            }
+            if let Some(record) = self.record(&row) {
+                self.present(record);
+            }
+        }
+    }
+
+    fn current(&mut self) {
+        self.take_missing_as_gone();
+        self.shell.servers_current.set(self.shell.now());
+        self.shell.metrics.servers.set(self.known.len() as i64);
+    }
+
+    fn regained(&mut self, _away: Duration) {
+        self.doubt_until = self.shell.now().after(RETURN_TIME);
+    }
+}
+
+/// Reads the table of entries.
+pub(crate) struct EntryReader {
+    pub shell: Rc<Shell>,
+}
+
+impl TableReader for EntryReader {
+    fn table(&self) -> &str {
+        presence::TABLE
+    }
+
+    fn wait(&self) -> Duration {
+        // Peers make themselves known by their heartbeats too.
+        Duration::from_secs(8)
+    }
+
+    fn whole(&mut self, rows: Vec<Row>) {
+        self.changed(rows);
+    }
+
+    fn changed(&mut self, rows: Vec<Row>) {
+        for row in &rows {
+            presence::learn(&self.shell, row);
+        }
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_relay/src/settings.rs
@@ -0,0 +1,120 @@
+//! The settings of one process.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use notchwalk_bundle::IniFile;
+use notchwalk_core::Findings;
+
+use crate::RelayError;
+
+/// Everything a process is told before it starts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RelaySettings {
+    /// The VM's name.
+    pub name: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Where callers send requests.
+    pub caller: SocketAddr,
+    /// Where readiness is asked for.
+    pub ready: SocketAddr,
+    /// Where callers ask where to go.
+    pub directory: SocketAddr,
+    /// Where peers reach this entry.
+    pub peer: SocketAddr,
+    /// Where metrics and the state dump are served.
+    pub operator: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Largest row value that the store takes, in bytes.
+    pub store_row_bytes: usize,
+    /// How long callers may keep the directory's answer.
+    pub directory_ttl: Duration,
+    /// Repeated sends allowed for each request of a service.
+    pub retry_ratio: f64,
+    /// Repeated sends allowed besides, over all entries.
+    pub retry_slack: f64,
+    /// The window over which both are counted.
+    pub retry_window: Duration,
+    /// How long a leaving server serves on.
+    pub server_drain: Duration,
+    /// Time from the order to stop until the process is killed.
+    pub stop_grace: Duration,
+    /// Descriptors the process may have open.
+    pub max_descriptors: usize,
+}
+
+impl RelaySettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be read, or with all findings in it.
+    pub fn load(path: &Path) -> Result<Self, RelayError> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|source| RelayError::File {
+            path: name.clone(),
+            source,
+        })?;
+        Self::parse(&name, &text).map_err(RelayError::Settings)
+    }
+
+    /// Parses the text of a settings file; `name` stands in the findings.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings.
+    pub fn parse(name: &str, text: &str) -> Result<Self, Findings> {
+        let ini = IniFile::parse(name, text)?;
+        let settings = read(&ini);
+        let findings = match ini.finish() {
+            Ok(()) => Findings::default(),
+            Err(findings) => findings,
+        };
+        match settings {
+            Some(settings) => findings.or_ok(settings),
+            None => Err(findings),
+        }
+    }
+}
+
+fn read(ini: &IniFile) -> Option<RelaySettings> {
+    let entry = ini.section("entry");
+    let name = entry.required::<String>("name");
+    let failure_domain = entry.required::<String>("failure_domain");
+    let caller = entry.required::<SocketAddr>("caller_address");
+    let ready = entry.required::<SocketAddr>("ready_address");
+    let directory = entry.required::<SocketAddr>("directory_address");
+    let peer = entry.required::<SocketAddr>("peer_address");
+    let operator = entry.required::<SocketAddr>("operator_address");
+    let directory_ttl_ms = entry.within("directory_ttl_ms", 2_000, 100, 600_000);
+    let stop_grace_s = entry.within("stop_grace_s", 8.0, 1.0, 600.0);
+    let max_descriptors = entry.within("max_descriptors", 4_200, 64, 1_000_000);
+    let store = ini.section("store");
+    let store_addr = store.required::<SocketAddr>("address");
+    let store_row_bytes = store.within("row_bytes", 65_536, 256, 1 << 30);
+    let retries = ini.section("retries");
+    let retry_ratio = retries.within("ratio", 0.2, 0.0, 10.0);
+    let retry_slack = retries.within("slack", 100.0, 0.0, 1e6);
+    let retry_window_s = retries.within("window_s", 10.0, 0.1, 3_600.0);
+    let servers = ini.section("servers");
+    let server_drain_ms = servers.within("drain_ms", 2_000, 0, 600_000);
+    Some(RelaySettings {
+        name: name?,
+        failure_domain: failure_domain?,
+        caller: caller?,
+        ready: ready?,
+        directory: directory?,
+        peer: peer?,
+        operator: operator?,
+        store: store_addr?,
+        store_row_bytes,
+        directory_ttl: Duration::from_millis(directory_ttl_ms),
+        retry_ratio,
+        retry_slack,
+        retry_window: Duration::from_secs_f64(retry_window_s),
+        server_drain: Duration::from_millis(server_drain_ms),
+        stop_grace: Duration::from_secs_f64(stop_grace_s),
+        max_descriptors,
+    })
+}
--- /dev/null
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -0,0 +1,147 @@
+//! What all drivers of one process share: the router, its clock, and the way
+//! of its effects to those that carry them out.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use local_sync::mpsc::unbounded;
+use notchwalk_core::{Clock, Instant, LogEvent, LogEventKind};
+use notchwalk_http::Client;
+use notchwalk_platform::RowStore;
+use notchwalk_route::{ClientLimits, Effect, Event, RequestKey, Router};
+use slotmap::SecondaryMap;
+
+use crate::{engine_orders, metrics::Metrics, peer_link::Peers, Dialect, RelaySettings};
+
+/// Receives the effects that concern one request.
+pub(crate) type Inbox = unbounded::Rx<Effect>;
+
+/// How far the process is on its way to the end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Stopping {
+    /// It serves.
+    #[default]
+    No,
+    /// It was told to stop, at this time.
+    Since(Instant),
+}
+
+/// The shared state of one process.
+pub(crate) struct Shell {
+    pub settings: RelaySettings,
+    pub clock: Clock,
+    /// Rises with each start on this VM.
+    pub boot: u64,
+    pub router: RefCell<Router>,
+    pub dialect: Rc<dyn Dialect>,
+    pub store: Rc<dyn RowStore>,
+    pub client: Client,
+    pub metrics: Metrics,
+    pub peers: RefCell<Peers>,
+    pub limits: std::cell::Cell<ClientLimits>,
+    pub stopping: std::cell::Cell<Stopping>,
+    /// When the register of servers was last known to be current.
+    pub servers_current: std::cell::Cell<Instant>,
+    inboxes: RefCell<SecondaryMap<RequestKey, unbounded::Tx<Effect>>>,
+}
+
+impl Shell {
+    pub fn new(
+        settings: RelaySettings,
+        boot: u64,
+        router: Router,
+        dialect: Rc<dyn Dialect>,
+        store: Rc<dyn RowStore>,
+        client: Client,
+    ) -> Self {
+        Self {
+            settings,
+            boot,
+            clock: Clock::new(),
+            router: RefCell::new(router),
+            dialect,
+            store,
+            client,
+            metrics: Metrics::new(),
+            peers: RefCell::default(),
+            limits: std::cell::Cell::default(),
+            stopping: std::cell::Cell::default(),
+            servers_current: std::cell::Cell::new(Instant::ZERO),
+            inboxes: RefCell::default(),
+        }
+    }
+
+    /// Returns the present time.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Tells whether requests can be served: a configuration is in force and
+    /// the process was not told to stop.
+    pub fn is_ready(&self) -> bool {
+        self.stopping.get() == Stopping::No && self.router.borrow().version() > 0
+    }
+
+    /// Makes room for a request and its inbox.
+    pub fn open_request(&self) -> (RequestKey, Inbox) {
+        let key = self.router.borrow_mut().new_request();
+        let (tx, rx) = unbounded::channel();
+        self.inboxes.borrow_mut().insert(key, tx);
+        (key, rx)
+    }
+
+    /// Tells the router what happened and has its effects carried out.
+    pub fn step(self: &Rc<Self>, event: Event) {
+        let mut effects = Vec::new();
+        self.router
+            .borrow_mut()
+            .step(self.now(), event, &mut effects);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, effect: Effect) {
+        match effect {
+            Effect::Send { request, .. } => self.deliver(request, effect),
+            Effect::Refuse { request, .. } | Effect::DeliverFailure { request } => {
+                self.deliver(request, effect);
+                self.inboxes.borrow_mut().remove(request);
+            }
+            Effect::Reserve { request, orders } => {
+                monoio::spawn(engine_orders::reserve(self.clone(), request, orders));
+            }
+            Effect::Release(order) => {
+                monoio::spawn(engine_orders::give_back(self.clone(), order));
+            }
+            Effect::Closed { server, pause } => self.log_closed(server, pause),
+        }
+    }
+
+    fn deliver(&self, request: RequestKey, effect: Effect) {
+        let inboxes = self.inboxes.borrow();
+        let Some(tx) = inboxes.get(request) else {
+            return;
+        };
+        // The request's task ended: its caller left in the same moment.
+        let _ = tx.send(effect);
+    }
+
+    fn log_closed(&self, server: notchwalk_route::ServerKey, pause: Duration) {
+        let router = self.router.borrow();
+        let Some(server) = router.fleet().get(server) else {
+            return;
+        };
+        let facts = format!(
+            "server={} pause_ms={} failure_rate={:.2}",
+            server.record.instance,
+            pause.as_millis(),
+            server.failure_rate
+        );
+        LogEvent::new(LogEventKind::CircuitOpened, facts).emit();
+    }
+
+    /// Forgets a request whose answer ended.
+    pub fn close_request(&self, request: RequestKey) {
+        self.inboxes.borrow_mut().remove(request);
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_relay/src/table_watch.rs
@@ -0,0 +1,171 @@
+//! Follows the changes of one table of the platform's store.
+
+use std::{rc::Rc, time::Duration};
+
+use notchwalk_core::{Instant, LogEvent, LogEventKind};
+use notchwalk_platform::{FeedError, Row};
+use rand::Rng;
+
+use crate::shell::Shell;
+
+/// The longest pause between two tries.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Pauses that grow, with jitter, so that entries don't retry in step.
+pub(crate) struct Backoff {
+    first: Duration,
+    next: Duration,
+}
+
+impl Backoff {
+    /// Starts with pauses around `first`.
+    pub fn new(first: Duration) -> Self {
+        Self { first, next: first }
+    }
+
+    /// Starts over.
+    pub fn reset(&mut self) {
+        self.next = self.first;
+    }
+
+    /// Pauses.
+    pub async fn pause(&mut self) {
+        let jitter = rand::rng().random_range(0.5..1.5);
+        monoio::time::sleep(self.next.mul_f64(jitter)).await;
+        self.next = (self.next * 2).min(LONGEST_PAUSE);
+    }
+}
+
+/// What a watched table holds, handed to whoever needs it.
+pub(crate) trait TableReader {
+    /// Names the table.
+    fn table(&self) -> &str;
+
+    /// How long one question waits for a change. An answer that got lost is
+    /// noticed only then.
+    fn wait(&self) -> Duration;
+
+    /// Takes the whole table.
+    fn whole(&mut self, rows: Vec<Row>);
+
+    /// Takes changed rows.
+    fn changed(&mut self, rows: Vec<Row>);
+
+    /// Hears that the table is known to be current.
+    fn current(&mut self) {}
+
+    /// Hears that the store answers again after `away`.
+    fn regained(&mut self, _away: Duration) {}
+}
+
+/// One table being followed.
+struct Watch<R> {
+    shell: Rc<Shell>,
+    reader: R,
+    /// The version up to which changes were seen; `None` asks for the whole.
+    seen: Option<u64>,
+    lost_since: Option<Instant>,
+}
+
+impl<R: TableReader> Watch<R> {
+    async fn read_whole(&mut self) -> Result<(), FeedError> {
+        let mut rows = Vec::new();
+        let mut first_version = None;
+        let mut from = String::new();
+        loop {
+            let page = self.shell.store.read(self.reader.table(), &from).await?;
+            first_version.get_or_insert(page.version);
+            rows.extend(page.rows);
+            if !page.more {
+                break;
+            }
+            let Some(last) = rows.last() else { break };
+            // The next key in the order of bytes.
+            from = format!("{}\0", last.key);
+        }
+        // Pages read later may be newer; their changes are seen once more.
+        self.seen = first_version;
+        self.reader.whole(rows);
+        Ok(())
+    }
+
+    async fn read_changes(&mut self, after: u64) -> Result<(), FeedError> {
+        let (table, wait) = (self.reader.table(), self.reader.wait());
+        let page = self.shell.store.changes(table, after, wait).await?;
+        self.seen = Some(page.version.max(after));
+        if !page.rows.is_empty() {
+            self.reader.changed(page.rows);
+        }
+        Ok(())
+    }
+
+    async fn turn(&mut self) -> Result<(), FeedError> {
+        match self.seen {
+            None => self.read_whole().await?,
+            Some(after) => self.read_changes(after).await?,
+        }
+        self.reader.current();
+        Ok(())
+    }
+
+    fn note_answer(&mut self) {
+        let Some(since) = self.lost_since.take() else {
+            return;
+        };
+        let away = self.shell.now().since(since);
+        self.reader.regained(away);
+        let facts = format!("table={} away_ms={}", self.reader.table(), away.as_millis());
+        LogEvent::new(LogEventKind::StoreRegained, facts).emit();
+        self.set_up(1);
+    }
+
+    fn note_loss(&mut self, error: &FeedError) {
+        if self.lost_since.is_some() {
+            return;
+        }
+        self.lost_since = Some(self.shell.now());
+        let facts = format!(
+            "table={} error={:?}",
+            self.reader.table(),
+            error.to_string()
+        );
+        LogEvent::new(LogEventKind::StoreLost, facts).emit();
+        self.set_up(0);
+    }
+
+    fn set_up(&self, up: i64) {
+        let gauge = &self.shell.metrics.store_up;
+        gauge.with_label_values(&[self.reader.table()]).set(up);
+    }
+}
+
+/// Follows a table for ever.
+pub(crate) async fn follow<R: TableReader>(shell: Rc<Shell>, reader: R) {
+    let mut backoff = Backoff::new(Duration::from_millis(50));
+    let mut watch = Watch {
+        shell,
+        reader,
+        seen: None,
+        lost_since: None,
+    };
+    watch.set_up(1);
+    loop {
+        match watch.turn().await {
+            Ok(()) => {
+                watch.note_answer();
+                backoff.reset();
+            }
+            Err(FeedError::HistoryGone) => {
+                let table = watch.reader.table();
+                let after = watch.seen.unwrap_or(0);
+                let facts = format!("table={table} after={after}");
+                LogEvent::new(LogEventKind::HistoryGone, facts).emit();
+                watch.seen = None;
+            }
+            Err(e) => {
+                watch.note_loss(&e);
+                backoff.pause().await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_route/src/event.rs
@@ -0,0 +1,109 @@
+//! Everything a router can be told.
+
+use std::{net::SocketAddr, time::Duration};
+
+use crate::{PeerWork, RequestFacts, RequestKey, ServerChange, SiteConfig};
+
+/// How sending a request to a server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The whole answer was delivered. `healthy` is false for an answer that
+    /// the server gave as its own error.
+    Delivered {
+        /// Whether the answer speaks for the server.
+        healthy: bool,
+    },
+    /// No connection could be made, so that nothing was sent.
+    NotConnected,
+    /// The server said that it did not run the request.
+    NotRun {
+        /// The server at fault, where it is another one.
+        at_fault: Option<SocketAddr>,
+        /// Whether the server's address belongs to another instance by now.
+        moved: bool,
+    },
+    /// The server answered with an error of its own, which is kept and could
+    /// be delivered; the request counts as run.
+    Failed,
+    /// The connection broke or the answer could not be used; the request may
+    /// have run.
+    Broken,
+}
+
+/// One thing that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A configuration came into force.
+    Configured(SiteConfig),
+    /// The register of servers changed.
+    Servers(ServerChange),
+    /// A request arrived whole.
+    Arrived {
+        /// The request.
+        request: RequestKey,
+        /// What is known of it.
+        facts: RequestFacts,
+    },
+    /// The first event of a stream was delivered.
+    Started {
+        /// The request.
+        request: RequestKey,
+    },
+    /// Sending a request to a server ended.
+    AttemptEnded {
+        /// The request.
+        request: RequestKey,
+        /// How.
+        end: AttemptEnd,
+    },
+    /// The caller left, or the request's time is over: nobody waits any more.
+    Abandoned {
+        /// The request.
+        request: RequestKey,
+    },
+    /// A server told its load with an answer: running, waiting, slots.
+    Load {
+        /// The server's address.
+        addr: SocketAddr,
+        /// Requests that run.
+        running: u32,
+        /// Requests that wait.
+        waiting: u32,
+    },
+    /// A peer told what it has at some servers; replaces what it told of them.
+    PeerWork {
+        /// The peer's number on this entry.
+        peer: u32,
+        /// The servers it tells about.
+        servers: Vec<u32>,
+        /// What it has there.
+        work: Vec<PeerWork>,
+    },
+    /// A peer fell silent or started anew: what it told is void.
+    PeerGone {
+        /// The peer's number on this entry.
+        peer: u32,
+    },
+    /// How many entries are alive, this one included.
+    Entries {
+        /// The count.
+        alive: u32,
+    },
+    /// An answer to an order for memory came.
+    Reserved {
+        /// The request.
+        request: RequestKey,
+        /// Whether all of the memory is set aside.
+        granted: bool,
+        /// Whether an order went unanswered, so that it may be carried out
+        /// late.
+        answers_lost: bool,
+    },
+    /// Time passed.
+    Tick,
+    /// The entry was told to stop; new requests are refused after `after`.
+    Draining {
+        /// How long it still takes requests.
+        after: Duration,
+    },
+}
--- /dev/null
+++ b/crates/notchwalk_route/src/fleet.rs
@@ -0,0 +1,238 @@
+//! The backend servers: which exist, which may be given new work, and how they
+//! have answered.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use notchwalk_core::Instant;
+use slotmap::{new_key_type, SlotMap};
+
+new_key_type! {
+    /// A server's place in the fleet.
+    pub struct ServerKey;
+}
+
+/// Failures in a row after which a server gets no work for a while.
+const FAILURES_TO_OPEN: u32 = 2;
+/// The shortest time without work after failures. A crashed server is back
+/// after three to four seconds on the deployments known.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(500);
+/// The longest time without work after failures.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// Weight of a new observation in the failure rate.
+const FAILURE_WEIGHT: f64 = 0.12;
+
+/// What a server says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerStage {
+    /// It takes requests.
+    Ready,
+    /// It leaves and takes no new requests.
+    Leaving,
+}
+
+/// A server as it registered itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerRecord {
+    /// The id of this life of the server.
+    pub instance: String,
+    /// Its service.
+    pub service: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// What it says of itself.
+    pub stage: ServerStage,
+}
+
+/// A change of the register of servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ServerChange {
+    /// A server registered or changed its record.
+    Present(ServerRecord),
+    /// The server with this instance id is gone.
+    Gone(String),
+    /// The whole register; servers that are not in it are gone.
+    Whole(Vec<ServerRecord>),
+}
+
+/// A server and what is known of it.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Its record.
+    pub record: ServerRecord,
+    /// A short id that all entries derive alike.
+    pub tag: u32,
+    /// Requests in a row that failed.
+    failures: u32,
+    /// Running mean of failures, 0 to 1.
+    pub failure_rate: f64,
+    /// No work before this time.
+    pub closed_until: Instant,
+    /// When it left the register while the register was in doubt.
+    pub missing_since: Option<Instant>,
+}
+
+impl Server {
+    fn new(record: ServerRecord) -> Self {
+        Self {
+            tag: tag_of(&record.instance),
+            record,
+            failures: 0,
+            failure_rate: 0.0,
+            closed_until: Instant::ZERO,
+            missing_since: None,
+        }
+    }
+
+    /// Tells whether the server may be given new work.
+    pub fn takes_work(&self, now: Instant) -> bool {
+        self.record.stage == ServerStage::Ready && now >= self.closed_until
+    }
+
+    /// Tells whether it may be given work when no better server is left.
+    pub fn is_last_resort(&self) -> bool {
+        self.record.stage == ServerStage::Ready
+    }
+}
+
+/// Derives the short id of an instance (FNV-1a, 32 bits): it only has to agree
+/// between entries and to differ between the servers of one fleet.
+fn tag_of(instance: &str) -> u32 {
+    const OFFSET: u32 = 0x811c_9dc5;
+    const PRIME: u32 = 0x0100_0193;
+    instance.bytes().fold(OFFSET, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(PRIME)
+    })
+}
+
+/// All servers.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    servers: SlotMap<ServerKey, Server>,
+    by_instance: HashMap<String, ServerKey>,
+    by_tag: HashMap<u32, ServerKey>,
+    by_service: HashMap<String, Vec<ServerKey>>,
+}
+
+impl Fleet {
+    /// Applies a change; returns the servers that are gone.
+    pub fn apply(&mut self, change: ServerChange) -> Vec<ServerKey> {
+        match change {
+            ServerChange::Present(record) => {
+                self.upsert(record);
+                Vec::new()
+            }
+            ServerChange::Gone(instance) => self.remove(&instance).into_iter().collect(),
+            ServerChange::Whole(records) => {
+                let mut gone = Vec::new();
+                let known: Vec<String> = self.by_instance.keys().cloned().collect();
+                for instance in known {
+                    if records.iter().any(|record| record.instance == instance) {
+                        continue;
+                    }
+                    gone.extend(self.remove(&instance));
+                }
+                for record in records {
+                    self.upsert(record);
+                }
+                gone
+            }
+        }
+    }
+
+    fn upsert(&mut self, record: ServerRecord) {
+        if let Some(&key) = self.by_instance.get(&record.instance) {
+            let server = &mut self.servers[key];
+            server.missing_since = None;
+            // A server that said it leaves does not come back in this life.
+            if server.record.stage == ServerStage::Leaving {
+                return;
+            }
+            server.record = record;
+            return;
+        }
+        let (instance, service) = (record.instance.clone(), record.service.clone());
+        let server = Server::new(record);
+        let tag = server.tag;
+        let key = self.servers.insert(server);
+        self.by_instance.insert(instance, key);
+        self.by_tag.insert(tag, key);
+        let keys = self.by_service.entry(service).or_default();
+        keys.push(key);
+        let servers = &self.servers;
+        keys.sort_by_key(|&key| servers[key].tag);
+    }
+
+    fn remove(&mut self, instance: &str) -> Option<ServerKey> {
+        let key = self.by_instance.remove(instance)?;
+        let server = self.servers.remove(key)?;
+        self.by_tag.remove(&server.tag);
+        if let Some(keys) = self.by_service.get_mut(&server.record.service) {
+            keys.retain(|&other| other != key);
+        }
+        Some(key)
+    }
+
+    /// Returns a server that still exists.
+    pub fn get(&self, key: ServerKey) -> Option<&Server> {
+        self.servers.get(key)
+    }
+
+    /// Returns the servers of a service, in an order that all entries share.
+    pub fn of_service(&self, service: &str) -> &[ServerKey] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the server with this short id.
+    pub fn by_tag(&self, tag: u32) -> Option<ServerKey> {
+        self.by_tag.get(&tag).copied()
+    }
+
+    /// Returns the server at this address.
+    pub fn by_addr(&self, addr: SocketAddr) -> Option<ServerKey> {
+        let mut servers = self.servers.iter();
+        let found = servers.find(|(_, server)| server.record.addr == addr);
+        found.map(|(key, _)| key)
+    }
+
+    /// Returns all servers.
+    pub fn iter(&self) -> impl Iterator<Item = (ServerKey, &Server)> {
+        self.servers.iter()
+    }
+
+    /// Notes that a server answered as it should.
+    pub fn note_success(&mut self, key: ServerKey) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        server.failures = 0;
+        server.failure_rate -= FAILURE_WEIGHT * server.failure_rate;
+    }
+
+    /// Notes that a server failed; returns how long it gets no work, if it was
+    /// just closed.
+    pub fn note_failure(&mut self, key: ServerKey, now: Instant) -> Option<Duration> {
+        let server = self.servers.get_mut(key)?;
+        server.failures += 1;
+        server.failure_rate += FAILURE_WEIGHT * (1.0 - server.failure_rate);
+        if server.failures < FAILURES_TO_OPEN || now < server.closed_until {
+            return None;
+        }
+        let doublings = (server.failures - FAILURES_TO_OPEN).min(3);
+        let pause = (SHORTEST_PAUSE * 2u32.pow(doublings)).min(LONGEST_PAUSE);
+        server.closed_until = now.after(pause);
+        Some(pause)
+    }
+
+    /// Notes that nothing reaches a server: it is closed at once.
+    pub fn note_unreachable(&mut self, key: ServerKey, now: Instant) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        server.failures = server.failures.max(FAILURES_TO_OPEN);
+        self.note_failure(key, now);
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_route/src/lib.rs
@@ -0,0 +1,46 @@
+//! Decisions about routed requests: requests whose bodies are opaque and that
+//! are forwarded to a backend server of the service their route names.
+//!
+//! [`Router::step`] takes one [`Event`] and appends [`Effect`]s. It has no
+//! clock, no I/O and no thread, and draws its random numbers from a seed, so
+//! that a recorded stream of events replays to the same effects.
+//!
+//! | file | what it decides |
+//! |---|---|
+//! | `site` | what an operator configures: routes, services, workspaces, limits |
+//! | `routes` | which route a request takes, and whose key it carries |
+//! | `fleet` | which backend servers exist and which may be used |
+//! | `board` | what runs on each server, by this entry and by its peers |
+//! | `engine_cost` | what work costs on a model engine |
+//! | `placement` | which server, and which helpers, a request goes to |
+//! | `reservations` | memory set aside on engines for the longest prompts |
+//! | `retry_budget` | how many repeated sends an entry may make |
+//! | `router` | the reducer |
+
+mod board;
+mod effect;
+mod engine_cost;
+mod event;
+mod fleet;
+mod placement;
+mod request;
+mod reservations;
+mod retry_budget;
+mod router;
+mod routes;
+mod site;
+
+pub mod prelude;
+
+pub use board::{Board, PeerWork, WorkPhase};
+pub use effect::{Assignment, Effect, Helper, Refusal, ReservationOrder};
+pub use engine_cost::EngineCost;
+pub use event::{AttemptEnd, Event};
+pub use fleet::{Fleet, Server, ServerChange, ServerKey, ServerRecord, ServerStage};
+pub use request::{RequestFacts, RequestKey};
+pub use retry_budget::RetryBudget;
+pub use router::{Router, RouterConfig};
+pub use routes::{RouteLookup, RouteTable};
+pub use site::{
+    Backend, ClientLimits, EngineParameters, Repeatability, Route, Service, SiteConfig, Workspace,
+};
--- /dev/null
+++ b/crates/notchwalk_route/src/reservations.rs
@@ -0,0 +1,119 @@
+//! Memory set aside on engines for prompts that exceed one engine.
+//!
+//! A reservation lasts [`HOLD`] and is renewed while its request lives, so
+//! that those of an entry that died lapse by themselves. Reservations are
+//! placed all or none, in the order of the servers' addresses, and given back
+//! at once when the request ended. An order whose answer was lost may be
+//! carried out late, so giving back is repeated for a while.
+
+use std::time::Duration;
+
+use notchwalk_core::Instant;
+
+use crate::{RequestKey, ReservationOrder};
+
+/// How long a reservation holds without renewal. A dead entry's memory must be
+/// free four seconds after its request ended.
+pub(crate) const HOLD: Duration = Duration::from_millis(3_400);
+/// How often a reservation in use is renewed.
+const RENEW_EVERY: Duration = Duration::from_millis(1_100);
+/// How often giving back is repeated.
+const REPEAT_EVERY: Duration = Duration::from_millis(1_500);
+/// For how long giving back is repeated when an order's answer was lost: such
+/// an order can be carried out up to twelve seconds later.
+const REPEAT_FOR: Duration = Duration::from_secs(13);
+
+#[derive(Debug)]
+struct Held {
+    request: RequestKey,
+    order: ReservationOrder,
+    renew_at: Instant,
+}
+
+#[derive(Debug)]
+struct GivenBack {
+    order: ReservationOrder,
+    again_at: Instant,
+    until: Instant,
+}
+
+/// The reservations of this entry.
+#[derive(Debug, Default)]
+pub(crate) struct Reservations {
+    held: Vec<Held>,
+    given_back: Vec<GivenBack>,
+}
+
+impl Reservations {
+    /// Keeps reservations alive from now on.
+    pub fn hold(&mut self, request: RequestKey, orders: &[ReservationOrder], now: Instant) {
+        for order in orders {
+            self.held.push(Held {
+                request,
+                order: order.clone(),
+                renew_at: now.after(RENEW_EVERY),
+            });
+        }
+    }
+
+    /// Ends the reservations of a request; returns the orders that do.
+    /// `answers_lost` tells that an order for it went unanswered.
+    pub fn give_back(
+        &mut self,
+        request: RequestKey,
+        answers_lost: bool,
+        now: Instant,
+    ) -> Vec<ReservationOrder> {
+        let mut orders = Vec::new();
+        self.held.retain(|held| {
+            if held.request != request {
+                return true;
+            }
+            let tokens = None;
+            orders.push(ReservationOrder {
+                tokens,
+                ..held.order.clone()
+            });
+            false
+        });
+        for order in &orders {
+            let repeat = if answers_lost {
+                REPEAT_FOR
+            } else {
+                REPEAT_EVERY
+            };
+            self.given_back.push(GivenBack {
+                order: order.clone(),
+                again_at: now.after(REPEAT_EVERY),
+                until: now.after(repeat),
+            });
+        }
+        orders
+    }
+
+    /// Returns the orders that are due: renewals and repeated givings back.
+    pub fn due(&mut self, now: Instant) -> Vec<(Option<RequestKey>, ReservationOrder)> {
+        let mut due = Vec::new();
+        for held in &mut self.held {
+            if now < held.renew_at {
+                continue;
+            }
+            held.renew_at = now.after(RENEW_EVERY);
+            due.push((Some(held.request), held.order.clone()));
+        }
+        for given in &mut self.given_back {
+            if now < given.again_at {
+                continue;
+            }
+            given.again_at = now.after(REPEAT_EVERY);
+            due.push((None, given.order.clone()));
+        }
+        self.given_back.retain(|given| now < given.until);
+        due
+    }
+
+    /// Returns all reservations in use.
+    pub fn count(&self) -> usize {
+        self.held.len()
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_route/src/router.rs
@@ -0,0 +1,528 @@
+//! The reducer: one event in, effects out.
+
+use std::{collections::HashMap, time::Duration};
+
+use notchwalk_core::Instant;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use slotmap::SlotMap;
+
+use crate::{
+    board::{Owner, Work, NO_PAUSE_MS},
+    placement::{place_call, Demand, EnginePlacement, Plan},
+    request::Request,
+    reservations::Reservations,
+    Assignment, AttemptEnd, Board, Effect, Event, Fleet, Helper, Refusal, RequestFacts, RequestKey,
+    RetryBudget, RouteTable, ServerChange, ServerKey, Service, SiteConfig, WorkPhase,
+};
+
+/// How long a peer's work counts after it was last heard of.
+const PEER_SILENCE: Duration = Duration::from_secs(3);
+/// Sends of one request at most, refused ones included, as a multiple of the
+/// servers it may run on.
+const SENDS_PER_ATTEMPT: u32 = 3;
+/// Time below which a request is not sent once more: a server would hardly
+/// begin with it.
+const LEAST_TIME_LEFT: Duration = Duration::from_millis(60);
+/// The rank on the server when neither workspace nor route says more.
+const SHORT_RANK: u8 = 2;
+const LONG_RANK: u8 = 5;
+
+/// Settings of a router.
+#[derive(Clone, Debug)]
+pub struct RouterConfig {
+    /// This entry's failure domain.
+    pub failure_domain: String,
+    /// Repeated sends allowed for each request.
+    pub retry_ratio: f64,
+    /// Repeated sends allowed besides, over all entries.
+    pub retry_slack: f64,
+    /// The window over which both are counted.
+    pub retry_window: Duration,
+    /// Seed of its random numbers.
+    pub seed: u64,
+}
+
+/// Decides where requests go. See the crate's page.
+#[derive(Debug)]
+pub struct Router {
+    config: RouterConfig,
+    routes: RouteTable,
+    services: HashMap<String, Service>,
+    version: u64,
+    fleet: Fleet,
+    board: Board,
+    budget: RetryBudget,
+    entries: u32,
+    requests: SlotMap<RequestKey, Option<Request>>,
+    reservations: Reservations,
+    draining_from: Option<Instant>,
+    rng: Pcg64Mcg,
+}
+
+impl Router {
+    /// Builds a router that knows neither configuration nor servers.
+    pub fn new(config: RouterConfig) -> Self {
+        Self {
+            budget: RetryBudget::new(config.retry_ratio, config.retry_slack, config.retry_window),
+            rng: Pcg64Mcg::seed_from_u64(config.seed),
+            config,
+            routes: RouteTable::default(),
+            services: HashMap::new(),
+            version: 0,
+            fleet: Fleet::default(),
+            board: Board::default(),
+            entries: 1,
+            requests: SlotMap::with_key(),
+            reservations: Reservations::default(),
+            draining_from: None,
+        }
+    }
+
+    /// Returns the version of the configuration in force, 0 for none.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the routes in force.
+    pub fn routes(&self) -> &RouteTable {
+        &self.routes
+    }
+
+    /// Returns the servers.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Returns what runs on the servers.
+    pub fn board(&self) -> &Board {
+        &self.board
+    }
+
+    /// Returns this entry's own work on the servers where it changed, and
+    /// those servers' short ids.
+    pub fn take_changed_work(&mut self, now: Instant) -> (Vec<u32>, Vec<crate::PeerWork>) {
+        let changed = self.board.take_changed();
+        self.own_work(changed.into_iter(), now)
+    }
+
+    /// Returns this entry's own work on all servers.
+    pub fn all_own_work(&self, now: Instant) -> (Vec<u32>, Vec<crate::PeerWork>) {
+        self.own_work(self.fleet.iter().map(|(key, _)| key), now)
+    }
+
+    fn own_work(
+        &self,
+        servers: impl Iterator<Item = ServerKey>,
+        now: Instant,
+    ) -> (Vec<u32>, Vec<crate::PeerWork>) {
+        let (mut tags, mut work) = (Vec::new(), Vec::new());
+        for key in servers {
+            let Some(server) = self.fleet.get(key) else {
+                continue;
+            };
+            tags.push(server.tag);
+            work.extend(self.board.own_work(key, server.tag, now));
+        }
+        (tags, work)
+    }
+
+    /// Returns the requests that are being served.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns the reservations in use.
+    pub fn reservations(&self) -> usize {
+        self.reservations.count()
+    }
+
+    /// Makes a key for a request that is about to arrive.
+    pub fn new_request(&mut self) -> RequestKey {
+        self.requests.insert(None)
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn step(&mut self, now: Instant, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Configured(site) => self.configure(&site),
+            Event::Servers(change) => self.servers_changed(change, now),
+            Event::Arrived { request, facts } => self.arrived(request, facts, now, out),
+            Event::Started { request } => self.started(request),
+            Event::AttemptEnded { request, end } => self.attempt_ended(request, end, now, out),
+            Event::Abandoned { request } => self.forget(request, now, out),
+            Event::Load { .. } => {}
+            Event::PeerWork {
+                peer,
+                servers,
+                work,
+            } => self.peer_work(peer, &servers, work, now),
+            Event::PeerGone { peer } => self.board.forget_peer(peer),
+            Event::Entries { alive } => self.entries = alive.max(1),
+            Event::Reserved { .. } => {}
+            Event::Tick => self.tick(now, out),
+            Event::Draining { after } => self.draining_from = Some(now.after(after)),
+        }
+    }
+
+    fn configure(&mut self, site: &SiteConfig) {
+        if site.version < self.version {
+            return;
+        }
+        self.version = site.version;
+        self.routes = RouteTable::new(site);
+        let services = site.services.iter().cloned();
+        self.services = services.map(|s| (s.name.clone(), s)).collect();
+    }
+
+    fn servers_changed(&mut self, change: ServerChange, _now: Instant) {
+        for key in self.fleet.apply(change) {
+            self.board.forget_server(key);
+        }
+    }
+
+    fn peer_work(&mut self, peer: u32, servers: &[u32], work: Vec<crate::PeerWork>, now: Instant) {
+        let fleet = &self.fleet;
+        let keys: Vec<ServerKey> = servers.iter().filter_map(|&t| fleet.by_tag(t)).collect();
+        let known = work.into_iter();
+        let known = known.filter_map(|work| Some((fleet.by_tag(work.server)?, work)));
+        self.board.replace_peer(peer, &keys, known, now);
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        self.board.forget_silent_peers(now.before(PEER_SILENCE));
+        for (_, order) in self.reservations.due(now) {
+            out.push(Effect::Release(order));
+        }
+    }
+
+    fn arrived(
+        &mut self,
+        key: RequestKey,
+        facts: RequestFacts,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let service = self.choose_service(&facts);
+        let request = Request::new(facts, service);
+        if let Some(slot) = self.requests.get_mut(key) {
+            *slot = Some(request);
+        }
+        if self.version == 0 {
+            return self.refuse(key, Refusal::NotReady, now, out);
+        }
+        if self.draining_from.is_some_and(|from| now >= from) {
+            return self.refuse(key, Refusal::Draining, now, out);
+        }
+        self.send(key, now, out);
+    }
+
+    /// Draws one of the route's services by weight.
+    fn choose_service(&mut self, facts: &RequestFacts) -> String {
+        let backends = &facts.route.backends;
+        let total: u32 = backends.iter().map(|backend| backend.weight).sum();
+        if total == 0 {
+            return backends
+                .first()
+                .map(|b| b.service.clone())
+                .unwrap_or_default();
+        }
+        let mut drawn = self.rng.random_range(0..total);
+        for backend in backends {
+            if drawn < backend.weight {
+                return backend.service.clone();
+            }
+            drawn -= backend.weight;
+        }
+        String::new()
+    }
+
+    fn plan(&self, request: &Request, now: Instant) -> Option<Plan> {
+        let parameters = self.services.get(&request.service);
+        let parameters = parameters.and_then(|service| service.engine.as_ref());
+        let (fleet, board) = (&self.fleet, &self.board);
+        let Some(parameters) = parameters else {
+            let near = &self.config.failure_domain;
+            return place_call(fleet, board, &request.service, near, &request.tried, now);
+        };
+        let placement = EnginePlacement {
+            parameters,
+            fleet,
+            board,
+            now,
+        };
+        let demand = Demand::new(&request.facts, now);
+        placement.place(&request.service, &demand, &request.tried)
+    }
+
+    fn send(&mut self, key: RequestKey, now: Instant, out: &mut Vec<Effect>) {
+        let Some(Some(request)) = self.requests.get(key) else {
+            return;
+        };
+        let Some(plan) = self.plan(request, now) else {
+            let reason = match request.ran_on {
+                0 if request.sends > 0 => Refusal::NotRun,
+                0 => Refusal::NoServer,
+                _ => Refusal::Unknown,
+            };
+            return self.refuse(key, reason, now, out);
+        };
+        let first_send = request.sends == 0;
+        if first_send {
+            self.budget.note_first(now);
+        }
+        let Some(assignment) = self.assign(key, &plan, now) else {
+            return self.refuse(key, Refusal::NoServer, now, out);
+        };
+        out.push(Effect::Send {
+            request: key,
+            to: assignment,
+        });
+    }
+
+    fn assign(&mut self, key: RequestKey, plan: &Plan, now: Instant) -> Option<Assignment> {
+        let request = self.requests.get_mut(key)?.as_mut()?;
+        let server = self.fleet.get(plan.server)?;
+        let is_engine = request.facts.prompt_tokens > 0;
+        request.sent_at = now;
+        request.predicted_first = now.after(Duration::from_secs_f64(plan.first_ms / 1e3));
+        request.at = Some(plan.server);
+        request.helpers = plan.helpers.clone();
+        request.tried.push(plan.server);
+        request.started = false;
+        request.sends += 1;
+        let pause = request.facts.route.pause_objective;
+        let pause_ms = pause.map_or(NO_PAUSE_MS, |pause| pause.as_secs_f64() * 1e3);
+        let prompt = f64::from(request.facts.prompt_tokens);
+        let work = Work {
+            owner: Owner::Own(key),
+            phase: if is_engine {
+                WorkPhase::Reading
+            } else {
+                WorkPhase::Calling
+            },
+            context_tokens: prompt,
+            read_ms: plan.part_ms,
+            pause_ms,
+            since: now,
+            read_by: request.predicted_first,
+        };
+        let assignment = Assignment {
+            server: plan.server,
+            addr: server.record.addr,
+            instance: server.record.instance.clone(),
+            helpers: Vec::new(),
+            priority: rank(&request.facts, prompt),
+            deadline: request.facts.deadline,
+            resent: request.sends - 1,
+            predicted_first: request.predicted_first.since(now),
+            first_silence: first_silence(request, now),
+            pause_silence: pause_silence(request),
+        };
+        self.board.add(plan.server, work);
+        let mut helpers = Vec::with_capacity(plan.helpers.len());
+        for &helper in &plan.helpers {
+            let Some(server) = self.fleet.get(helper) else {
+                continue;
+            };
+            helpers.push(Helper {
+                addr: server.record.addr,
+                reservation: None,
+            });
+            let part = Work {
+                phase: WorkPhase::Helping,
+                context_tokens: 0.0,
+                ..work
+            };
+            self.board.add(helper, part);
+        }
+        Some(Assignment {
+            helpers,
+            ..assignment
+        })
+    }
+
+    fn started(&mut self, key: RequestKey) {
+        let Some(Some(request)) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.started = true;
+        let Some(server) = request.at else {
+            return;
+        };
+        self.board.set_phase(server, key, WorkPhase::Writing);
+        for helper in std::mem::take(&mut request.helpers) {
+            self.board.remove(helper, key);
+        }
+        self.fleet.note_success(server);
+    }
+
+    /// Takes a request off the servers that it was on.
+    fn lift(&mut self, key: RequestKey) {
+        let Some(Some(request)) = self.requests.get_mut(key) else {
+            return;
+        };
+        let helpers = std::mem::take(&mut request.helpers);
+        for server in request.at.take().into_iter().chain(helpers) {
+            self.board.remove(server, key);
+        }
+    }
+
+    fn forget(&mut self, key: RequestKey, now: Instant, out: &mut Vec<Effect>) {
+        self.lift(key);
+        for order in self.reservations.give_back(key, false, now) {
+            out.push(Effect::Release(order));
+        }
+        self.requests.remove(key);
+    }
+
+    fn refuse(&mut self, key: RequestKey, reason: Refusal, now: Instant, out: &mut Vec<Effect>) {
+        self.forget(key, now, out);
+        let retry_after = match reason {
+            Refusal::NotReady => Some(Duration::from_millis(500)),
+            Refusal::Draining => Some(Duration::from_millis(50)),
+            Refusal::NoServer | Refusal::Overloaded | Refusal::NotRun => {
+                Some(Duration::from_millis(300))
+            }
+            Refusal::Unknown | Refusal::TimedOut => None,
+        };
+        out.push(Effect::Refuse {
+            request: key,
+            reason,
+            retry_after,
+        });
+    }
+
+    fn attempt_ended(
+        &mut self,
+        key: RequestKey,
+        end: AttemptEnd,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(Some(request)) = self.requests.get_mut(key) else {
+            return;
+        };
+        let server = request.at;
+        if matches!(end, AttemptEnd::Broken | AttemptEnd::Failed) {
+            request.ran_on += 1;
+        }
+        self.judge_server(server, end, now, out);
+        self.lift(key);
+        if matches!(end, AttemptEnd::Delivered { .. }) {
+            return self.forget(key, now, out);
+        }
+        if self.may_resend(key, end, now) {
+            return self.send(key, now, out);
+        }
+        self.give_up(key, end, now, out);
+    }
+
+    fn judge_server(
+        &mut self,
+        server: Option<ServerKey>,
+        end: AttemptEnd,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(server) = server else {
+            return;
+        };
+        let at_fault = match end {
+            AttemptEnd::Delivered { healthy: true } => return self.fleet.note_success(server),
+            AttemptEnd::Delivered { healthy: false } => return,
+            AttemptEnd::NotRun {
+                at_fault: Some(addr),
+                ..
+            } => self.fleet.by_addr(addr),
+            AttemptEnd::NotRun { moved: true, .. } => Some(server),
+            AttemptEnd::NotRun { .. } => return,
+            AttemptEnd::Failed => None,
+            AttemptEnd::NotConnected => {
+                self.fleet.note_unreachable(server, now);
+                None
+            }
+            AttemptEnd::Broken => Some(server),
+        };
+        let Some(at_fault) = at_fault else {
+            return;
+        };
+        if let Some(pause) = self.fleet.note_failure(at_fault, now) {
+            out.push(Effect::Closed {
+                server: at_fault,
+                pause,
+            });
+        }
+    }
+
+    fn may_resend(&mut self, key: RequestKey, end: AttemptEnd, now: Instant) -> bool {
+        let Some(Some(request)) = self.requests.get(key) else {
+            return false;
+        };
+        let attempts = request.facts.route.max_attempts;
+        if request.left(now) < LEAST_TIME_LEFT || request.sends >= attempts * SENDS_PER_ATTEMPT {
+            return false;
+        }
+        if request.ran_on > 0 && !request.may_repeat() {
+            return false;
+        }
+        if request.ran_on >= attempts {
+            return false;
+        }
+        // A send that reached no server costs no server anything.
+        if end == AttemptEnd::NotConnected {
+            return true;
+        }
+        self.budget.take(now, self.entries)
+    }
+
+    fn give_up(&mut self, key: RequestKey, end: AttemptEnd, now: Instant, out: &mut Vec<Effect>) {
+        let Some(Some(request)) = self.requests.get(key) else {
+            return;
+        };
+        if end == AttemptEnd::Failed {
+            self.forget(key, now, out);
+            out.push(Effect::DeliverFailure { request: key });
+            return;
+        }
+        let reason = match request.ran_on {
+            0 => Refusal::NotRun,
+            _ => Refusal::Unknown,
+        };
+        self.refuse(key, reason, now, out);
+    }
+}
+
+/// Returns the rank of a request on its server: workspaces before routes, short
+/// work before long.
+fn rank(facts: &RequestFacts, prompt_tokens: f64) -> u8 {
+    const LONG_PROMPT_TOKENS: f64 = 24_000.0;
+    let by_size = if prompt_tokens > LONG_PROMPT_TOKENS {
+        LONG_RANK
+    } else {
+        SHORT_RANK
+    };
+    (by_size + facts.workspace_priority.min(2)).min(9)
+}
+
+/// Returns how long a server may say nothing before the request goes to
+/// another one; `None` for a request that may run once only.
+fn first_silence(request: &Request, now: Instant) -> Option<Duration> {
+    /// Time beyond the prediction that a sound server may take.
+    const GRACE: Duration = Duration::from_millis(900);
+    if !request.may_repeat() {
+        return None;
+    }
+    Some(request.predicted_first.since(now) * 2 + GRACE)
+}
+
+/// Returns how long a stream may pause before it is resumed elsewhere.
+fn pause_silence(request: &Request) -> Option<Duration> {
+    /// Callers give a stream up after two seconds at the earliest.
+    const LEAST: Duration = Duration::from_millis(1_200);
+    if !request.may_repeat() {
+        return None;
+    }
+    let pause = request.facts.route.pause_objective?;
+    Some((pause * 4).max(LEAST))
+}
