Log of a request's end counts the events passed on

Cause: the pace of a stream could not be read from the logs. Ruled out: a longer mean answer, by the count.

--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -50,6 +50,8 @@
     pub last_at: Option<Instant>,
     /// The longest pause between two events.
     pub longest_pause: Duration,
+    /// Times that events were passed on.
+    pub passes: u32,
     /// Sends to servers.
     pub sends: u32,
     /// An error of a server's own.
@@ -68,6 +70,7 @@
             first_at: None,
             last_at: None,
             longest_pause: Duration::ZERO,
+            passes: 0,
             sends: 0,
             failure: None,
             splitter: EventSplitter::default(),
@@ -77,6 +80,7 @@
 
     fn note_sent(&mut self, now: Instant) {
         self.first_at.get_or_insert(now);
+        self.passes += 1;
         if let Some(last) = self.last_at {
             self.longest_pause = self.longest_pause.max(now.since(last));
         }
--- a/crates/notchwalk_relay/src/front.rs
+++ b/crates/notchwalk_relay/src/front.rs
@@ -414,11 +414,12 @@
             histogram.observe(first.as_secs_f64());
         }
         let facts = format!(
-            "request={} route={} outcome={word} sends={} first_ms={} longest_pause_ms={} total_ms={}",
+            "request={} route={} outcome={word} sends={} first_ms={} passes={} longest_pause_ms={} total_ms={}",
             served.id(),
             served.route,
             delivery.sends,
             first.map_or(-1, |first| first.as_millis() as i64),
+            delivery.passes,
             delivery.longest_pause.as_millis(),
             total.as_millis(),
         );
