--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -109,23 +109,36 @@
 }
 
 /// Waits for `future`, for the caller to leave, for the request's deadline and
-/// for a silence of the server that is too long.
+/// for a silence of the server that is too long. The silence ends the wait only
+/// if another server could be tried.
 async fn await_server<T>(
     shell: &Shell,
     exchange: &mut Exchange,
-    deadline: Instant,
+    served: &Served,
     silence: Option<Duration>,
     future: impl std::future::Future<Output = T>,
 ) -> Awaited<T> {
-    let left = deadline.since(shell.now());
-    let (wait, at_end) = match silence {
-        Some(silence) if silence < left => (silence, Awaited::Silent),
-        _ => (left, Awaited::TimedOut),
-    };
-    monoio::select! {
-        done = future => Awaited::Done(done),
-        () = exchange.peer_closed() => Awaited::CallerLeft,
-        () = monoio::time::sleep(wait) => at_end,
+    let mut future = std::pin::pin!(future);
+    let mut silence = silence;
+    loop {
+        let left = served.deadline.since(shell.now());
+        let wait = silence.map_or(left, |silence| silence.min(left));
+        monoio::select! {
+            done = &mut future => return Awaited::Done(done),
+            () = exchange.peer_closed() => return Awaited::CallerLeft,
+            () = monoio::time::sleep(wait) => {}
+        }
+        if wait >= left {
+            return Awaited::TimedOut;
+        }
+        if shell
+            .router
+            .borrow()
+            .may_try_another(served.key, shell.now())
+        {
+            return Awaited::Silent;
+        }
+        silence = None;
     }
 }
 
@@ -224,7 +237,7 @@
             _ => Err(e.into()),
         }
     };
-    await_server(shell, exchange, served.deadline, to.first_silence, send).await
+    await_server(shell, exchange, served, to.first_silence, send).await
 }
 
 /// Reads the head of the answer to this request, passing over answers to
@@ -278,7 +291,7 @@
     let status = answer.status;
     let headers = end_to_end_headers(&mut answer.headers);
     let read = answer.whole(MAX_WHOLE_ANSWER_BYTES);
-    let body = match await_server(shell, exchange, served.deadline, None, read).await {
+    let body = match await_server(shell, exchange, served, None, read).await {
         Awaited::Done(Ok(whole)) => whole.body,
         Awaited::Done(Err(_)) | Awaited::Silent => return Attempted::Ended(AttemptEnd::Broken),
         Awaited::CallerLeft => return Attempted::CallerLeft,
@@ -317,7 +330,7 @@
     let mut started = false;
     loop {
         let next = answer.next();
-        let piece = match await_server(shell, exchange, served.deadline, silence, next).await {
+        let piece = match await_server(shell, exchange, served, silence, next).await {
             Awaited::Done(Ok(piece)) => piece,
             Awaited::Done(Err(_)) | Awaited::Silent => {
                 delivery.splitter.drop_partial();
--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -133,6 +133,7 @@
     ) -> Result<Self, RelayError> {
         let boot = boot_number();
         let router = Router::new(RouterConfig {
+            name: settings.name.clone(),
             failure_domain: settings.failure_domain.clone(),
             retry_ratio: settings.retry_ratio,
             retry_slack: settings.retry_slack,
--- a/crates/notchwalk_relay/src/engine_orders.rs
+++ b/crates/notchwalk_relay/src/engine_orders.rs
@@ -59,7 +59,7 @@
 
 /// Renews a reservation or gives its memory back. Failures are logged; the
 /// router repeats the order.
-pub(crate) async fn give_back(shell: Rc<Shell>, order: ReservationOrder) {
+pub(crate) async fn send_once(shell: Rc<Shell>, order: ReservationOrder) {
     if let Err(e) = send(&shell, &order).await {
         let facts = format!("reservation={} addr={} reason={e:?}", order.id, order.addr);
         LogEvent::new(LogEventKind::ReservationFailed, facts).emit();
--- a/crates/notchwalk_relay/src/front.rs
+++ b/crates/notchwalk_relay/src/front.rs
@@ -386,11 +386,12 @@
         let now = self.shell.now();
         let version = self.shell.router.borrow().version();
         let facts = format!(
-            "request={} route={} server={} helpers={} resent={} waited_ms={} predicted_ms={:.0} tokens={} config={version} servers_age_ms={}",
+            "request={} route={} server={} helpers={} grounds={:?} resent={} waited_ms={} predicted_ms={:.0} tokens={} config={version} servers_age_ms={}",
             served.id(),
             served.route,
             to.instance,
             to.helpers.len(),
+            to.grounds,
             to.resent,
             now.since(served.arrived).as_millis(),
             to.predicted_first.as_secs_f64() * 1e3,
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -110,8 +110,8 @@
             Effect::Reserve { request, orders } => {
                 monoio::spawn(engine_orders::reserve(self.clone(), request, orders));
             }
-            Effect::Release(order) => {
-                monoio::spawn(engine_orders::give_back(self.clone(), order));
+            Effect::Order(order) => {
+                monoio::spawn(engine_orders::send_once(self.clone(), order));
             }
             Effect::Closed { server, pause } => self.log_closed(server, pause),
         }
--- a/crates/notchwalk_route/src/board.rs
+++ b/crates/notchwalk_route/src/board.rs
@@ -34,6 +34,8 @@
     pub phase: WorkPhase,
     /// Tokens of its prompt held there.
     pub context_tokens: u32,
+    /// Tokens of context that each pass there pays for once it generates.
+    pub pass_tokens: u32,
     /// Time its reading takes there, in milliseconds.
     pub read_ms: u16,
     /// The longest pause that is in time for it, in milliseconds.
@@ -50,6 +52,7 @@
     pub owner: Owner,
     pub phase: WorkPhase,
     pub context_tokens: f64,
+    pub pass_tokens: f64,
     /// Reading at this server, whole, in milliseconds.
     pub read_ms: f64,
     /// Longest pause in time, in milliseconds.
@@ -90,15 +93,22 @@
     pub writers: usize,
     /// Requests that will generate once their prompt is read.
     pub readers: usize,
-    /// Context in tokens that passes pay for.
+    /// Memory in use, in tokens.
     pub context_tokens: f64,
+    /// Context in tokens that passes pay for.
+    pub pass_tokens: f64,
     /// Reading left, in milliseconds.
     pub reading_ms: f64,
+    /// Long prompts that are read here and will generate here; an engine reads
+    /// parts for others before them.
+    pub own_long_reads: usize,
     /// Requests with a tight pause objective.
     pub short: usize,
     /// The tightest pause objective of those that generate, in milliseconds;
     /// infinite without any.
     pub tightest_pause_ms: f64,
+    /// The same over those that still read as well.
+    pub tightest_coming_pause_ms: f64,
     /// Calls of a plain service.
     pub calls: usize,
     /// Prompts being read as a helper.
@@ -186,6 +196,7 @@
                 owner: Owner::Peer(peer),
                 phase: told.phase,
                 context_tokens: told.context_tokens.into(),
+                pass_tokens: told.pass_tokens.into(),
                 read_ms: told.read_ms.into(),
                 pause_ms: told.pause_ms.into(),
                 since,
@@ -222,16 +233,24 @@
     pub fn load(&self, server: ServerKey, now: Instant) -> ServerLoad {
         let mut load = ServerLoad {
             tightest_pause_ms: f64::INFINITY,
+            tightest_coming_pause_ms: f64::INFINITY,
             ..ServerLoad::default()
         };
         for work in self.work.get(server).into_iter().flatten() {
             load.reading_ms += work.reading_left_ms(now);
             let generates = matches!(work.phase, WorkPhase::Reading | WorkPhase::Writing);
+            if generates {
+                let tightest = load.tightest_coming_pause_ms.min(work.pause_ms);
+                load.tightest_coming_pause_ms = tightest;
+            }
             if generates && work.pause_ms <= SHORT_PAUSE_MS {
                 load.short += 1;
             }
             match work.phase {
-                WorkPhase::Reading => load.readers += 1,
+                WorkPhase::Reading => {
+                    load.readers += 1;
+                    load.own_long_reads += usize::from(work.pause_ms > SHORT_PAUSE_MS);
+                }
                 WorkPhase::Writing => {
                     load.writers += 1;
                     load.tightest_pause_ms = load.tightest_pause_ms.min(work.pause_ms);
@@ -241,6 +260,7 @@
                 WorkPhase::Calling => load.calls += 1,
             }
             load.context_tokens += work.context_tokens;
+            load.pass_tokens += work.pass_tokens;
         }
         load
     }
@@ -263,6 +283,7 @@
             server: tag,
             phase: work.phase,
             context_tokens: work.context_tokens as u32,
+            pass_tokens: work.pass_tokens as u32,
             read_ms: saturating_u16(work.read_ms),
             pause_ms: saturating_u16(work.pause_ms),
             age_ms: saturating_u16(now.since(work.since).as_secs_f64() * 1e3),
--- a/crates/notchwalk_route/src/effect.rs
+++ b/crates/notchwalk_route/src/effect.rs
@@ -15,6 +15,19 @@
     pub reservation: Option<String>,
 }
 
+/// Why a request goes where it goes, for logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Grounds {
+    /// The least expected loss among all servers.
+    LeastLoss,
+    /// Engines have room, nobody else becomes late.
+    Room,
+    /// It can't wait any longer and stands for more than others lose by it.
+    Urgent,
+    /// It will be late, within the time that its caller waits.
+    Late,
+}
+
 /// A request's way to a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Assignment {
@@ -30,6 +43,8 @@
     pub priority: u8,
     /// When the caller or the route stops waiting.
     pub deadline: Instant,
+    /// Why it goes there.
+    pub grounds: Grounds,
     /// How often the request was sent before.
     pub resent: u32,
     /// When the first event was predicted to come, from now.
@@ -112,8 +127,8 @@
         /// The orders, all or none.
         orders: Vec<ReservationOrder>,
     },
-    /// Give memory back.
-    Release(ReservationOrder),
+    /// Renew a reservation or give its memory back.
+    Order(ReservationOrder),
     /// A server gets no work for a while.
     Closed {
         /// The server.
--- a/crates/notchwalk_route/src/lib.rs
+++ b/crates/notchwalk_route/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `fleet` | which backend servers exist and which may be used |
 //! | `board` | what runs on each server, by this entry and by its peers |
 //! | `engine_cost` | what work costs on a model engine |
+//! | `long_queue` | which long request is sent next |
 //! | `placement` | which server, and which helpers, a request goes to |
 //! | `reservations` | memory set aside on engines for the longest prompts |
 //! | `retry_budget` | how many repeated sends an entry may make |
@@ -22,6 +23,7 @@
 mod engine_cost;
 mod event;
 mod fleet;
+mod long_queue;
 mod placement;
 mod request;
 mod reservations;
@@ -33,7 +35,7 @@
 pub mod prelude;
 
 pub use board::{Board, PeerWork, WorkPhase};
-pub use effect::{Assignment, Effect, Helper, Refusal, ReservationOrder};
+pub use effect::{Assignment, Effect, Grounds, Helper, Refusal, ReservationOrder};
 pub use engine_cost::EngineCost;
 pub use event::{AttemptEnd, Event};
 pub use fleet::{Fleet, Server, ServerChange, ServerKey, ServerRecord, ServerStage};
--- a/crates/notchwalk_route/src/request.rs
+++ b/crates/notchwalk_route/src/request.rs
@@ -5,7 +5,7 @@
 use notchwalk_core::Instant;
 use slotmap::new_key_type;
 
-use crate::{Repeatability, Route, ServerKey};
+use crate::{Assignment, Repeatability, Route, ServerKey};
 
 new_key_type! {
     /// A request's place in the router.
@@ -47,8 +47,10 @@
     pub at: Option<ServerKey>,
     /// Servers that read parts of its prompt.
     pub helpers: Vec<ServerKey>,
-    /// Memory set aside for it: the server and the reservation's id.
-    pub reserved: Vec<(ServerKey, u64)>,
+    /// The way it goes once memory is set aside for it.
+    pub reserving: Option<Assignment>,
+    /// Whether its prompt lies in reservations.
+    pub holds: bool,
     /// When the first event was predicted to come.
     pub predicted_first: Instant,
     /// When it was sent last.
@@ -69,7 +71,8 @@
             sends: 0,
             at: None,
             helpers: Vec::new(),
-            reserved: Vec::new(),
+            reserving: None,
+            holds: false,
             started: false,
         }
     }
--- a/crates/notchwalk_route/src/retry_budget.rs
+++ b/crates/notchwalk_route/src/retry_budget.rs
@@ -59,13 +59,18 @@
         self.firsts += 1;
     }
 
-    /// Takes one repeated send, if the budget allows it. `entries` share the
+    /// Tells whether one more repeated send is allowed. `entries` share the
     /// slack.
-    pub fn take(&mut self, now: Instant, entries: u32) -> bool {
-        self.forget(now);
+    pub fn has_left(&self, entries: u32) -> bool {
         let slack = self.slack / f64::from(entries.max(1));
         let allowed = USED_SHARE * (self.ratio * f64::from(self.firsts) + slack);
-        if f64::from(self.repeats + 1) > allowed {
+        f64::from(self.repeats + 1) <= allowed
+    }
+
+    /// Takes one repeated send, if the budget allows it.
+    pub fn take(&mut self, now: Instant, entries: u32) -> bool {
+        self.forget(now);
+        if !self.has_left(entries) {
             return false;
         }
         self.sends.push_back((now, true));
