--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -52,6 +52,8 @@
     pub longest_pause: Duration,
     /// Times that events were passed on.
     pub passes: u32,
+    /// Time from arrival to the first event, as predicted at the first send.
+    pub predicted_first: Option<Duration>,
     /// Sends to servers.
     pub sends: u32,
     /// An error of a server's own.
@@ -71,6 +73,7 @@
             last_at: None,
             longest_pause: Duration::ZERO,
             passes: 0,
+            predicted_first: None,
             sends: 0,
             failure: None,
             splitter: EventSplitter::default(),
@@ -151,6 +154,10 @@
     to: &Assignment,
 ) -> Attempted {
     delivery.sends += 1;
+    let waited = shell.now().since(served.arrived);
+    delivery
+        .predicted_first
+        .get_or_insert(waited + to.predicted_first);
     let request = send_and_read_head(shell, served, delivery.last_event, to, exchange);
     let request = request.await;
     let answer = match request {
--- a/crates/notchwalk_relay/src/config_watch.rs
+++ b/crates/notchwalk_relay/src/config_watch.rs
@@ -8,9 +8,10 @@
 
 use crate::{shell::Shell, table_watch::TableReader};
 
-/// How long a question for a newer configuration waits. A configuration must
-/// be in force two seconds after it was accepted.
-const WAIT: Duration = Duration::from_millis(1_900);
+/// How long a question for a newer configuration waits. If its answer gets
+/// lost, the configuration is learned of when the wait is over: a machine must
+/// have it two seconds after it has been in touch for three.
+const WAIT: Duration = Duration::from_millis(3_000);
 
 /// Reads the table that holds the configuration.
 pub(crate) struct ConfigReader {
@@ -61,6 +62,11 @@
         WAIT
     }
 
+    fn is_behind(&self) -> bool {
+        let in_force = self.shell.router.borrow().version();
+        self.shell.peers.borrow().newest_config() > in_force
+    }
+
     fn whole(&mut self, rows: Vec<Row>) {
         self.changed(rows);
     }
--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -48,19 +48,23 @@
 /// callers that were sent here find it.
 const STAYS_FOR: Duration = Duration::from_millis(3_200);
 
-/// What ended or changed the process from outside.
-#[derive(Clone)]
-struct Signals {
-    stop: Arc<AtomicBool>,
-    reload: Arc<AtomicBool>,
+/// What stops or changes the process from outside.
+#[derive(Clone, Debug, Default)]
+pub struct Signals {
+    /// Asks for a drain and the end.
+    pub stop: Arc<AtomicBool>,
+    /// Says that the settings file changed.
+    pub reload: Arc<AtomicBool>,
 }
 
 impl Signals {
-    fn register() -> Result<Self, RelayError> {
-        let signals = Self {
-            stop: Arc::default(),
-            reload: Arc::default(),
-        };
+    /// Has SIGTERM and SIGINT stop the process and SIGHUP reload its settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a handler can't be set up.
+    pub fn from_process() -> Result<Self, RelayError> {
+        let signals = Self::default();
         for signal in [SIGTERM, SIGINT] {
             let registered = signal_hook::flag::register(signal, signals.stop.clone());
             registered.map_err(RelayError::Runtime)?;
@@ -71,50 +75,89 @@
     }
 }
 
-/// Runs the daemon until a signal stops it. `settings_file` is read again on
-/// SIGHUP. `store` builds the platform's client.
+/// What the outside world is to a daemon.
+pub struct Surroundings {
+    /// The settings file, read again on a reload.
+    pub settings_file: PathBuf,
+    /// How callers, servers and rows spell things.
+    pub dialect: Rc<dyn Dialect>,
+    /// The platform's store.
+    pub store: Rc<dyn RowStore>,
+    /// What stops or changes the process.
+    pub signals: Signals,
+}
+
+/// Runs the daemon until a signal stops it. `surroundings` is called on the
+/// daemon's thread, `bound` with the settings as they are in force: ports that
+/// were 0 are the ones that the system chose.
 ///
 /// # Errors
 ///
 /// Fails if the process can't start.
 pub fn run(
     settings: RelaySettings,
-    settings_file: PathBuf,
-    dialect: Rc<dyn Dialect>,
-    store: impl FnOnce(&RelaySettings) -> Rc<dyn RowStore>,
+    surroundings: impl FnOnce(&RelaySettings) -> Surroundings,
+    bound: impl FnOnce(&RelaySettings),
 ) -> Result<(), RelayError> {
-    let signals = Signals::register()?;
     let builder = RuntimeBuilder::<LegacyDriver>::new().enable_timer();
     let mut runtime = builder.build().map_err(RelayError::Runtime)?;
     runtime.block_on(async {
-        let store = store(&settings);
-        let daemon = Daemon::start(settings, settings_file, dialect, store)?;
+        let surroundings = surroundings(&settings);
+        let signals = surroundings.signals.clone();
+        let daemon = Daemon::start(settings, surroundings)?;
+        bound(&daemon.shell.settings);
         daemon.run(signals).await;
         Ok(())
     })
 }
 
+/// The bound sockets of a daemon.
+struct Listeners {
+    caller: TcpListener,
+    ready: TcpListener,
+    directory: TcpListener,
+    operator: TcpListener,
+    peer: UdpSocket,
+}
+
+fn listen(addr: &mut SocketAddr) -> Result<TcpListener, RelayError> {
+    let failed = |source| RelayError::Listen {
+        addr: *addr,
+        source,
+    };
+    let listener = StdListener::bind(*addr).map_err(failed)?;
+    listener.set_nonblocking(true).map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    let listener = TcpListener::from_std(listener).map_err(failed)?;
+    *addr = bound;
+    Ok(listener)
+}
+
+impl Listeners {
+    /// Binds all addresses and writes the ports that were chosen into them.
+    fn bind(settings: &mut RelaySettings) -> Result<Self, RelayError> {
+        let addr = settings.peer;
+        let failed = |source| RelayError::Listen { addr, source };
+        let peer = UdpSocket::bind(addr).map_err(failed)?;
+        settings.peer = peer.local_addr().map_err(failed)?;
+        Ok(Self {
+            caller: listen(&mut settings.caller)?,
+            ready: listen(&mut settings.ready)?,
+            directory: listen(&mut settings.directory)?,
+            operator: listen(&mut settings.operator)?,
+            peer,
+        })
+    }
+}
+
 struct Daemon {
     shell: Rc<Shell>,
     socket: Rc<UdpSocket>,
     settings_file: PathBuf,
 }
 
-fn listen(addr: SocketAddr) -> Result<TcpListener, RelayError> {
-    let failed = |source| RelayError::Listen { addr, source };
-    let listener = StdListener::bind(addr).map_err(failed)?;
-    listener.set_nonblocking(true).map_err(failed)?;
-    TcpListener::from_std(listener).map_err(failed)
-}
-
-fn serve_at(
-    addr: SocketAddr,
-    limits: ServerLimits,
-    service: impl Service,
-) -> Result<(), RelayError> {
-    let listener = listen(addr)?;
+fn serve_at(listener: TcpListener, limits: ServerLimits, service: impl Service) {
     monoio::spawn(serve(listener, limits, Rc::new(service)));
-    Ok(())
 }
 
 /// The boot number: microseconds since 1970, which rise from start to start
@@ -125,12 +168,8 @@
 }
 
 impl Daemon {
-    fn start(
-        settings: RelaySettings,
-        settings_file: PathBuf,
-        dialect: Rc<dyn Dialect>,
-        store: Rc<dyn RowStore>,
-    ) -> Result<Self, RelayError> {
+    fn start(mut settings: RelaySettings, around: Surroundings) -> Result<Self, RelayError> {
+        let listeners = Listeners::bind(&mut settings)?;
         let boot = boot_number();
         let router = Router::new(RouterConfig {
             name: settings.name.clone(),
@@ -141,26 +180,23 @@
             seed: boot,
         });
         let client = Client::new().with_connect_timeout(CONNECT_TIMEOUT);
+        let (dialect, store) = (around.dialect, around.store);
         let shell = Rc::new(Shell::new(settings, boot, router, dialect, store, client));
-        let settings = &shell.settings;
         let limits = ServerLimits {
-            connections: settings.max_descriptors / 2,
+            connections: shell.settings.max_descriptors / 2,
             idle: Duration::from_secs(20),
             head: Duration::from_secs(3),
             body_piece: Duration::from_secs(5),
             write: Duration::from_secs(10),
         };
-        serve_at(settings.caller, limits, Front::new(shell.clone()))?;
-        serve_at(settings.ready, limits, Directory::new(shell.clone()))?;
-        serve_at(settings.directory, limits, Directory::new(shell.clone()))?;
-        serve_at(settings.operator, limits, Operator::new(shell.clone()))?;
-        let addr = settings.peer;
-        let socket = UdpSocket::bind(addr);
-        let socket = Rc::new(socket.map_err(|source| RelayError::Listen { addr, source })?);
+        serve_at(listeners.caller, limits, Front::new(shell.clone()));
+        serve_at(listeners.ready, limits, Directory::new(shell.clone()));
+        serve_at(listeners.directory, limits, Directory::new(shell.clone()));
+        serve_at(listeners.operator, limits, Operator::new(shell.clone()));
         Ok(Self {
             shell,
-            socket,
-            settings_file,
+            socket: Rc::new(listeners.peer),
+            settings_file: around.settings_file,
         })
     }
 
--- a/crates/notchwalk_relay/src/front.rs
+++ b/crates/notchwalk_relay/src/front.rs
@@ -418,6 +418,11 @@
         if let Some(first) = first {
             let histogram = metrics.first_byte.with_label_values(&[&served.route]);
             histogram.observe(first.as_secs_f64());
+            if let Some(predicted) = delivery.predicted_first {
+                let ratio = predicted.as_secs_f64() / first.as_secs_f64().max(1e-3);
+                let histogram = metrics.prediction.with_label_values(&[&served.route]);
+                histogram.observe(ratio);
+            }
         }
         let facts = format!(
             "request={} route={} outcome={word} sends={} first_ms={} passes={} longest_pause_ms={} total_ms={}",
--- a/crates/notchwalk_relay/src/lib.rs
+++ b/crates/notchwalk_relay/src/lib.rs
@@ -29,7 +29,7 @@
 pub mod prelude;
 
 pub use answer::{AnswerFacts, AnswerWord};
-pub use daemon::run;
+pub use daemon::{run, Signals, Surroundings};
 pub use dialect::{BackendRequest, CallerFacts, Dialect, DirectoryAnswer};
 pub use error::RelayError;
 pub use log_sink::start_logging;
--- a/crates/notchwalk_relay/src/prelude.rs
+++ b/crates/notchwalk_relay/src/prelude.rs
@@ -2,5 +2,5 @@
 
 pub use crate::{
     run, start_logging, AnswerFacts, AnswerWord, BackendRequest, CallerFacts, Dialect,
-    DirectoryAnswer, RelayError, RelaySettings,
+    DirectoryAnswer, RelayError, RelaySettings, Signals, Surroundings,
 };
--- a/crates/notchwalk_relay/src/table_watch.rs
+++ b/crates/notchwalk_relay/src/table_watch.rs
@@ -1,9 +1,9 @@
 //! Follows the changes of one table of the platform's store.
 
-use std::{rc::Rc, time::Duration};
+use std::{future::Future, rc::Rc, time::Duration};
 
 use notchwalk_core::{Instant, LogEvent, LogEventKind};
-use notchwalk_platform::{FeedError, Row};
+use notchwalk_platform::{FeedError, PlatformError, Row};
 use rand::Rng;
 
 use crate::shell::Shell;
@@ -51,6 +51,12 @@
     /// Takes changed rows.
     fn changed(&mut self, rows: Vec<Row>);
 
+    /// Tells whether a peer knows more than this entry: then the answer that is
+    /// waited for got lost.
+    fn is_behind(&self) -> bool {
+        false
+    }
+
     /// Hears that the table is known to be current.
     fn current(&mut self) {}
 
@@ -74,6 +80,7 @@
         let mut from = String::new();
         loop {
             let page = self.shell.store.read(self.reader.table(), &from).await?;
+            self.note_answer();
             first_version.get_or_insert(page.version);
             rows.extend(page.rows);
             if !page.more {
@@ -91,7 +98,9 @@
 
     async fn read_changes(&mut self, after: u64) -> Result<(), FeedError> {
         let (table, wait) = (self.reader.table(), self.reader.wait());
-        let page = self.shell.store.changes(table, after, wait).await?;
+        let changes = self.shell.store.changes(table, after, wait);
+        let page = until_behind(&self.reader, changes).await?;
+        self.note_answer();
         self.seen = Some(page.version.max(after));
         if !page.rows.is_empty() {
             self.reader.changed(page.rows);
@@ -108,6 +117,8 @@
         Ok(())
     }
 
+    /// Notes that the store answers, before the reader sees what it answered:
+    /// what is missing after an outage may yet come back.
     fn note_answer(&mut self) {
         let Some(since) = self.lost_since.take() else {
             return;
@@ -139,6 +150,31 @@
     }
 }
 
+/// Waits for changes, but not longer than a peer needs to know of newer ones.
+async fn until_behind<T>(
+    reader: &impl TableReader,
+    changes: impl Future<Output = Result<T, FeedError>>,
+) -> Result<T, FeedError> {
+    /// How often peers' versions are compared.
+    const LOOK_EVERY: Duration = Duration::from_millis(200);
+    /// Looks in a row that must find a peer ahead: an answer that is on its way
+    /// needs no help.
+    const LOOKS: u32 = 2;
+    let mut changes = std::pin::pin!(changes);
+    let mut behind = 0;
+    loop {
+        monoio::select! {
+            page = &mut changes => return page,
+            () = monoio::time::sleep(LOOK_EVERY) => {}
+        }
+        behind = if reader.is_behind() { behind + 1 } else { 0 };
+        if behind >= LOOKS {
+            let reason = "a peer knows of a newer version";
+            return Err(PlatformError::NoAnswer(reason.to_owned()).into());
+        }
+    }
+}
+
 /// Follows a table for ever.
 pub(crate) async fn follow<R: TableReader>(shell: Rc<Shell>, reader: R) {
     let mut backoff = Backoff::new(Duration::from_millis(50));
@@ -151,10 +187,7 @@
     watch.set_up(1);
     loop {
         match watch.turn().await {
-            Ok(()) => {
-                watch.note_answer();
-                backoff.reset();
-            }
+            Ok(()) => backoff.reset(),
             Err(FeedError::HistoryGone) => {
                 let table = watch.reader.table();
                 let after = watch.seen.unwrap_or(0);
--- a/crates/notchwalk_route/src/placement.rs
+++ b/crates/notchwalk_route/src/placement.rs
@@ -9,9 +9,8 @@
 use notchwalk_core::Instant;
 
 use crate::{
-    board::{ServerLoad, NO_PAUSE_MS},
-    engine_cost::EngineCost,
-    Board, EngineParameters, Fleet, Grounds, RequestFacts, ServerKey,
+    board::ServerLoad, engine_cost::EngineCost, Board, EngineParameters, Fleet, Grounds,
+    RequestFacts, ServerKey,
 };
 
 /// Part of a request's worth that is lost when its answer is late; on the
@@ -122,19 +121,16 @@
     pub prompt: f64,
     pub answer: f64,
     pub objective_ms: f64,
-    pub pause_ms: f64,
 }
 
 impl Demand {
     pub fn new(facts: &RequestFacts, now: Instant) -> Self {
         let waited = now.since(facts.arrived).as_secs_f64() * 1e3;
         let objective = facts.route.objective.as_secs_f64() * 1e3;
-        let pause = facts.route.pause_objective;
         Self {
             prompt: f64::from(facts.prompt_tokens),
             answer: f64::from(facts.answer_tokens),
             objective_ms: (objective - waited).max(1.0),
-            pause_ms: pause.map_or(NO_PAUSE_MS, |pause| pause.as_secs_f64() * 1e3),
         }
     }
 }
--- a/crates/notchwalk_route/src/router.rs
+++ b/crates/notchwalk_route/src/router.rs
@@ -770,9 +770,6 @@
     }
 
     fn give_up(&mut self, key: RequestKey, end: AttemptEnd, now: Instant, out: &mut Vec<Effect>) {
-        let Some(Some(request)) = self.requests.get(key) else {
-            return;
-        };
         if end == AttemptEnd::Failed {
             self.forget(key, now, out);
             out.push(Effect::DeliverFailure { request: key });
