Some entries follow the store for all; heartbeats slow down with their number

Ruled out: fewer followers than six, since a cut of some VMs could take them all. Change: one entry in six, six at least, follows the store's changes; the others read when a heartbeat tells of newer versions; records of entries are read once and mended every half minute; heartbeats are arrays, carry the record of the sender only, and come at up to six times the pace among many entries. Short requests fill seven eighths of an engine's slots instead of fourteen requests.

--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -28,7 +28,7 @@
     log_sink,
     operator::Operator,
     peer_link, presence,
-    server_watch::{EntryReader, ServerReader},
+    server_watch::ServerReader,
     shell::{Shell, Stopping},
     table_watch::follow,
     Dialect, RelayError, RelaySettings,
@@ -212,10 +212,6 @@
         };
         monoio::spawn(follow(shell.clone(), config));
         monoio::spawn(follow(shell.clone(), ServerReader::new(shell.clone())));
-        let entries = EntryReader {
-            shell: shell.clone(),
-        };
-        monoio::spawn(follow(shell.clone(), entries));
         monoio::spawn(presence::announce(shell.clone()));
         monoio::spawn(peer_link::hear(shell.clone(), self.socket.clone()));
         monoio::spawn(peer_link::heartbeats(shell.clone(), self.socket.clone()));
--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -10,35 +10,52 @@
 use monoio::net::udp::UdpSocket;
 use notchwalk_core::{Instant, LogEvent, LogEventKind};
 use notchwalk_route::{Event, PeerWork};
-use serde::{Deserialize, Serialize};
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 use crate::{
     presence::PresenceRecord,
     shell::{Shell, Stopping},
 };
 
-/// How often an entry says that it lives.
+/// How often an entry says that it lives, among up to [`FEW_ENTRIES`].
 const HEARTBEAT: Duration = Duration::from_millis(250);
+/// Entries up to which heartbeats come at that pace; among more of them they
+/// come more slowly, so that an entry hears about as many a second.
+const FEW_ENTRIES: usize = 12;
+/// The slowest pace, as a multiple of [`HEARTBEAT`].
+const SLOWEST_PACE: f64 = 6.0;
 /// Every so many heartbeats all work is told, not only what changed.
 const WHOLE_EVERY: u32 = 4;
-/// A peer silent for longer gets no callers.
-const SILENCE: Duration = Duration::from_millis(1_000);
-/// A peer silent for longer no longer counts for shares.
-const GONE: Duration = Duration::from_secs(3);
+/// Heartbeats that a peer misses before it gets no callers.
+const MISSED_FOR_SILENCE: u32 = 4;
+/// Heartbeats that a peer misses before it no longer counts for shares.
+const MISSED_FOR_GONE: u32 = 12;
 /// Works told in one datagram at most, so that it fits one packet.
 const MAX_WORKS: usize = 60;
 /// The largest datagram read, in bytes.
 const MAX_DATAGRAM: usize = 16 * 1024;
+/// Entries that follow the store's changes for all, at least; the rest read
+/// when one of them knows of something newer. So many that a failure of some
+/// VMs leaves others of them in touch.
+const FEWEST_FOLLOWERS: usize = 6;
+/// The same as a part of all entries: one in so many.
+const FOLLOWERS_ONE_IN: usize = 6;
 
-/// One message.
-#[derive(Debug, Serialize, Deserialize)]
+/// One message. Who sends it is known by its address.
+#[derive(Debug, Serialize_tuple, Deserialize_tuple)]
 struct PeerMessage {
-    /// Who sends it.
-    from: PresenceRecord,
+    /// The sender's boot.
+    boot: u64,
+    /// Who sends it, in heartbeats.
+    from: Option<PresenceRecord>,
     /// Whether it takes requests.
     ready: bool,
+    /// Whether the store answers it.
+    store_up: bool,
     /// The version of its configuration.
     config_version: u64,
+    /// The version of its register of servers.
+    servers_version: u64,
     /// The servers it tells about.
     servers: Vec<u32>,
     /// What it has there.
@@ -51,7 +68,9 @@
     record: PresenceRecord,
     heard: Option<Instant>,
     ready: bool,
+    store_up: bool,
     config_version: u64,
+    servers_version: u64,
 }
 
 /// The other entries, by the address that peers reach them at.
@@ -71,7 +90,9 @@
                 record: record.clone(),
                 heard: None,
                 ready: false,
+                store_up: false,
                 config_version: 0,
+                servers_version: 0,
             }
         })
     }
@@ -81,28 +102,33 @@
         self.peer(record);
     }
 
-    /// Forgets an entry that is no longer on record, unless it was heard.
-    pub fn remove(&mut self, name: &str) {
-        self.by_addr
-            .retain(|_, peer| peer.record.name != name || peer.heard.is_some());
+    /// Returns how often this entry says that it lives.
+    fn heartbeat(&self) -> Duration {
+        let entries = (self.by_addr.len() + 1) as f64;
+        let pace = (entries / FEW_ENTRIES as f64).clamp(1.0, SLOWEST_PACE);
+        HEARTBEAT.mul_f64(pace)
+    }
+
+    fn heard_since(&self, since: Instant) -> impl Iterator<Item = &Peer> {
+        let peers = self.by_addr.values();
+        peers.filter(move |peer| peer.heard.is_some_and(|heard| heard >= since))
+    }
+
+    /// Returns the peers that were heard lately.
+    fn lively(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.heard_since(now.before(self.heartbeat() * MISSED_FOR_SILENCE))
     }
 
     /// Returns the addresses for callers of the peers that take requests.
     pub fn ready(&self, now: Instant) -> Vec<SocketAddr> {
-        let since = now.before(SILENCE);
-        let ready = self
-            .by_addr
-            .values()
-            .filter(|peer| peer.ready && peer.heard.is_some_and(|heard| heard >= since));
+        let ready = self.lively(now).filter(|peer| peer.ready);
         ready.map(|peer| peer.record.caller).collect()
     }
 
     /// Returns how many peers live.
     pub fn alive(&self, now: Instant) -> u32 {
-        let since = now.before(GONE);
-        let alive = self.by_addr.values();
-        let alive = alive.filter(|peer| peer.heard.is_some_and(|heard| heard >= since));
-        alive.count() as u32
+        let since = now.before(self.heartbeat() * MISSED_FOR_GONE);
+        self.heard_since(since).count() as u32
     }
 
     /// Returns the newest configuration that a peer has.
@@ -111,6 +137,23 @@
         versions.max().unwrap_or(0)
     }
 
+    /// Returns the newest register of servers that a peer has.
+    pub fn newest_servers(&self) -> u64 {
+        let versions = self.by_addr.values().map(|peer| peer.servers_version);
+        versions.max().unwrap_or(0)
+    }
+
+    /// Tells whether the entry `own` should follow the store's changes itself:
+    /// it is one of the first by name among those that the store answers.
+    pub fn is_follower(&self, own: &str, now: Instant) -> bool {
+        let before = self.lively(now).filter(|peer| peer.store_up);
+        let before = before
+            .filter(|peer| peer.record.name.as_str() < own)
+            .count();
+        let entries = self.by_addr.len() + 1;
+        before < FEWEST_FOLLOWERS.max(entries / FOLLOWERS_ONE_IN)
+    }
+
     fn targets(&self) -> Vec<SocketAddr> {
         self.by_addr.keys().copied().collect()
     }
@@ -118,9 +161,12 @@
 
 fn message(shell: &Shell, servers: Vec<u32>, work: Vec<PeerWork>) -> PeerMessage {
     PeerMessage {
-        from: PresenceRecord::of(shell),
+        boot: shell.boot,
+        from: None,
         ready: shell.is_ready(),
+        store_up: shell.store_up.get(),
         config_version: shell.router.borrow().version(),
+        servers_version: shell.servers_version.get(),
         servers,
         work,
     }
@@ -183,17 +229,23 @@
             0 => shell.router.borrow().all_own_work(now),
             _ => (Vec::new(), Vec::new()),
         };
-        tell(&shell, &socket, messages(&shell, servers, work)).await;
+        let mut told = messages(&shell, servers, work);
+        if let Some(first) = told.first_mut() {
+            first.from = Some(PresenceRecord::of(&shell));
+        }
+        tell(&shell, &socket, told).await;
         beat = beat.wrapping_add(1);
         watch_peers(&shell);
-        monoio::time::sleep(HEARTBEAT).await;
+        let pause = shell.peers.borrow().heartbeat();
+        monoio::time::sleep(pause).await;
     }
 }
 
 /// Tells peers at once that this entry stops.
 pub(crate) async fn tell_stopping(shell: &Shell, socket: &UdpSocket) {
     debug_assert!(shell.stopping.get() != Stopping::No);
-    let told = message(shell, Vec::new(), Vec::new());
+    let mut told = message(shell, Vec::new(), Vec::new());
+    told.from = Some(PresenceRecord::of(shell));
     tell(shell, socket, vec![told]).await;
 }
 
@@ -203,15 +255,16 @@
     let mut gone = Vec::new();
     {
         let mut peers = shell.peers.borrow_mut();
+        let time = peers.heartbeat() * MISSED_FOR_GONE;
         for peer in peers.by_addr.values_mut() {
-            let silent = peer.heard.is_some_and(|heard| heard < now.before(GONE));
+            let silent = peer.heard.is_some_and(|heard| heard < now.before(time));
             if !silent {
                 continue;
             }
             peer.heard = None;
             peer.ready = false;
             gone.push(peer.number);
-            let facts = format!("entry={} silent_ms={}", peer.record.name, GONE.as_millis());
+            let facts = format!("entry={} silent_ms={}", peer.record.name, time.as_millis());
             LogEvent::new(LogEventKind::PeerDead, facts).emit();
         }
     }
@@ -236,7 +289,7 @@
             continue;
         };
         match ciborium::from_reader::<PeerMessage, _>(&buf[..n]) {
-            Ok(message) => heard(&shell, message),
+            Ok(message) => heard(&shell, from, message),
             Err(e) => {
                 let facts = format!("from={from} reason={e:?}");
                 LogEvent::new(LogEventKind::PeerGarbage, facts).emit();
@@ -245,26 +298,37 @@
     }
 }
 
-fn heard(shell: &Rc<Shell>, message: PeerMessage) {
-    if message.from.peer == shell.settings.peer {
+fn heard(shell: &Rc<Shell>, from: SocketAddr, message: PeerMessage) {
+    if from == shell.settings.peer {
         return;
     }
     let now = shell.now();
     let (number, started_anew) = {
         let mut peers = shell.peers.borrow_mut();
-        let peer = peers.peer(&message.from);
-        if message.from.boot < peer.record.boot {
+        if let Some(record) = &message.from {
+            peers.add(record);
+        }
+        let Some(peer) = peers.by_addr.get_mut(&from) else {
+            // Its first heartbeat got lost; the next one says who it is.
+            return;
+        };
+        if message.boot < peer.record.boot {
             return;
         }
-        let started_anew = message.from.boot > peer.record.boot;
+        let started_anew = message.boot > peer.record.boot;
         if peer.heard.is_none() || started_anew {
-            let facts = format!("entry={} boot={}", message.from.name, message.from.boot);
+            let facts = format!("entry={} boot={}", peer.record.name, message.boot);
             LogEvent::new(LogEventKind::PeerAlive, facts).emit();
         }
-        peer.record = message.from;
+        peer.record.boot = message.boot;
+        if let Some(record) = message.from {
+            peer.record = record;
+        }
         peer.heard = Some(now);
         peer.ready = message.ready;
+        peer.store_up = message.store_up;
         peer.config_version = message.config_version;
+        peer.servers_version = message.servers_version;
         (peer.number, started_anew)
     };
     if started_anew {
--- a/crates/notchwalk_relay/src/presence.rs
+++ b/crates/notchwalk_relay/src/presence.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use notchwalk_core::{LogEvent, LogEventKind};
-use notchwalk_platform::{Row, RowWrite};
-use serde::{Deserialize, Serialize};
+use notchwalk_platform::{PlatformError, Row, RowWrite};
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 use crate::{shell::Shell, table_watch::Backoff};
 
@@ -14,7 +14,7 @@
 pub(crate) const TABLE: &str = "entries";
 
 /// What an entry says of itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub(crate) struct PresenceRecord {
     /// The VM's name.
     pub name: String,
@@ -38,7 +38,7 @@
     }
 }
 
-/// Writes this entry's record, as often as it takes.
+/// Writes this entry's record, as often as it takes, then finds the others.
 pub(crate) async fn announce(shell: Rc<Shell>) {
     let record = PresenceRecord::of(&shell);
     let mut value = Vec::new();
@@ -59,6 +59,8 @@
     }
     let facts = format!("name={} boot={}", record.name, record.boot);
     LogEvent::new(LogEventKind::PresenceWritten, facts).emit();
+    // Only now, so that of two entries that start at once one finds the other.
+    find_entries(shell).await;
 }
 
 /// Takes this entry's record back, before it ends. One try: peers notice a
@@ -77,10 +79,43 @@
     }
 }
 
-/// Learns of an entry's record.
-pub(crate) fn learn(shell: &Shell, row: &Row) {
+/// Reads the records of all entries, as often as it takes, and again now and
+/// then: entries that are heard need no record.
+async fn find_entries(shell: Rc<Shell>) {
+    /// An entry that starts reads the records and says to all that it lives, so
+    /// that this only mends what got lost.
+    const AGAIN_AFTER: Duration = Duration::from_secs(30);
+    let mut backoff = Backoff::new(Duration::from_millis(200));
+    loop {
+        match read_records(&shell).await {
+            Ok(()) => {
+                backoff.reset();
+                monoio::time::sleep(AGAIN_AFTER).await;
+            }
+            Err(e) => {
+                log::debug!("the records of entries can't be read: {e}");
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+async fn read_records(shell: &Shell) -> Result<(), PlatformError> {
+    let mut from = String::new();
+    loop {
+        let page = shell.store.read(TABLE, &from).await?;
+        for row in &page.rows {
+            learn(shell, row);
+        }
+        let Some(last) = page.rows.last().filter(|_| page.more) else {
+            return Ok(());
+        };
+        from = format!("{}\0", last.key);
+    }
+}
+
+fn learn(shell: &Shell, row: &Row) {
     let Some(value) = &row.value else {
-        shell.peers.borrow_mut().remove(&row.key);
         return;
     };
     match ciborium::from_reader::<PresenceRecord, _>(value.as_ref()) {
--- a/crates/notchwalk_relay/src/server_watch.rs
+++ b/crates/notchwalk_relay/src/server_watch.rs
@@ -6,7 +6,7 @@
 use notchwalk_platform::Row;
 use notchwalk_route::{Event, ServerChange, ServerRecord};
 
-use crate::{presence, shell::Shell, table_watch::TableReader};
+use crate::{shell::Shell, table_watch::TableReader};
 
 /// How long a question for changes waits. If its answer gets lost, a leaving
 /// server is learned of when the wait is over: it may get no work two seconds
@@ -108,6 +108,15 @@
         RETURN_TIME / 4
     }
 
+    fn is_behind(&self) -> bool {
+        let newest = self.shell.peers.borrow().newest_servers();
+        newest > self.shell.servers_version.get()
+    }
+
+    fn is_unsettled(&self) -> bool {
+        !self.missing.is_empty()
+    }
+
     fn whole(&mut self, rows: Vec<Row>) {
         let known: Vec<String> = self.known.keys().cloned().collect();
         for instance in known {
@@ -119,6 +128,10 @@
     }
 
     fn changed(&mut self, rows: Vec<Row>) {
+        let versions = rows.iter().map(|row| row.version);
+        let newest = versions.max().unwrap_or(0);
+        let known = self.shell.servers_version.get();
+        self.shell.servers_version.set(newest.max(known));
         for row in rows {
             if row.value.is_none() {
                 self.lapsed(&row.key);
@@ -130,7 +143,11 @@
         }
     }
 
-    fn current(&mut self) {
+    fn current(&mut self, version: u64) {
+        // What a peer has seen may have been removed since.
+        let newest = self.shell.peers.borrow().newest_servers().min(version);
+        let known = self.shell.servers_version.get();
+        self.shell.servers_version.set(newest.max(known));
         self.take_missing_as_gone();
         self.shell.servers_current.set(self.shell.now());
         self.shell.metrics.servers.set(self.known.len() as i64);
@@ -140,29 +157,3 @@
         self.doubt_until = self.shell.now().after(RETURN_TIME);
     }
 }
-
-/// Reads the table of entries.
-pub(crate) struct EntryReader {
-    pub shell: Rc<Shell>,
-}
-
-impl TableReader for EntryReader {
-    fn table(&self) -> &str {
-        presence::TABLE
-    }
-
-    fn wait(&self) -> Duration {
-        // Peers make themselves known by their heartbeats too.
-        Duration::from_secs(8)
-    }
-
-    fn whole(&mut self, rows: Vec<Row>) {
-        self.changed(rows);
-    }
-
-    fn changed(&mut self, rows: Vec<Row>) {
-        for row in &rows {
-            presence::learn(&self.shell, row);
-        }
-    }
-}
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -39,6 +39,10 @@
     pub peers: RefCell<Peers>,
     pub limits: std::cell::Cell<ClientLimits>,
     pub stopping: std::cell::Cell<Stopping>,
+    /// Whether the store answered the last question.
+    pub store_up: std::cell::Cell<bool>,
+    /// The newest version of a record of a server that was seen.
+    pub servers_version: std::cell::Cell<u64>,
     /// When the register of servers was last known to be current.
     pub servers_current: std::cell::Cell<Instant>,
     inboxes: RefCell<SecondaryMap<RequestKey, unbounded::Tx<Effect>>>,
@@ -65,6 +69,8 @@
             peers: RefCell::default(),
             limits: std::cell::Cell::default(),
             stopping: std::cell::Cell::default(),
+            store_up: std::cell::Cell::new(false),
+            servers_version: std::cell::Cell::new(0),
             servers_current: std::cell::Cell::new(Instant::ZERO),
             inboxes: RefCell::default(),
         }
--- a/crates/notchwalk_relay/src/table_watch.rs
+++ b/crates/notchwalk_relay/src/table_watch.rs
@@ -57,8 +57,13 @@
         false
     }
 
-    /// Hears that the table is known to be current.
-    fn current(&mut self) {}
+    /// Tells whether something is pending that only further answers settle.
+    fn is_unsettled(&self) -> bool {
+        false
+    }
+
+    /// Hears that the table is known as it was at this version of the store.
+    fn current(&mut self, _version: u64) {}
 
     /// Hears that the store answers again after `away`.
     fn regained(&mut self, _away: Duration) {}
@@ -108,18 +113,40 @@
         Ok(())
     }
 
+    /// Waits while others follow the store for this entry and know of nothing
+    /// newer.
+    async fn wait_for_others(&self) {
+        /// How often that is looked at; it is part of the time until a change
+        /// is in force here.
+        const LOOK_EVERY: Duration = Duration::from_millis(100);
+        /// The longest wait: what was missed is mended then.
+        const LONGEST: Duration = Duration::from_secs(30);
+        let since = self.shell.now();
+        let (name, peers) = (&self.shell.settings.name, &self.shell.peers);
+        while self.seen.is_some() && !self.reader.is_behind() {
+            let now = self.shell.now();
+            let follows = peers.borrow().is_follower(name, now);
+            if follows || self.reader.is_unsettled() || now.since(since) > LONGEST {
+                return;
+            }
+            monoio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
     async fn turn(&mut self) -> Result<(), FeedError> {
+        self.wait_for_others().await;
         match self.seen {
             None => self.read_whole().await?,
             Some(after) => self.read_changes(after).await?,
         }
-        self.reader.current();
+        self.reader.current(self.seen.unwrap_or(0));
         Ok(())
     }
 
     /// Notes that the store answers, before the reader sees what it answered:
     /// what is missing after an outage may yet come back.
     fn note_answer(&mut self) {
+        self.shell.store_up.set(true);
         let Some(since) = self.lost_since.take() else {
             return;
         };
@@ -131,6 +158,7 @@
     }
 
     fn note_loss(&mut self, error: &FeedError) {
+        self.shell.store_up.set(false);
         if self.lost_since.is_some() {
             return;
         }
--- a/crates/notchwalk_route/src/placement.rs
+++ b/crates/notchwalk_route/src/placement.rs
@@ -22,9 +22,9 @@
 const SURELY_LATE: f64 = 1.15;
 /// What a millisecond until the first event costs even if it is in time.
 const SOONER_SHARE: f64 = 0.05;
-/// Short requests on an engine up to which it is filled before the next one is
+/// Part of an engine's slots that short requests fill before the next engine is
 /// opened for them. Measured: see docs/BENCHES.md.
-const SHORT_PER_ENGINE: f64 = 14.0;
+const SHORT_SLOT_SHARE: f64 = 0.875;
 /// Engines beyond those in use that are kept for short requests.
 const SPARE_SHORT_ENGINES: usize = 0;
 /// How much a short request on an engine speaks for keeping the engine in the
@@ -172,6 +172,12 @@
         EngineCost::new(self.parameters)
     }
 
+    /// Returns how many short requests fill an engine before the next one is
+    /// opened for them.
+    fn short_per_engine(&self) -> f64 {
+        (f64::from(self.parameters.slots) * SHORT_SLOT_SHARE).max(1.0)
+    }
+
     /// Returns the engine time that a request stands for, in milliseconds.
     pub fn worth_ms(&self, demand: &Demand) -> f64 {
         let cost = self.cost();
@@ -222,7 +228,8 @@
         if self.blind {
             return views;
         }
-        let pool = ((short + 1) as f64 / SHORT_PER_ENGINE).ceil() as usize + SPARE_SHORT_ENGINES;
+        let pool =
+            ((short + 1) as f64 / self.short_per_engine()).ceil() as usize + SPARE_SHORT_ENGINES;
         let mut order: Vec<usize> = (0..views.len()).collect();
         // Engines that serve short requests already stay in the pool; those
         // that long work keeps busy enter it last.
@@ -410,7 +417,7 @@
                 first_ms = first_ms.max(end_ms + generating.pass_ms);
                 loss_ms += EACH_PART_MS + view.distrust_ms;
                 if view.in_short_pool {
-                    loss_ms += part_ms * view.load.short as f64 / SHORT_PER_ENGINE;
+                    loss_ms += part_ms * view.load.short as f64 / self.short_per_engine();
                 }
             }
             loss_ms += worth_ms * late_part(first_ms, demand.objective_ms) + first_ms;
