A server's silence counts as a failure only if it answers nobody

Change: an end of its own for silence; a server that answered somebody within 1.2 s is not closed for it; a first event is waited for 1.5 s at least. Two tests that failed first.

--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -99,6 +99,7 @@
         AttemptEnd::NotRun { moved: true, .. } => "moved",
         AttemptEnd::NotRun { .. } => "not_run",
         AttemptEnd::Failed => "failed",
+        AttemptEnd::Silent => "silent",
         AttemptEnd::Broken => "broken",
     }
 }
@@ -165,7 +166,8 @@
         Awaited::Done(Err(e)) if e.nothing_sent() => {
             return Attempted::Ended(AttemptEnd::NotConnected);
         }
-        Awaited::Done(Err(_)) | Awaited::Silent => return Attempted::Ended(AttemptEnd::Broken),
+        Awaited::Done(Err(_)) => return Attempted::Ended(AttemptEnd::Broken),
+        Awaited::Silent => return Attempted::Ended(AttemptEnd::Silent),
         Awaited::CallerLeft => return Attempted::CallerLeft,
         Awaited::TimedOut => return Attempted::TimedOut,
     };
@@ -339,10 +341,14 @@
         let next = answer.next();
         let piece = match await_server(shell, exchange, served, silence, next).await {
             Awaited::Done(Ok(piece)) => piece,
-            Awaited::Done(Err(_)) | Awaited::Silent => {
+            Awaited::Done(Err(_)) => {
                 delivery.splitter.drop_partial();
                 return Attempted::Ended(AttemptEnd::Broken);
             }
+            Awaited::Silent => {
+                delivery.splitter.drop_partial();
+                return Attempted::Ended(AttemptEnd::Silent);
+            }
             Awaited::CallerLeft => return Attempted::CallerLeft,
             Awaited::TimedOut => return Attempted::TimedOut,
         };
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -25,6 +25,8 @@
     /// The server answered with an error of its own, which is kept and could
     /// be delivered; the request counts as run.
     Failed,
+    /// The server said nothing for too long; the request may have run.
+    Silent,
     /// The connection broke or the answer could not be used; the request may
     /// have run.
     Broken,
--- a/crates/notchwalk_route/src/fleet.rs
+++ b/crates/notchwalk_route/src/fleet.rs
@@ -18,6 +18,9 @@
 const SHORTEST_PAUSE: Duration = Duration::from_millis(500);
 /// The longest time without work after failures.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// A server that answered within this time is alive: an engine that has work
+/// passes events on several times a second.
+const HEARD_LATELY: Duration = Duration::from_millis(1_200);
 /// Weight of a new observation in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.12;
 
@@ -71,6 +74,8 @@
     pub failure_rate: f64,
     /// No work before this time.
     pub closed_until: Instant,
+    /// When it last answered a request as it should.
+    heard_at: Instant,
 }
 
 impl Server {
@@ -81,6 +86,7 @@
             failures: 0,
             failure_rate: 0.0,
             closed_until: Instant::ZERO,
+            heard_at: Instant::ZERO,
         }
     }
 
@@ -200,14 +206,26 @@
     }
 
     /// Notes that a server answered as it should.
-    pub fn note_success(&mut self, key: ServerKey) {
+    pub fn note_success(&mut self, key: ServerKey, now: Instant) {
         let Some(server) = self.servers.get_mut(key) else {
             return;
         };
+        server.heard_at = now;
         server.failures = 0;
         server.failure_rate -= FAILURE_WEIGHT * server.failure_rate;
     }
 
+    /// Notes that a server said nothing to a request for too long. One that
+    /// answers others meanwhile is busy and has not failed; closing it would
+    /// send its work to the rest, which are as busy.
+    pub fn note_silence(&mut self, key: ServerKey, now: Instant) -> Option<Duration> {
+        let server = self.servers.get(key)?;
+        if now.since(server.heard_at) < HEARD_LATELY {
+            return None;
+        }
+        self.note_failure(key, now)
+    }
+
     /// Notes that a server failed; returns how long it gets no work, if it was
     /// just closed.
     pub fn note_failure(&mut self, key: ServerKey, now: Instant) -> Option<Duration> {
--- a/crates/notchwalk_route/src/router.rs
+++ b/crates/notchwalk_route/src/router.rs
@@ -198,7 +198,7 @@
             Event::Configured(site) => self.configure(&site, now),
             Event::Servers(change) => self.servers_changed(change, now),
             Event::Arrived { request, facts } => self.arrived(request, facts, now, out),
-            Event::Started { request } => self.started(request),
+            Event::Started { request } => self.started(request, now),
             Event::AttemptEnded { request, end } => self.attempt_ended(request, end, now, out),
             Event::Abandoned { request } => self.forget(request, now, out),
             Event::Load { .. } => {}
@@ -624,7 +624,7 @@
         })
     }
 
-    fn started(&mut self, key: RequestKey) {
+    fn started(&mut self, key: RequestKey, now: Instant) {
         let Some(Some(request)) = self.requests.get_mut(key) else {
             return;
         };
@@ -642,7 +642,7 @@
                 self.board.remove(helper, key);
             }
         }
-        self.fleet.note_success(server);
+        self.fleet.note_success(server, now);
     }
 
     /// Takes a request off the servers that it was on.
@@ -696,7 +696,10 @@
             return;
         };
         let server = request.at;
-        if matches!(end, AttemptEnd::Broken | AttemptEnd::Failed) {
+        if matches!(
+            end,
+            AttemptEnd::Broken | AttemptEnd::Failed | AttemptEnd::Silent
+        ) {
             request.ran_on += 1;
         }
         self.judge_server(server, end, now, out);
@@ -722,7 +725,7 @@
             return;
         };
         let at_fault = match end {
-            AttemptEnd::Delivered { healthy: true } => return self.fleet.note_success(server),
+            AttemptEnd::Delivered { healthy: true } => return self.fleet.note_success(server, now),
             AttemptEnd::Delivered { healthy: false } => return,
             AttemptEnd::NotRun {
                 at_fault: Some(addr),
@@ -736,6 +739,12 @@
                 None
             }
             AttemptEnd::Broken => Some(server),
+            AttemptEnd::Silent => {
+                if let Some(pause) = self.fleet.note_silence(server, now) {
+                    out.push(Effect::Closed { server, pause });
+                }
+                None
+            }
         };
         let Some(at_fault) = at_fault else {
             return;
@@ -794,13 +803,19 @@
 /// Returns how long a server may say nothing before the request goes to
 /// another one; `None` for a request that may run once only.
 fn first_silence(request: &Request, now: Instant) -> Option<Duration> {
-    /// Time beyond the prediction that a sound server may take.
-    const GRACE: Duration = Duration::from_millis(900);
+    /// Callers give a stream up after two seconds at the earliest; this leaves
+    /// another server time to answer. A call is answered much sooner.
+    const LEAST_STREAM: Duration = Duration::from_millis(1_500);
+    const LEAST_CALL: Duration = Duration::from_millis(900);
     if !request.may_repeat() {
         return None;
     }
-    let predicted = request.predicted_first.since(now);
-    Some(predicted * 2 + GRACE.max(request.facts.route.objective))
+    let route = &request.facts.route;
+    let least = match route.streaming {
+        true => LEAST_STREAM.max(route.objective),
+        false => LEAST_CALL,
+    };
+    Some((request.predicted_first.since(now) * 2).max(least))
 }
 
 /// Returns how long a stream may pause before it is resumed elsewhere.
--- a/crates/notchwalk_route/tests/decisions/leaving.rs
+++ b/crates/notchwalk_route/tests/decisions/leaving.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use notchwalk_route::{AttemptEnd, Event, ServerChange, ServerStage};
+use notchwalk_route::{AttemptEnd, Effect, Event, ServerChange, ServerStage};
 
 use crate::common::{record, Rig, DESK};
 
@@ -72,3 +72,39 @@
     assert!(rig.refusals().iter().all(|reason| reason.has_not_run()));
     assert_eq!(rig.refusals().len(), 1);
 }
+
+/// Found in a recorded day: after all entries restarted, engines with long
+/// queues were given up for their silence and closed, which sent their work to
+/// the others.
+#[test]
+fn a_busy_server_that_answers_others_is_not_closed_for_its_silence() {
+    let mut rig = Rig::named("entry-1", 2);
+    let served = rig.arrive("/short/", 3_000);
+    let busy = rig.only_send().instance;
+    let mut waiting = Vec::new();
+    while waiting.len() < 4 {
+        let request = rig.arrive("/short/", 3_000);
+        if rig.only_send().instance == busy {
+            waiting.push(request);
+        }
+    }
+    rig.step(Event::Started { request: served });
+    rig.pass(Duration::from_millis(800));
+    for request in waiting {
+        rig.end(request, AttemptEnd::Silent);
+    }
+    let closed = |effect: &Effect| matches!(effect, Effect::Closed { .. });
+    assert!(!rig.effects.iter().any(closed));
+}
+
+#[test]
+fn a_server_that_says_nothing_to_anybody_is_closed() {
+    let mut rig = Rig::named("entry-1", 1);
+    let requests: Vec<_> = (0..3).map(|_| rig.arrive("/short/", 3_000)).collect();
+    rig.pass(Duration::from_millis(1_600));
+    for request in requests {
+        rig.end(request, AttemptEnd::Silent);
+    }
+    let closed = |effect: &Effect| matches!(effect, Effect::Closed { .. });
+    assert!(rig.effects.iter().any(closed));
+}
