Router and placement split into files of one job each

Ruled out: more crates; the parts share one state. Change: router/{mod,sending,long,reserving,ending}, placement/{mod,short,long,call}; no line of logic changed.

--- a/crates/notchwalk_route/src/lib.rs
+++ b/crates/notchwalk_route/src/lib.rs
@@ -13,10 +13,10 @@
 //! | `board` | what runs on each server, by this entry and by its peers |
 //! | `engine_cost` | what work costs on a model engine |
 //! | `long_queue` | which long request is sent next |
-//! | `placement` | which server, and which helpers, a request goes to |
+//! | `placement/` | which server, and which helpers, a request goes to |
 //! | `reservations` | memory set aside on engines for the longest prompts |
 //! | `retry_budget` | how many repeated sends an entry may make |
-//! | `router` | the reducer |
+//! | `router/` | the reducer |
 
 mod board;
 mod effect;
--- /dev/null
+++ b/crates/notchwalk_route/src/placement/long.rs
@@ -0,0 +1,256 @@
+//! Long prompts: engines with room, so that nobody else becomes late.
+
+use super::{late_part, Demand, EnginePlacement, Plan, View, RESERVED_MORE};
+use crate::{Grounds, ServerKey};
+
+/// The tightest pause objective taken for requests whose own is not known yet,
+/// in milliseconds.
+const SHORT_PAUSE_MS: f64 = 250.0;
+/// Part of a pause objective that a pass may take as predicted.
+const PAUSE_SHARE: f64 = 0.85;
+/// The same on an engine without short requests, where parts of several
+/// prompts meet.
+const LONG_PAUSE_SHARE: f64 = 0.75;
+/// The longest pass that is planned on an engine without short requests, in
+/// milliseconds: long streams too must go on.
+const LONGEST_PASS_MS: f64 = 900.0;
+/// Reading of a prompt that exceeds one engine, divided by the engines for long
+/// requests, up to which it is read in time, in milliseconds. Measured on 18
+/// engines, reading 17 s at once made a second's short requests late.
+const OVERSIZED_EACH_MS: f64 = 250.0;
+/// Reading up to which an engine counts as idle, in milliseconds.
+const IDLE_READING_MS: f64 = 30.0;
+/// The longest part of a prompt on an engine where nothing generates, in
+/// milliseconds.
+const LONGEST_PART_MS: f64 = 2_000.0;
+/// The longest part of a long prompt on an engine with short requests, in
+/// milliseconds: their first events wait for it.
+const THINNEST_MS: f64 = 60.0;
+/// Reading that an engine may have before it gets a further part, in
+/// milliseconds: enough that it never waits for the next one, little enough
+/// that a cheaper request that comes later can go before.
+const QUEUED_MS: f64 = 150.0;
+/// What it costs that one engine more reads a long prompt of its own, in
+/// milliseconds: it gets no parts of others meanwhile.
+const OPENING_MS: f64 = 60.0;
+/// What each further engine costs a long prompt, in milliseconds: it may fail,
+/// and it begins only with its next pass.
+const EACH_PART_MS: f64 = 15.0;
+
+/// The memory that a prompt takes, in tokens.
+struct Held {
+    /// On the engine that generates.
+    generating: f64,
+    /// On each of the others.
+    elsewhere: f64,
+    /// To set aside on each; `None` if nothing has to be.
+    reserved: Option<u32>,
+}
+
+impl EnginePlacement<'_> {
+    /// Returns the memory that a prompt takes on each of `k` engines: all of it
+    /// on the one that generates, or equal shares that are set aside if it
+    /// exceeds an engine.
+    fn held(&self, demand: &Demand, k: usize) -> Held {
+        if !self.exceeds_engine(demand) {
+            return Held {
+                generating: demand.prompt + demand.answer,
+                elsewhere: 0.0,
+                reserved: None,
+            };
+        }
+        let share = (demand.prompt + demand.answer) / k as f64 * RESERVED_MORE;
+        Held {
+            generating: share,
+            elsewhere: share,
+            reserved: Some(share.ceil() as u32),
+        }
+    }
+
+    /// Tells whether a prompt that exceeds one engine may be read at once: it
+    /// keeps the engines that serve long requests busy for a short while only.
+    pub fn may_read_oversized(&self, service: &str, demand: &Demand) -> bool {
+        let views = self.views(service, &[]);
+        let long = views.iter().filter(|view| !view.in_short_pool).count();
+        let each_ms = self.read_ms(demand) / long.max(1) as f64;
+        each_ms <= OVERSIZED_EACH_MS
+    }
+
+    /// Chooses engines for a long prompt so that nobody's pauses grow beyond
+    /// their objectives; `None` if that can't be had now.
+    ///
+    /// An engine reads parts for others before prompts of its own, so that an
+    /// engine that generates for a long request must not get parts while it
+    /// still reads.
+    pub fn place_long(&self, service: &str, demand: &Demand, tried: &[ServerKey]) -> Option<Plan> {
+        let cost = self.cost();
+        let worth_ms = self.worth_ms(demand);
+        let mut views = self.views(service, tried);
+        views.sort_by(|a, b| {
+            let busy = |view: &View| view.wait_ms + view.load.reading_ms + view.distrust_ms;
+            let order = a.in_short_pool.cmp(&b.in_short_pool);
+            order.then(busy(a).total_cmp(&busy(b)))
+        });
+        let most = self.most_engines(demand).min(views.len());
+        let mut best: Option<Plan> = None;
+        for k in 1..=most {
+            let part_ms = cost.read_ms(demand.prompt / k as f64, demand.prompt);
+            let part_tokens = demand.prompt / k as f64;
+            let held = self.held(demand, k);
+            let Some(generating) = self.generating(&views, &held, part_tokens, part_ms) else {
+                continue;
+            };
+            let roomy = views.iter().filter(|view| {
+                view.key != generating.key
+                    && self.has_memory(view, held.elsewhere)
+                    && view.load.own_long_reads == 0
+                    && view.load.reading_ms <= QUEUED_MS
+                    && self.room_ms(view) >= part_ms
+            });
+            let mut chosen: Vec<&View> = roomy.take(k - 1).collect();
+            if chosen.len() + 1 < k {
+                continue;
+            }
+            chosen.push(generating);
+            let mut first_ms = self.first_ms(generating, part_tokens, part_ms);
+            let mut loss_ms = 0.0;
+            for view in &chosen {
+                let end_ms = view.wait_ms + view.load.reading_ms + part_ms;
+                first_ms = first_ms.max(end_ms + generating.pass_ms);
+                loss_ms += EACH_PART_MS + view.distrust_ms;
+                if view.in_short_pool {
+                    loss_ms += part_ms * view.load.short as f64 / self.short_per_engine();
+                }
+            }
+            loss_ms += worth_ms * late_part(first_ms, demand.objective_ms) + first_ms;
+            if best.as_ref().is_some_and(|best| best.loss_ms <= loss_ms) {
+                continue;
+            }
+            let (first, helpers) = self.parts(&chosen, generating.key, part_ms);
+            best = Some(Plan {
+                first,
+                helpers,
+                reserve_tokens: held.reserved,
+                part_ms,
+                first_ms,
+                loss_ms,
+                worth_ms,
+                grounds: Grounds::Room,
+            });
+        }
+        best
+    }
+
+    /// Chooses the engine that generates for a long prompt: the soonest one with
+    /// room and memory, rather one that generates for long prompts already.
+    fn generating<'v>(
+        &self,
+        views: &'v [View],
+        held: &Held,
+        part_tokens: f64,
+        part_ms: f64,
+    ) -> Option<&'v View> {
+        let mut best: Option<(f64, &View)> = None;
+        for view in views {
+            if !self.has_memory(view, held.generating) || self.room_ms(view) < part_ms {
+                continue;
+            }
+            let opening_ms = if view.in_short_pool { 0.0 } else { OPENING_MS };
+            let first_ms = self.first_ms(view, part_tokens, part_ms);
+            // Parts that were promised before go first.
+            let cost_ms = first_ms + view.load.reading_ms + opening_ms;
+            if best.is_none_or(|(least, _)| cost_ms < least) {
+                best = Some((cost_ms, view));
+            }
+        }
+        best.map(|(_, view)| view)
+    }
+
+    /// Chooses as few engines as serve a long prompt within `limit_ms`, though
+    /// late: those with the fewest short requests, then the least to read.
+    pub fn place_late(
+        &self,
+        service: &str,
+        demand: &Demand,
+        tried: &[ServerKey],
+        limit_ms: f64,
+    ) -> Option<Plan> {
+        let mut views = self.views(service, tried);
+        views.sort_by(|a, b| {
+            let disturbed = |view: &View| {
+                let long = view.load.writers + view.load.own_long_reads;
+                (view.load.short, long)
+            };
+            let busy = |view: &View| view.load.reading_ms + view.distrust_ms;
+            let order = disturbed(a).cmp(&disturbed(b));
+            order.then(busy(a).total_cmp(&busy(b)))
+        });
+        self.fewest(&views, demand, limit_ms)
+    }
+
+    /// Chooses engines for a prompt that exceeds one engine: as few as serve it
+    /// within `limit_ms`, and only if twice as many are idle. Reading it takes
+    /// so long that it would make many other requests late.
+    pub fn place_oversized(
+        &self,
+        service: &str,
+        demand: &Demand,
+        tried: &[ServerKey],
+        limit_ms: f64,
+    ) -> Option<Plan> {
+        let mut views = self.views(service, tried);
+        views.retain(|view| {
+            let load = &view.load;
+            !view.in_short_pool && load.occupied() == 0 && load.reading_ms < IDLE_READING_MS
+        });
+        let plan = self.fewest(&views, demand, limit_ms)?;
+        (views.len() >= 2 * (plan.helpers.len() + 1)).then_some(plan)
+    }
+
+    fn fewest(&self, views: &[View], demand: &Demand, limit_ms: f64) -> Option<Plan> {
+        let cost = self.cost();
+        let worth_ms = self.worth_ms(demand);
+        let most = self.most_engines(demand).min(views.len());
+        for k in 1..=most {
+            let part_ms = cost.read_ms(demand.prompt / k as f64, demand.prompt);
+            let chosen: Vec<&View> = views.iter().take(k).collect();
+            let Some((first, reserve_tokens)) = self.first_of(&chosen, demand) else {
+                continue;
+            };
+            let part_tokens = demand.prompt / k as f64;
+            let firsts = chosen.iter();
+            let firsts = firsts.map(|view| self.first_ms(view, part_tokens, part_ms));
+            let first_ms = firsts.fold(0.0, f64::max);
+            if first_ms > limit_ms {
+                continue;
+            }
+            let (first, helpers) = self.parts(&chosen, first, part_ms);
+            return Some(Plan {
+                first,
+                helpers,
+                reserve_tokens,
+                part_ms,
+                first_ms,
+                loss_ms: worth_ms,
+                worth_ms,
+                grounds: Grounds::Late,
+            });
+        }
+        None
+    }
+
+    /// Returns how much an engine can read in its next pass without making
+    /// those that it serves late, in milliseconds.
+    fn room_ms(&self, view: &View) -> f64 {
+        let busy = view.pass_ms + view.load.reading_ms;
+        if view.in_short_pool || view.load.short > 0 {
+            let pause = view.load.tightest_pause_ms.min(SHORT_PAUSE_MS);
+            return (PAUSE_SHARE * pause - busy).min(THINNEST_MS);
+        }
+        if view.load.writers == 0 && view.load.own_long_reads == 0 {
+            return LONGEST_PART_MS - view.load.reading_ms;
+        }
+        let pause = view.load.tightest_coming_pause_ms.min(LONGEST_PASS_MS);
+        LONG_PAUSE_SHARE * pause - busy
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -0,0 +1,193 @@
+//! What follows when sending a request to a server ended, and how a request
+//! ends.
+
+use std::time::Duration;
+
+use notchwalk_core::Instant;
+
+use super::{Router, LEAST_TIME_LEFT};
+use crate::{AttemptEnd, Effect, Refusal, RequestKey, ServerKey, WorkPhase};
+
+/// Sends of one request at most, refused ones included, as a multiple of the
+/// servers it may run on.
+const SENDS_PER_ATTEMPT: u32 = 3;
+/// When a caller may come back whose request had to make way. Waves of long
+/// work last for seconds.
+const OVERLOAD_RETRY: Duration = Duration::from_millis(4_000);
+
+impl Router {
+    pub(super) fn started(&mut self, key: RequestKey, now: Instant) {
+        let Some(Some(request)) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.started = true;
+        let Some(server) = request.at else {
+            return;
+        };
+        self.board.set_phase(server, key, WorkPhase::Writing);
+        if request.holds {
+            for &helper in &request.helpers {
+                self.board.set_phase(helper, key, WorkPhase::Holding);
+            }
+        } else {
+            for helper in std::mem::take(&mut request.helpers) {
+                self.board.remove(helper, key);
+            }
+        }
+        self.fleet.note_success(server, now);
+    }
+
+    /// Takes a request off the servers that it was on.
+    pub(super) fn lift(&mut self, key: RequestKey) {
+        let Some(Some(request)) = self.requests.get_mut(key) else {
+            return;
+        };
+        let helpers = std::mem::take(&mut request.helpers);
+        for server in request.at.take().into_iter().chain(helpers) {
+            self.board.remove(server, key);
+        }
+    }
+
+    pub(super) fn forget(&mut self, key: RequestKey, now: Instant, out: &mut Vec<Effect>) {
+        self.long_queue.remove(key);
+        self.lift(key);
+        self.give_back(key, false, now, out);
+        self.requests.remove(key);
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        key: RequestKey,
+        reason: Refusal,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let ran_on = self.requests.get(key).and_then(Option::as_ref);
+        let may_have_run = ran_on.is_some_and(|request| request.ran_on > 0);
+        let reason = match reason.has_not_run() && may_have_run {
+            true => Refusal::Unknown,
+            false => reason,
+        };
+        self.forget(key, now, out);
+        let retry_after = match reason {
+            Refusal::NotReady => Some(Duration::from_millis(500)),
+            Refusal::Draining => Some(Duration::from_millis(50)),
+            Refusal::Overloaded => Some(OVERLOAD_RETRY),
+            Refusal::NoServer | Refusal::NotRun => Some(Duration::from_millis(300)),
+            Refusal::Unknown | Refusal::TimedOut => None,
+        };
+        out.push(Effect::Refuse {
+            request: key,
+            reason,
+            retry_after,
+        });
+    }
+
+    pub(super) fn attempt_ended(
+        &mut self,
+        key: RequestKey,
+        end: AttemptEnd,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(Some(request)) = self.requests.get_mut(key) else {
+            return;
+        };
+        let server = request.at;
+        if matches!(
+            end,
+            AttemptEnd::Broken | AttemptEnd::Failed | AttemptEnd::Silent
+        ) {
+            request.ran_on += 1;
+        }
+        self.judge_server(server, end, now, out);
+        self.give_back(key, false, now, out);
+        self.lift(key);
+        if matches!(end, AttemptEnd::Delivered { .. }) {
+            return self.forget(key, now, out);
+        }
+        if self.may_resend(key, end, now) {
+            return self.queue_or_send(key, now, out);
+        }
+        self.give_up(key, end, now, out);
+    }
+
+    pub(super) fn judge_server(
+        &mut self,
+        server: Option<ServerKey>,
+        end: AttemptEnd,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(server) = server else {
+            return;
+        };
+        let at_fault = match end {
+            AttemptEnd::Delivered { healthy: true } => return self.fleet.note_success(server, now),
+            AttemptEnd::Delivered { healthy: false } => return,
+            AttemptEnd::NotRun {
+                at_fault: Some(addr),
+                ..
+            } => self.fleet.by_addr(addr),
+            AttemptEnd::NotRun { moved: true, .. } => Some(server),
+            AttemptEnd::NotRun { .. } => return,
+            AttemptEnd::Failed => None,
+            AttemptEnd::NotConnected => {
+                self.fleet.note_unreachable(server, now);
+                None
+            }
+            AttemptEnd::Broken => Some(server),
+            AttemptEnd::Silent => {
+                if let Some(pause) = self.fleet.note_silence(server, now) {
+                    out.push(Effect::Closed { server, pause });
+                }
+                None
+            }
+        };
+        let Some(at_fault) = at_fault else {
+            return;
+        };
+        if let Some(pause) = self.fleet.note_failure(at_fault, now) {
+            out.push(Effect::Closed {
+                server: at_fault,
+                pause,
+            });
+        }
+    }
+
+    pub(super) fn may_resend(&mut self, key: RequestKey, end: AttemptEnd, now: Instant) -> bool {
+        let Some(Some(request)) = self.requests.get(key) else {
+            return false;
+        };
+        let attempts = request.facts.route.max_attempts;
+        if request.left(now) < LEAST_TIME_LEFT || request.sends >= attempts * SENDS_PER_ATTEMPT {
+            return false;
+        }
+        if request.ran_on > 0 && !request.may_repeat() {
+            return false;
+        }
+        if request.ran_on >= attempts {
+            return false;
+        }
+        // A send that reached no server costs no server anything.
+        if end == AttemptEnd::NotConnected {
+            return true;
+        }
+        self.budget.take(now, self.entries)
+    }
+
+    pub(super) fn give_up(
+        &mut self,
+        key: RequestKey,
+        end: AttemptEnd,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        if end == AttemptEnd::Failed {
+            self.forget(key, now, out);
+            out.push(Effect::DeliverFailure { request: key });
+            return;
+        }
+        self.refuse(key, Refusal::NotRun, now, out);
+    }
+}
--- /dev/null
+++ b/crates/notchwalk_route/src/router/reserving.rs
@@ -0,0 +1,105 @@
+//! Memory set aside before a request is sent, and given back after it.
+
+use notchwalk_core::Instant;
+
+use super::Router;
+use crate::{
+    long_queue::Waiting, placement::Demand, reservations::HOLD, Assignment, Effect, Helper,
+    RequestKey, ReservationOrder, ServerKey,
+};
+
+impl Router {
+    /// Sets memory aside on the engines of an assignment before it is sent.
+    pub(super) fn reserve(
+        &mut self,
+        key: RequestKey,
+        mut assignment: Assignment,
+        tokens: u32,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        self.reservation_number += 1;
+        let id = format!(
+            "{}-{}-{}",
+            self.config.name, self.config.seed, self.reservation_number
+        );
+        // The engine that generates holds a part too.
+        let own = Helper {
+            addr: assignment.addr,
+            reservation: None,
+        };
+        assignment.helpers.push(own);
+        let mut orders = Vec::with_capacity(assignment.helpers.len());
+        for helper in &mut assignment.helpers {
+            helper.reservation = Some(id.clone());
+            orders.push(ReservationOrder {
+                addr: helper.addr,
+                id: id.clone(),
+                tokens: Some(tokens),
+                hold: HOLD,
+            });
+        }
+        self.reservations.hold(key, &orders, now);
+        if let Some(Some(request)) = self.requests.get_mut(key) {
+            request.reserving = Some(assignment);
+            request.holds = true;
+        }
+        out.push(Effect::Reserve {
+            request: key,
+            orders,
+        });
+    }
+
+    pub(super) fn reserved(
+        &mut self,
+        key: RequestKey,
+        granted: bool,
+        answers_lost: bool,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(Some(request)) = self.requests.get_mut(key) else {
+            // Its caller left meanwhile and the memory was given back.
+            return;
+        };
+        let Some(assignment) = request.reserving.take() else {
+            return;
+        };
+        // A server may have left while memory was being set aside.
+        let fleet = &self.fleet;
+        let servers = request.helpers.iter().chain(&request.at);
+        let ready = |&key: &ServerKey| fleet.get(key).is_some_and(|server| server.is_ready());
+        if granted && servers.into_iter().all(ready) {
+            out.push(Effect::Send {
+                request: key,
+                to: assignment,
+            });
+            return;
+        }
+        // No server saw the request; another set of engines may do.
+        request.sends -= 1;
+        request.tried.clear();
+        self.give_back(key, answers_lost, now, out);
+        self.lift(key);
+        let Some(Some(request)) = self.requests.get(key) else {
+            return;
+        };
+        let placement = self.engine_placement(&request.service, now);
+        let demand = Demand::new(&request.facts, now);
+        let read_ms = placement.map_or(0.0, |placement| placement.read_ms(&demand));
+        let waiting = Waiting::new(key, &request.facts, read_ms, now);
+        self.long_queue.push(waiting);
+    }
+
+    pub(super) fn give_back(
+        &mut self,
+        key: RequestKey,
+        answers_lost: bool,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        for order in self.reservations.give_back(key, answers_lost, now) {
+            out.push(Effect::Order(order));
+        }
+    }
+}
