Peers' work is kept until membership says that they are gone

Cause: among 59 entries all work is told every six seconds, but the router forgot a peer's work after three seconds without news of it. Ruled out: telling all of it more often, which costs bytes between domains. Change: the driver's membership decides (six heartbeats, three seconds at least); the router's own limit is a backstop of ten seconds; heartbeats come at up to four times the pace instead of six.

--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -23,13 +23,16 @@
 /// come more slowly, so that an entry hears about as many a second.
 const FEW_ENTRIES: usize = 12;
 /// The slowest pace, as a multiple of [`HEARTBEAT`].
-const SLOWEST_PACE: f64 = 6.0;
+const SLOWEST_PACE: f64 = 4.0;
 /// Every so many heartbeats all work is told, not only what changed.
 const WHOLE_EVERY: u32 = 4;
 /// Heartbeats that a peer misses before it gets no callers.
 const MISSED_FOR_SILENCE: u32 = 4;
-/// Heartbeats that a peer misses before it no longer counts for shares.
-const MISSED_FOR_GONE: u32 = 12;
+/// Heartbeats that a peer misses before it no longer counts for shares and its
+/// work is forgotten, and the least time for that: a process that was killed is
+/// back within it.
+const MISSED_FOR_GONE: u32 = 6;
+const LEAST_FOR_GONE: Duration = Duration::from_secs(3);
 /// Works told in one datagram at most, so that it fits one packet.
 const MAX_WORKS: usize = 60;
 /// The largest datagram read, in bytes.
@@ -109,6 +112,11 @@
         HEARTBEAT.mul_f64(pace)
     }
 
+    /// Returns how long a peer may be silent until it counts as gone.
+    fn time_to_gone(&self) -> Duration {
+        (self.heartbeat() * MISSED_FOR_GONE).max(LEAST_FOR_GONE)
+    }
+
     fn heard_since(&self, since: Instant) -> impl Iterator<Item = &Peer> {
         let peers = self.by_addr.values();
         peers.filter(move |peer| peer.heard.is_some_and(|heard| heard >= since))
@@ -127,8 +135,7 @@
 
     /// Returns how many peers live.
     pub fn alive(&self, now: Instant) -> u32 {
-        let since = now.before(self.heartbeat() * MISSED_FOR_GONE);
-        self.heard_since(since).count() as u32
+        self.heard_since(now.before(self.time_to_gone())).count() as u32
     }
 
     /// Returns the newest configuration that a peer has.
@@ -255,7 +262,7 @@
     let mut gone = Vec::new();
     {
         let mut peers = shell.peers.borrow_mut();
-        let time = peers.heartbeat() * MISSED_FOR_GONE;
+        let time = peers.time_to_gone();
         for peer in peers.by_addr.values_mut() {
             let silent = peer.heard.is_some_and(|heard| heard < now.before(time));
             if !silent {
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -26,8 +26,9 @@
     ServerChange, ServerKey, Service, SiteConfig,
 };
 
-/// How long a peer's work counts after it was last heard of.
-const PEER_SILENCE: Duration = Duration::from_secs(3);
+/// How long a peer's work counts at most after it told of any. The driver tells
+/// sooner that a peer is gone; this holds if it does not.
+const PEER_SILENCE: Duration = Duration::from_secs(10);
 /// Time below which a request is not sent once more: a server would hardly
 /// begin with it.
 const LEAST_TIME_LEFT: Duration = Duration::from_millis(60);
