A peer's knowledge of a removed record is no loss of the store

Change: peers' newest change is compared with the store's version up to which the register is known here; a question given up for a peer's sake is no loss; records are kept in doubt only after outages of a second or more. Memory that was given back is asked for again only if an order went unanswered; prompts over one engine are read in time while each engine for long work spends 0.8 s on them, and never at others' cost.

--- a/crates/notchwalk_relay/src/engine_orders.rs
+++ b/crates/notchwalk_relay/src/engine_orders.rs
@@ -33,13 +33,12 @@
     let sends = orders.iter().map(|order| send(&shell, order));
     let answers = futures_util::future::join_all(sends).await;
     let mut granted = true;
-    let mut answers_lost = false;
     for (order, answer) in orders.iter().zip(answers) {
         let reason = match answer {
             Ok(status) if status.is_success() => continue,
             Ok(status) => status.to_string(),
             Err(e) => {
-                answers_lost = true;
+                shell.step(Event::Unanswered(order.clone()));
                 e.to_string()
             }
         };
@@ -50,11 +49,7 @@
         );
         LogEvent::new(LogEventKind::ReservationFailed, facts).emit();
     }
-    shell.step(Event::Reserved {
-        request,
-        granted,
-        answers_lost,
-    });
+    shell.step(Event::Reserved { request, granted });
 }
 
 /// Renews a reservation or gives its memory back. Failures are logged; the
@@ -63,5 +58,6 @@
     if let Err(e) = send(&shell, &order).await {
         let facts = format!("reservation={} addr={} reason={e:?}", order.id, order.addr);
         LogEvent::new(LogEventKind::ReservationFailed, facts).emit();
+        shell.step(Event::Unanswered(order));
     }
 }
--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -57,8 +57,8 @@
     store_up: bool,
     /// The version of its configuration.
     config_version: u64,
-    /// The version of its register of servers.
-    servers_version: u64,
+    /// The newest change of the register of servers that it saw.
+    servers_changed: u64,
     /// The servers it tells about.
     servers: Vec<u32>,
     /// What it has there.
@@ -73,7 +73,7 @@
     ready: bool,
     store_up: bool,
     config_version: u64,
-    servers_version: u64,
+    servers_changed: u64,
 }
 
 /// The other entries, by the address that peers reach them at.
@@ -95,7 +95,7 @@
                 ready: false,
                 store_up: false,
                 config_version: 0,
-                servers_version: 0,
+                servers_changed: 0,
             }
         })
     }
@@ -144,9 +144,9 @@
         versions.max().unwrap_or(0)
     }
 
-    /// Returns the newest register of servers that a peer has.
-    pub fn newest_servers(&self) -> u64 {
-        let versions = self.by_addr.values().map(|peer| peer.servers_version);
+    /// Returns the newest change of the register of servers that a peer saw.
+    pub fn newest_change_of_servers(&self) -> u64 {
+        let versions = self.by_addr.values().map(|peer| peer.servers_changed);
         versions.max().unwrap_or(0)
     }
 
@@ -173,7 +173,7 @@
         ready: shell.is_ready(),
         store_up: shell.store_up.get(),
         config_version: shell.router.borrow().version(),
-        servers_version: shell.servers_version.get(),
+        servers_changed: shell.servers_changed.get(),
         servers,
         work,
     }
@@ -335,7 +335,7 @@
         peer.ready = message.ready;
         peer.store_up = message.store_up;
         peer.config_version = message.config_version;
-        peer.servers_version = message.servers_version;
+        peer.servers_changed = message.servers_changed;
         (peer.number, started_anew)
     };
     if started_anew {
--- a/crates/notchwalk_relay/src/server_watch.rs
+++ b/crates/notchwalk_relay/src/server_watch.rs
@@ -16,6 +16,10 @@
 /// back, before their servers are taken as gone: about two seconds.
 const RETURN_TIME: Duration = Duration::from_millis(1_800);
 
+/// Outages shorter than this make no record lapse: servers renew theirs about
+/// once a second and three renewals must fail.
+const LAPSE_TIME: Duration = Duration::from_millis(1_000);
+
 /// Reads the table of backend servers.
 pub(crate) struct ServerReader {
     shell: Rc<Shell>,
@@ -109,8 +113,8 @@
     }
 
     fn is_behind(&self) -> bool {
-        let newest = self.shell.peers.borrow().newest_servers();
-        newest > self.shell.servers_version.get()
+        let newest = self.shell.peers.borrow().newest_change_of_servers();
+        newest > self.shell.servers_known.get()
     }
 
     fn is_unsettled(&self) -> bool {
@@ -130,8 +134,8 @@
     fn changed(&mut self, rows: Vec<Row>) {
         let versions = rows.iter().map(|row| row.version);
         let newest = versions.max().unwrap_or(0);
-        let known = self.shell.servers_version.get();
-        self.shell.servers_version.set(newest.max(known));
+        let before = self.shell.servers_changed.get();
+        self.shell.servers_changed.set(newest.max(before));
         for row in rows {
             if row.value.is_none() {
                 self.lapsed(&row.key);
@@ -144,16 +148,16 @@
     }
 
     fn current(&mut self, version: u64) {
-        // What a peer has seen may have been removed since.
-        let newest = self.shell.peers.borrow().newest_servers().min(version);
-        let known = self.shell.servers_version.get();
-        self.shell.servers_version.set(newest.max(known));
+        self.shell.servers_known.set(version);
         self.take_missing_as_gone();
         self.shell.servers_current.set(self.shell.now());
         self.shell.metrics.servers.set(self.known.len() as i64);
     }
 
-    fn regained(&mut self, _away: Duration) {
+    fn regained(&mut self, away: Duration) {
+        if away < LAPSE_TIME {
+            return;
+        }
         self.doubt_until = self.shell.now().after(RETURN_TIME);
     }
 }
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -41,8 +41,13 @@
     pub stopping: std::cell::Cell<Stopping>,
     /// Whether the store answered the last question.
     pub store_up: std::cell::Cell<bool>,
-    /// The newest version of a record of a server that was seen.
-    pub servers_version: std::cell::Cell<u64>,
+    /// The newest change of the register of servers that was seen; peers are
+    /// told of it.
+    pub servers_changed: std::cell::Cell<u64>,
+    /// The version of the store up to which the register is known here. Peers'
+    /// newest change is compared with it: of a record that was removed before
+    /// the whole register was read, no change is ever seen.
+    pub servers_known: std::cell::Cell<u64>,
     /// When the register of servers was last known to be current.
     pub servers_current: std::cell::Cell<Instant>,
     inboxes: RefCell<SecondaryMap<RequestKey, unbounded::Tx<Effect>>>,
@@ -70,7 +75,8 @@
             limits: std::cell::Cell::default(),
             stopping: std::cell::Cell::default(),
             store_up: std::cell::Cell::new(false),
-            servers_version: std::cell::Cell::new(0),
+            servers_changed: std::cell::Cell::new(0),
+            servers_known: std::cell::Cell::new(0),
             servers_current: std::cell::Cell::new(Instant::ZERO),
             inboxes: RefCell::default(),
         }
--- a/crates/notchwalk_relay/src/table_watch.rs
+++ b/crates/notchwalk_relay/src/table_watch.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, rc::Rc, time::Duration};
 
 use notchwalk_core::{Instant, LogEvent, LogEventKind};
-use notchwalk_platform::{FeedError, PlatformError, Row};
+use notchwalk_platform::{FeedError, Row};
 use rand::Rng;
 
 use crate::shell::Shell;
@@ -101,16 +101,20 @@
         Ok(())
     }
 
-    async fn read_changes(&mut self, after: u64) -> Result<(), FeedError> {
+    /// Returns whether the store answered.
+    async fn read_changes(&mut self, after: u64) -> Result<bool, FeedError> {
         let (table, wait) = (self.reader.table(), self.reader.wait());
         let changes = self.shell.store.changes(table, after, wait);
-        let page = until_behind(&self.reader, changes).await?;
+        let Some(page) = until_behind(&self.reader, changes).await? else {
+            // The next question goes out on another connection.
+            return Ok(false);
+        };
         self.note_answer();
         self.seen = Some(page.version.max(after));
         if !page.rows.is_empty() {
             self.reader.changed(page.rows);
         }
-        Ok(())
+        Ok(true)
     }
 
     /// Waits while others follow the store for this entry and know of nothing
@@ -141,11 +145,16 @@
 
     async fn turn(&mut self) -> Result<(), FeedError> {
         self.wait_for_others().await;
-        match self.seen {
-            None => self.read_whole().await?,
+        let answered = match self.seen {
+            None => {
+                self.read_whole().await?;
+                true
+            }
             Some(after) => self.read_changes(after).await?,
+        };
+        if answered {
+            self.reader.current(self.seen.unwrap_or(0));
         }
-        self.reader.current(self.seen.unwrap_or(0));
         Ok(())
     }
 
@@ -184,11 +193,12 @@
     }
 }
 
-/// Waits for changes, but not longer than a peer needs to know of newer ones.
+/// Waits for changes; `None` says that a peer knows of newer ones, so that the
+/// answer got lost.
 async fn until_behind<T>(
     reader: &impl TableReader,
     changes: impl Future<Output = Result<T, FeedError>>,
-) -> Result<T, FeedError> {
+) -> Result<Option<T>, FeedError> {
     /// How often peers' versions are compared.
     const LOOK_EVERY: Duration = Duration::from_millis(200);
     /// Looks in a row that must find a peer ahead: an answer that is on its way
@@ -198,13 +208,12 @@
     let mut behind = 0;
     loop {
         monoio::select! {
-            page = &mut changes => return page,
+            page = &mut changes => return page.map(Some),
             () = monoio::time::sleep(LOOK_EVERY) => {}
         }
         behind = if reader.is_behind() { behind + 1 } else { 0 };
         if behind >= LOOKS {
-            let reason = "a peer knows of a newer version";
-            return Err(PlatformError::NoAnswer(reason.to_owned()).into());
+            return Ok(None);
         }
     }
 }
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use crate::{PeerWork, RequestFacts, RequestKey, ServerChange, SiteConfig};
+use crate::{PeerWork, RequestFacts, RequestKey, ReservationOrder, ServerChange, SiteConfig};
 
 /// How sending a request to a server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,10 +97,9 @@
         request: RequestKey,
         /// Whether all of the memory is set aside.
         granted: bool,
-        /// Whether an order went unanswered, so that it may be carried out
-        /// late.
-        answers_lost: bool,
     },
+    /// An order for memory went unanswered: it may be carried out late.
+    Unanswered(ReservationOrder),
     /// Time passed.
     Tick,
     /// The entry was told to stop; new requests are refused after `after`.
--- a/crates/notchwalk_route/src/placement/long.rs
+++ b/crates/notchwalk_route/src/placement/long.rs
@@ -17,7 +17,7 @@
 /// Reading of a prompt that exceeds one engine, divided by the engines for long
 /// requests, up to which it is read in time, in milliseconds. Measured on 18
 /// engines, reading 17 s at once made a second's short requests late.
-const OVERSIZED_EACH_MS: f64 = 250.0;
+const OVERSIZED_EACH_MS: f64 = 800.0;
 /// Reading up to which an engine counts as idle, in milliseconds.
 const IDLE_READING_MS: f64 = 30.0;
 /// The longest part of a prompt on an engine where nothing generates, in
--- a/crates/notchwalk_route/src/reservations.rs
+++ b/crates/notchwalk_route/src/reservations.rs
@@ -15,8 +15,8 @@
 /// How long a reservation holds without renewal. A dead entry's memory must be
 /// free four seconds after its request ended.
 pub(crate) const HOLD: Duration = Duration::from_millis(3_400);
-/// How often a reservation in use is renewed.
-const RENEW_EVERY: Duration = Duration::from_millis(1_100);
+/// How often a reservation in use is renewed: one renewal may get lost.
+const RENEW_EVERY: Duration = Duration::from_millis(1_500);
 /// How often giving back is repeated.
 const REPEAT_EVERY: Duration = Duration::from_millis(1_500);
 /// For how long giving back is repeated when an order's answer was lost: such
@@ -28,6 +28,8 @@
     request: RequestKey,
     order: ReservationOrder,
     renew_at: Instant,
+    /// Whether an order for it went unanswered: it may be carried out late.
+    unanswered: bool,
 }
 
 #[derive(Debug)]
@@ -52,61 +54,87 @@
                 request,
                 order: order.clone(),
                 renew_at: now.after(RENEW_EVERY),
+                unanswered: false,
             });
         }
     }
 
-    /// Ends the reservations of a request; returns the orders that do.
-    /// `answers_lost` tells that an order for it went unanswered.
-    pub fn give_back(
-        &mut self,
-        request: RequestKey,
-        answers_lost: bool,
-        now: Instant,
-    ) -> Vec<ReservationOrder> {
-        let mut orders = Vec::new();
-        self.held.retain(|held| {
-            if held.request != request {
-                return true;
+    /// Notes that an order went unanswered. A giving back is repeated from now
+    /// on; one that sets aside or renews may be carried out after its end.
+    pub fn note_unanswered(&mut self, order: &ReservationOrder, now: Instant) {
+        if order.tokens.is_none() {
+            self.repeat(order.clone(), now);
+            return;
+        }
+        let same = |held: &&mut Held| held.order.addr == order.addr && held.order.id == order.id;
+        match self.held.iter_mut().find(same) {
+            Some(held) => held.unanswered = true,
+            // Its request ended meanwhile.
+            None => {
+                let tokens = None;
+                self.repeat(
+                    ReservationOrder {
+                        tokens,
+                        ..order.clone()
+                    },
+                    now,
+                );
             }
-            let tokens = None;
-            orders.push(ReservationOrder {
-                tokens,
-                ..held.order.clone()
-            });
-            false
+        }
+    }
+
+    fn repeat(&mut self, order: ReservationOrder, now: Instant) {
+        let known = self.given_back.iter();
+        let mut known = known.filter(|given| given.order == order);
+        if known.next().is_some() {
+            return;
+        }
+        self.given_back.push(GivenBack {
+            order,
+            again_at: now.after(REPEAT_EVERY),
+            until: now.after(REPEAT_FOR),
         });
-        for order in &orders {
-            let repeat = if answers_lost {
-                REPEAT_FOR
-            } else {
-                REPEAT_EVERY
+    }
+
+    /// Ends the reservations of a request; returns the orders that do.
+    pub fn give_back(&mut self, request: RequestKey, now: Instant) -> Vec<ReservationOrder> {
+        let (ended, held) = std::mem::take(&mut self.held)
+            .into_iter()
+            .partition(|held| held.request == request);
+        self.held = held;
+        let mut orders = Vec::new();
+        for Held {
+            order, unanswered, ..
+        } in ended
+        {
+            let order = ReservationOrder {
+                tokens: None,
+                ..order
             };
-            self.given_back.push(GivenBack {
-                order: order.clone(),
-                again_at: now.after(REPEAT_EVERY),
-                until: now.after(repeat),
-            });
+            if unanswered {
+                self.repeat(order.clone(), now);
+            }
+            orders.push(order);
         }
         orders
     }
 
     /// Returns the orders that are due: renewals and repeated givings back.
-    pub fn due(&mut self, now: Instant) -> Vec<(Option<RequestKey>, ReservationOrder)> {
+    pub fn due(&mut self, now: Instant) -> Vec<ReservationOrder> {
         let mut due = Vec::new();
         for held in &mut self.held {
             if now < held.renew_at {
                 continue;
             }
             held.renew_at = now.after(RENEW_EVERY);
-            due.push((Some(held.request), held.order.clone()));
+            due.push(held.order.clone());
         }
         for given in &mut self.given_back {
             if now < given.again_at {
                 continue;
             }
             given.again_at = now.after(REPEAT_EVERY);
-            due.push((None, given.order.clone()));
+            due.push(given.order.clone());
         }
         self.given_back.retain(|given| now < given.until);
         due
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -51,7 +51,7 @@
     pub(super) fn forget(&mut self, key: RequestKey, now: Instant, out: &mut Vec<Effect>) {
         self.long_queue.remove(key);
         self.lift(key);
-        self.give_back(key, false, now, out);
+        self.give_back(key, now, out);
         self.requests.remove(key);
     }
 
@@ -101,7 +101,7 @@
             request.ran_on += 1;
         }
         self.judge_server(server, end, now, out);
-        self.give_back(key, false, now, out);
+        self.give_back(key, now, out);
         self.lift(key);
         if matches!(end, AttemptEnd::Delivered { .. }) {
             return self.forget(key, now, out);
--- a/crates/notchwalk_route/src/router/long.rs
+++ b/crates/notchwalk_route/src/router/long.rs
@@ -7,7 +7,7 @@
 use super::Router;
 use crate::{
     long_queue::{Waiting, PATIENCE_IN_OBJECTIVES},
-    placement::{Demand, Plan},
+    placement::{Demand, EnginePlacement, Plan},
     request::Request,
     Effect, Grounds, Refusal, RequestKey,
 };
@@ -58,22 +58,17 @@
         };
         let (service, tried) = (&request.service, &request.tried);
         let demand = Demand::new(&request.facts, now);
-        if placement.exceeds_engine(&demand) && !placement.may_read_oversized(service, &demand) {
-            let limit_ms = self.patience_ms(request, now);
-            let plan = placement.place_oversized(service, &demand, tried, limit_ms);
-            let decided_by = request.facts.route.objective / DECIDED_IN_PART_OF_OBJECTIVE;
-            let undecided = now.since(request.facts.arrived) < decided_by;
-            return match plan {
+        let left_ms = request.objective_at().since(now).as_secs_f64() * 1e3;
+        let in_time = placement.place_long(service, &demand, tried);
+        let in_time = in_time.filter(|plan| plan.first_ms <= left_ms);
+        if placement.exceeds_engine(&demand) {
+            let affordable = placement.may_read_oversized(service, &demand);
+            return match in_time.filter(|_| affordable) {
                 Some(plan) => LongDecision::Send(Some(plan)),
-                None if undecided => LongDecision::Wait,
-                None => LongDecision::Refuse,
+                None => self.decide_oversized(request, &placement, &demand, now),
             };
         }
-        let left_ms = request.objective_at().since(now).as_secs_f64() * 1e3;
-        let plan = placement.place_long(service, &demand, tried);
-        let plan = plan.filter(|plan| plan.first_ms <= left_ms);
-        let plan = plan.or_else(|| self.plan_urgent(request, now));
-        match plan {
+        match in_time.or_else(|| self.plan_urgent(request, now)) {
             Some(plan) => LongDecision::Send(Some(plan)),
             None if now < waiting.latest => LongDecision::Wait,
             None => {
@@ -83,6 +78,27 @@
         }
     }
 
+    /// Decides about a prompt that exceeds one engine and can't be read in time:
+    /// it is read late if enough engines are idle.
+    fn decide_oversized(
+        &self,
+        request: &Request,
+        placement: &EnginePlacement<'_>,
+        demand: &Demand,
+        now: Instant,
+    ) -> LongDecision {
+        let limit_ms = self.patience_ms(request, now);
+        let (service, tried) = (&request.service, &request.tried);
+        let plan = placement.place_oversized(service, demand, tried, limit_ms);
+        let decided_by = request.facts.route.objective / DECIDED_IN_PART_OF_OBJECTIVE;
+        let undecided = now.since(request.facts.arrived) < decided_by;
+        match plan {
+            Some(plan) => LongDecision::Send(Some(plan)),
+            None if undecided => LongDecision::Wait,
+            None => LongDecision::Refuse,
+        }
+    }
+
     /// Returns a way in time at the cost of others, if the request stands for
     /// more than they do.
     fn plan_urgent(&self, request: &Request, now: Instant) -> Option<Plan> {
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -193,11 +193,8 @@
             } => self.peer_work(peer, &servers, work, now),
             Event::PeerGone { peer } => self.board.forget_peer(peer),
             Event::Entries { alive } => self.entries = alive.max(1),
-            Event::Reserved {
-                request,
-                granted,
-                answers_lost,
-            } => self.reserved(request, granted, answers_lost, now, out),
+            Event::Reserved { request, granted } => self.reserved(request, granted, now, out),
+            Event::Unanswered(order) => self.reservations.note_unanswered(&order, now),
             Event::Tick => self.tick(now, out),
             Event::Draining { after } => self.draining_from = Some(now.after(after)),
         }
@@ -230,7 +227,7 @@
 
     fn tick(&mut self, now: Instant, out: &mut Vec<Effect>) {
         self.board.forget_silent_peers(now.before(PEER_SILENCE));
-        for (_, order) in self.reservations.due(now) {
+        for order in self.reservations.due(now) {
             out.push(Effect::Order(order));
         }
         self.send_long(now, out);
--- a/crates/notchwalk_route/src/router/reserving.rs
+++ b/crates/notchwalk_route/src/router/reserving.rs
@@ -54,7 +54,6 @@
         &mut self,
         key: RequestKey,
         granted: bool,
-        answers_lost: bool,
         now: Instant,
         out: &mut Vec<Effect>,
     ) {
@@ -79,7 +78,7 @@
         // No server saw the request; another set of engines may do.
         request.sends -= 1;
         request.tried.clear();
-        self.give_back(key, answers_lost, now, out);
+        self.give_back(key, now, out);
         self.lift(key);
         let Some(Some(request)) = self.requests.get(key) else {
             return;
@@ -91,14 +90,8 @@
         self.long_queue.push(waiting);
     }
 
-    pub(super) fn give_back(
-        &mut self,
-        key: RequestKey,
-        answers_lost: bool,
-        now: Instant,
-        out: &mut Vec<Effect>,
-    ) {
-        for order in self.reservations.give_back(key, answers_lost, now) {
+    pub(super) fn give_back(&mut self, key: RequestKey, now: Instant, out: &mut Vec<Effect>) {
+        for order in self.reservations.give_back(key, now) {
             out.push(Effect::Order(order));
         }
     }
--- a/crates/notchwalk_route/tests/decisions/random_runs.rs
+++ b/crates/notchwalk_route/tests/decisions/random_runs.rs
@@ -161,12 +161,7 @@
                         &mut self.seen.get_mut(&request).expect("known").0.reserving,
                         false,
                     ) {
-                        let answers_lost = !granted;
-                        self.rig.step(Event::Reserved {
-                            request,
-                            granted,
-                            answers_lost,
-                        });
+                        self.rig.step(Event::Reserved { request, granted });
                     }
                 }
             }
--- a/crates/notchwalk_route/tests/decisions/reservations.rs
+++ b/crates/notchwalk_route/tests/decisions/reservations.rs
@@ -38,12 +38,8 @@
     ended.map(|order| order.addr).collect()
 }
 
-fn granted(rig: &mut Rig, request: RequestKey, granted: bool, answers_lost: bool) {
-    rig.step(Event::Reserved {
-        request,
-        granted,
-        answers_lost,
-    });
+fn granted(rig: &mut Rig, request: RequestKey, granted: bool) {
+    rig.step(Event::Reserved { request, granted });
 }
 
 #[test]
@@ -54,7 +50,7 @@
     let placed = reserves(&mut rig);
     let sum: u32 = placed.iter().filter_map(|order| order.tokens).sum();
     assert!(sum > OVERSIZED, "{sum}");
-    granted(&mut rig, request, true, false);
+    granted(&mut rig, request, true);
     let to = rig.only_send();
     let tickets = to
         .helpers
@@ -74,7 +70,7 @@
         if reserves(&mut rig).is_empty() {
             continue;
         }
-        granted(&mut rig, request, true, false);
+        granted(&mut rig, request, true);
         assert!(rig.only_send().helpers.len() <= 16);
     }
 }
@@ -90,7 +86,7 @@
         let mut rig = Rig::new();
         let request = rig.arrive("/long/", OVERSIZED);
         let placed = reserves(&mut rig);
-        granted(&mut rig, request, true, false);
+        granted(&mut rig, request, true);
         orders(&mut rig);
         end(&mut rig, request);
         let placed: HashSet<_> = placed.iter().map(|order| order.addr).collect();
@@ -103,7 +99,7 @@
     let mut rig = Rig::new();
     let request = rig.arrive("/long/", OVERSIZED);
     let placed = reserves(&mut rig).len();
-    granted(&mut rig, request, false, false);
+    granted(&mut rig, request, false);
     assert_eq!(given_back(&mut rig).len(), placed);
     assert!(rig.sends().is_empty());
 }
@@ -113,7 +109,7 @@
     let mut rig = Rig::new();
     let request = rig.arrive("/long/", OVERSIZED);
     let placed = reserves(&mut rig);
-    granted(&mut rig, request, true, false);
+    granted(&mut rig, request, true);
     let hold = placed[0].hold;
     let mut renewed = 0;
     let mut passed = Duration::ZERO;
@@ -140,23 +136,48 @@
 }
 
 /// An order whose answer was lost may be carried out up to twelve seconds
-/// later: giving back goes on until then.
+/// later: giving back goes on until then, whichever order it was.
 #[test]
 fn giving_back_is_repeated_after_a_lost_answer() {
+    for lost_is_release in [false, true] {
+        let mut rig = Rig::new();
+        let request = rig.arrive("/long/", OVERSIZED);
+        let placed = reserves(&mut rig);
+        granted(&mut rig, request, true);
+        let tokens = placed[0].tokens.filter(|_| !lost_is_release);
+        let lost = ReservationOrder {
+            tokens,
+            ..placed[0].clone()
+        };
+        rig.step(Event::Unanswered(lost));
+        rig.step(Event::Abandoned { request });
+        orders(&mut rig);
+        for _ in 0..11 {
+            rig.pass(Duration::from_millis(1_000));
+        }
+        let again = orders(&mut rig);
+        let ended = again.iter().filter(|order| order.tokens.is_none());
+        assert!(ended.clone().count() >= 5);
+        assert!(ended.clone().all(|order| order.addr == placed[0].addr));
+        for _ in 0..4 {
+            rig.pass(Duration::from_millis(1_000));
+        }
+        orders(&mut rig);
+        rig.pass(Duration::from_millis(2_000));
+        assert!(orders(&mut rig).is_empty(), "it ends some time");
+    }
+}
+
+#[test]
+fn what_was_answered_is_not_repeated() {
     let mut rig = Rig::new();
     let request = rig.arrive("/long/", OVERSIZED);
-    let placed = reserves(&mut rig).len();
-    granted(&mut rig, request, false, true);
-    rig.step(Event::Abandoned { request });
+    reserves(&mut rig);
+    granted(&mut rig, request, true);
+    rig.end(request, AttemptEnd::Delivered { healthy: true });
     orders(&mut rig);
-    for _ in 0..11 {
-        rig.pass(Duration::from_millis(1_000));
-    }
-    let ended = orders(&mut rig)
-        .iter()
-        .filter(|o| o.tokens.is_none())
-        .count();
-    assert!(ended >= 5 * placed, "{ended} for {placed}");
+    rig.pass(Duration::from_millis(2_000));
+    assert!(orders(&mut rig).is_empty());
 }
 
 /// Found by the first days with reservations: two entries that started in the
@@ -170,7 +191,7 @@
             let request = rig.arrive("/long/", OVERSIZED);
             let orders = reserves(&mut rig);
             assert!(ids.insert(orders[0].id.clone()));
-            granted(&mut rig, request, true, false);
+            granted(&mut rig, request, true);
             rig.end(request, AttemptEnd::Delivered { healthy: true });
         }
     }
