--- a/crates/notchwalk_route/src/placement/long.rs
+++ b/crates/notchwalk_route/src/placement/long.rs
@@ -18,6 +18,9 @@
 /// requests, up to which it is read in time, in milliseconds. Measured on 18
 /// engines, reading 17 s at once made a second's short requests late.
 const OVERSIZED_EACH_MS: f64 = 800.0;
+/// Engines that must be idle for each that reads a prompt late. Measured: see
+/// docs/BENCHES.md.
+const IDLE_FOR_EACH: usize = 6;
 /// Reading up to which an engine counts as idle, in milliseconds.
 const IDLE_READING_MS: f64 = 30.0;
 /// The longest part of a prompt on an engine where nothing generates, in
@@ -189,8 +192,8 @@
     }
 
     /// Chooses engines for a prompt that exceeds one engine: as few as serve it
-    /// within `limit_ms`, and only if twice as many are idle. Reading it takes
-    /// so long that it would make many other requests late.
+    /// within `limit_ms`, and only if many more are idle: it keeps them for so
+    /// long that a wave of other requests would miss them.
     pub fn place_oversized(
         &self,
         service: &str,
@@ -204,7 +207,8 @@
             !view.in_short_pool && load.occupied() == 0 && load.reading_ms < IDLE_READING_MS
         });
         let plan = self.fewest(&views, demand, limit_ms)?;
-        (views.len() >= 2 * (plan.helpers.len() + 1)).then_some(plan)
+        let engines = plan.helpers.len() + 1;
+        (views.len() >= IDLE_FOR_EACH * engines).then_some(plan)
     }
 
     fn fewest(&self, views: &[View], demand: &Demand, limit_ms: f64) -> Option<Plan> {
