Accepting a request is a function of its own; unused parts removed

Cause: reading the change as a newcomer: Front::serve had eighty lines; servers' load headers, two settings and a field of the request were read and used nowhere. Ruled out: using the load headers now, since peers' work tells the same sooner. Conclusion: no behaviour changed.

--- a/crates/notchwalk_relay/src/answer.rs
+++ b/crates/notchwalk_relay/src/answer.rs
@@ -26,6 +26,4 @@
     pub word: AnswerWord,
     /// The server that is to blame, where it is another one.
     pub at_fault: Option<SocketAddr>,
-    /// Requests running and waiting at the server, where it tells them.
-    pub load: Option<(u32, u32)>,
 }
--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -174,14 +174,6 @@
     let facts = shell
         .dialect
         .backend_answer(&served.caller.id, answer.status, &answer.headers);
-    if let Some((running, waiting)) = facts.load {
-        let addr = to.addr;
-        shell.step(Event::Load {
-            addr,
-            running,
-            waiting,
-        });
-    }
     let not_run = |moved| AttemptEnd::NotRun {
         at_fault: facts.at_fault,
         moved,
--- a/crates/notchwalk_relay/src/front.rs
+++ b/crates/notchwalk_relay/src/front.rs
@@ -17,6 +17,9 @@
 
 /// Time that a caller waits if it says nothing.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(10);
+/// When a caller may come back to an entry that has no configuration yet: reading
+/// it takes a few milliseconds once the store answers.
+const NO_CONFIG_RETRY: Duration = Duration::from_millis(300);
 /// How long before a route's time is over a request is given up, so that the
 /// final answer is out in time.
 const TIMEOUT_MARGIN: Duration = Duration::from_millis(20);
@@ -56,6 +59,43 @@
     }
 }
 
+/// A request that was read whole; its key is given when the router gets it.
+struct Accepted {
+    served: Served,
+    facts: RequestFacts,
+}
+
+/// Why a request was not accepted.
+enum Rejection {
+    /// Nobody waits for an answer.
+    CallerLeft,
+    /// It is answered at once.
+    Answer {
+        id: String,
+        status: StatusCode,
+        reason: &'static str,
+        retry_after: Option<Duration>,
+    },
+}
+
+impl Rejection {
+    fn new(id: &str, status: StatusCode, reason: &'static str) -> Self {
+        Self::Answer {
+            id: id.to_owned(),
+            status,
+            reason,
+            retry_after: None,
+        }
+    }
+
+    fn with_retry_after(mut self, after: Duration) -> Self {
+        if let Self::Answer { retry_after, .. } = &mut self {
+            *retry_after = Some(after);
+        }
+        self
+    }
+}
+
 /// How a request ended, for logs and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
@@ -121,68 +161,87 @@
         if self.shell.stopping.get() != Stopping::No {
             exchange.close_after();
         }
-        let caller = match self.shell.dialect.caller_request(&exchange.head.headers) {
-            Ok(caller) => caller,
-            Err(reason) => {
-                let status = StatusCode::BAD_REQUEST;
-                return self.reject(exchange, "", status, reason, None).await;
+        let accepted = match self.accept(exchange, arrived).await {
+            Ok(accepted) => accepted,
+            Err(Rejection::CallerLeft) => return exchange.abort(),
+            Err(Rejection::Answer {
+                id,
+                status,
+                reason,
+                retry_after,
+            }) => {
+                return self
+                    .reject(exchange, &id, status, reason, retry_after)
+                    .await;
             }
         };
+        let (key, inbox) = self.shell.open_request();
+        let served = Served {
+            key,
+            ..accepted.served
+        };
+        self.shell.step(Event::Arrived {
+            request: key,
+            facts: accepted.facts,
+        });
+        let mut delivery = Delivery::new(served.caller.last_event);
+        let outcome = self.follow(exchange, &served, inbox, &mut delivery).await;
+        self.shell.close_request(key);
+        self.record(&served, &delivery, outcome);
+    }
+
+    /// Reads a request whole, within the bounds, and finds its route and
+    /// workspace.
+    async fn accept(
+        &self,
+        exchange: &mut Exchange,
+        arrived: Instant,
+    ) -> Result<Accepted, Rejection> {
+        let caller = self.shell.dialect.caller_request(&exchange.head.headers);
+        let caller =
+            caller.map_err(|reason| Rejection::new("", StatusCode::BAD_REQUEST, reason))?;
         let id = caller.id.to_str().unwrap_or("unreadable").to_owned();
+        let rejected = |status, reason| Rejection::new(&id, status, reason);
         if self.shell.router.borrow().version() == 0 {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            let after = Some(Duration::from_millis(300));
             let reason = "no configuration is in force yet";
-            return self.reject(exchange, &id, status, reason, after).await;
+            let rejection = rejected(StatusCode::SERVICE_UNAVAILABLE, reason);
+            return Err(rejection.with_retry_after(NO_CONFIG_RETRY));
         }
         let limits = self.shell.limits.get();
         if head_bytes(exchange) > limits.head_bytes {
-            let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
             exchange.close_after();
-            return self
-                .reject(exchange, &id, status, "the head is too large", None)
-                .await;
+            let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+            return Err(rejected(status, "the head is too large"));
         }
         let (route, workspace) = match self.look_up(exchange, &caller) {
-            RouteLookup::NoRoute => {
-                let status = StatusCode::NOT_FOUND;
-                return self
-                    .reject(exchange, &id, status, "no such route", None)
-                    .await;
-            }
+            RouteLookup::NoRoute => return Err(rejected(StatusCode::NOT_FOUND, "no such route")),
             RouteLookup::NoKey => {
-                let status = StatusCode::UNAUTHORIZED;
-                return self
-                    .reject(exchange, &id, status, "the key is not known", None)
-                    .await;
+                return Err(rejected(StatusCode::UNAUTHORIZED, "the key is not known"));
             }
             RouteLookup::Found { route, workspace } => (route, workspace),
         };
         let patience = caller.patience.unwrap_or(DEFAULT_PATIENCE);
         let held = patience.min(route.timeout.saturating_sub(TIMEOUT_MARGIN));
-        let deadline = arrived.after(held);
         let body = match self.read_body(exchange, limits.body_bytes, held).await {
             Ok(body) => body,
+            Err(None) => return Err(Rejection::CallerLeft),
             Err(Some((status, reason))) => {
                 exchange.close_after();
-                return self.reject(exchange, &id, status, reason, None).await;
+                return Err(rejected(status, reason));
             }
-            Err(None) => return exchange.abort(),
         };
-        let guess = caller.guessed_answer_tokens;
         let usual = (f64::from(caller.max_answer_tokens) * USUAL_ANSWER_SHARE) as u32;
+        let deadline = arrived.after(held);
         let facts = RequestFacts {
             workspace_priority: workspace.as_ref().map_or(0, |(_, priority)| *priority),
             arrived,
             deadline,
             prompt_tokens: caller.prompt_tokens,
-            answer_tokens: guess.unwrap_or(usual),
-            resumes: caller.last_event.is_some(),
+            answer_tokens: caller.guessed_answer_tokens.unwrap_or(usual),
             route: route.clone(),
         };
-        let (key, inbox) = self.shell.open_request();
         let served = Served {
-            key,
+            key: RequestKey::default(),
             caller,
             workspace: workspace.map(|(name, _)| Rc::from(&*name)),
             route: Rc::from(route.name.as_str()),
@@ -191,14 +250,7 @@
             body,
             streaming: route.streaming,
         };
-        self.shell.step(Event::Arrived {
-            request: key,
-            facts,
-        });
-        let mut delivery = Delivery::new(served.caller.last_event);
-        let outcome = self.follow(exchange, &served, inbox, &mut delivery).await;
-        self.shell.close_request(key);
-        self.record(&served, &delivery, outcome);
+        Ok(Accepted { served, facts })
     }
 
     fn look_up(&self, exchange: &Exchange, caller: &CallerFacts) -> RouteLookup {
--- a/crates/notchwalk_relay/src/settings.rs
+++ b/crates/notchwalk_relay/src/settings.rs
@@ -26,8 +26,6 @@
     pub operator: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
-    /// Largest row value that the store takes, in bytes.
-    pub store_row_bytes: usize,
     /// How long callers may keep the directory's answer.
     pub directory_ttl: Duration,
     /// Repeated sends allowed for each request of a service.
@@ -36,8 +34,6 @@
     pub retry_slack: f64,
     /// The window over which both are counted.
     pub retry_window: Duration,
-    /// How long a leaving server serves on.
-    pub server_drain: Duration,
     /// Time from the order to stop until the process is killed.
     pub stop_grace: Duration,
     /// Descriptors the process may have open.
@@ -92,13 +88,10 @@
     let max_descriptors = entry.within("max_descriptors", 4_200, 64, 1_000_000);
     let store = ini.section("store");
     let store_addr = store.required::<SocketAddr>("address");
-    let store_row_bytes = store.within("row_bytes", 65_536, 256, 1 << 30);
     let retries = ini.section("retries");
     let retry_ratio = retries.within("ratio", 0.2, 0.0, 10.0);
     let retry_slack = retries.within("slack", 100.0, 0.0, 1e6);
     let retry_window_s = retries.within("window_s", 10.0, 0.1, 3_600.0);
-    let servers = ini.section("servers");
-    let server_drain_ms = servers.within("drain_ms", 2_000, 0, 600_000);
     Some(RelaySettings {
         name: name?,
         failure_domain: failure_domain?,
@@ -108,12 +101,10 @@
         peer: peer?,
         operator: operator?,
         store: store_addr?,
-        store_row_bytes,
         directory_ttl: Duration::from_millis(directory_ttl_ms),
         retry_ratio,
         retry_slack,
         retry_window: Duration::from_secs_f64(retry_window_s),
-        server_drain: Duration::from_millis(server_drain_ms),
         stop_grace: Duration::from_secs_f64(stop_grace_s),
         max_descriptors,
     })
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -63,15 +63,6 @@
         /// The request.
         request: RequestKey,
     },
-    /// A server told its load with an answer: running, waiting, slots.
-    Load {
-        /// The server's address.
-        addr: SocketAddr,
-        /// Requests that run.
-        running: u32,
-        /// Requests that wait.
-        waiting: u32,
-    },
     /// A peer told what it has at some servers; replaces what it told of them.
     PeerWork {
         /// The peer's number on this entry.
--- a/crates/notchwalk_route/src/request.rs
+++ b/crates/notchwalk_route/src/request.rs
@@ -27,8 +27,6 @@
     pub prompt_tokens: u32,
     /// Tokens of the answer, as far as the caller can tell.
     pub answer_tokens: u32,
-    /// Whether the caller picks up a stream that broke off.
-    pub resumes: bool,
 }
 
 /// What the router keeps of a request until its answer ended.
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -185,7 +185,6 @@
             Event::Started { request } => self.started(request, now),
             Event::AttemptEnded { request, end } => self.attempt_ended(request, end, now, out),
             Event::Abandoned { request } => self.forget(request, now, out),
-            Event::Load { .. } => {}
             Event::PeerWork {
                 peer,
                 servers,
--- a/crates/notchwalk_route/tests/decisions/common.rs
+++ b/crates/notchwalk_route/tests/decisions/common.rs
@@ -159,7 +159,6 @@
             deadline: self.now.after(route.timeout),
             prompt_tokens,
             answer_tokens: 800,
-            resumes: false,
             route,
         };
         let request = self.router.new_request();
