A server is given up for silence only if the request surely goes on elsewhere

Whether a repeat was left was counted over sends that had lapsed, and whether any server would be chosen was not asked. Ruled out: the server (it went on), the deadline (4 s were left). Change: the budget is asked for the present window; the way to another server is planned before the one it is on is given up. Two tests, not run against the old code (one does not compile with it).

--- a/crates/notchwalk_route/src/retry_budget.rs
+++ b/crates/notchwalk_route/src/retry_budget.rs
@@ -59,18 +59,23 @@
         self.firsts += 1;
     }
 
-    /// Tells whether one more repeated send is allowed. `entries` share the
+    /// Tells whether one more repeated send is allowed now. `entries` share the
     /// slack.
-    pub fn has_left(&self, entries: u32) -> bool {
+    pub fn has_left(&self, now: Instant, entries: u32) -> bool {
+        let since = now.before(self.window);
+        let lapsed = self.sends.iter().take_while(|&&(at, _)| at < since);
+        let lapsed_repeats = lapsed.clone().filter(|&&(_, repeat)| repeat).count() as u32;
+        let lapsed_firsts = lapsed.count() as u32 - lapsed_repeats;
+        let firsts = f64::from(self.firsts - lapsed_firsts);
+        let repeats = f64::from(self.repeats - lapsed_repeats);
         let slack = self.slack / f64::from(entries.max(1));
-        let allowed = USED_SHARE * (self.ratio * f64::from(self.firsts) + slack);
-        f64::from(self.repeats + 1) <= allowed
+        repeats + 1.0 <= USED_SHARE * (self.ratio * firsts + slack)
     }
 
     /// Takes one repeated send, if the budget allows it.
     pub fn take(&mut self, now: Instant, entries: u32) -> bool {
         self.forget(now);
-        if !self.has_left(entries) {
+        if !self.has_left(now, entries) {
             return false;
         }
         self.sends.push_back((now, true));
--- a/crates/notchwalk_route/src/router/long.rs
+++ b/crates/notchwalk_route/src/router/long.rs
@@ -78,6 +78,16 @@
         }
     }
 
+    /// Tells whether a request would be sent to another server at once.
+    pub(super) fn has_way(&self, request: &Request, now: Instant) -> bool {
+        let Some(read_ms) = self.long_read_ms(request, now) else {
+            return self.plan(request, now).is_some();
+        };
+        let waiting = Waiting::new(RequestKey::default(), &request.facts, read_ms, now);
+        let decision = self.decide_long(request, &waiting, now);
+        matches!(decision, LongDecision::Send(Some(_)))
+    }
+
     /// Decides about a prompt that exceeds one engine and can't be read in time:
     /// it is read late if enough engines are idle.
     fn decide_oversized(
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -157,7 +157,8 @@
         request.may_repeat()
             && request.ran_on + 1 < request.facts.route.max_attempts
             && request.left(now) >= LEAST_TIME_LEFT
-            && self.budget.has_left(self.entries)
+            && self.budget.has_left(now, self.entries)
+            && self.has_way(request, now)
     }
 
     /// Returns how many long requests wait for engines, and their engine time in
--- a/crates/notchwalk_route/tests/decisions/retries.rs
+++ b/crates/notchwalk_route/tests/decisions/retries.rs
@@ -82,6 +82,31 @@
     assert!(!rig.router.may_try_another(once, rig.now));
 }
 
+/// Found by a hunt (falaj mix, seed 101053947173): a stream was given up for its
+/// silence since repeats seemed to be left, counted over sends that had lapsed.
+#[test]
+fn repeats_are_counted_over_the_window_also_when_only_asked_for() {
+    let mut rig = Rig::new();
+    let mut budget = RetryBudget::new(0.2, 0.0, Duration::from_secs(10));
+    for _ in 0..100 {
+        budget.note_first(rig.now);
+    }
+    assert!(budget.has_left(rig.now, 1));
+    rig.now = rig.now.after(Duration::from_secs(11));
+    assert!(!budget.has_left(rig.now, 1));
+}
+
+/// The same: no other engine may be had, so that the one it is on is kept.
+#[test]
+fn a_server_is_kept_if_no_other_is_left() {
+    let mut rig = Rig::named("entry-1", 1);
+    for (path, tokens) in [("/short/", 3_000), ("/long/", 90_000)] {
+        let request = rig.arrive(path, tokens);
+        rig.only_send();
+        assert!(!rig.router.may_try_another(request, rig.now), "{path}");
+    }
+}
+
 #[test]
 fn the_budget_bounds_repeats_within_its_window() {
     let mut rig = Rig::new();
