Parts are read where nothing is left to read; worth follows tokens

Such prompts were given up for silence after their objective and read anew, seconds of engine time each. Late prompts were spread over up to 15 engines because the first ones of the list lacked memory, and stopped all short answers there for 0.7 s. Worth by engine time overrated the longest prompts (it grows with the square). Conclusion: the order in which engines read was the largest unknown; five tests that failed first.

--- a/crates/notchwalk_route/src/placement/long.rs
+++ b/crates/notchwalk_route/src/placement/long.rs
@@ -29,10 +29,6 @@
 /// The longest part of a long prompt on an engine with short requests, in
 /// milliseconds: their first events wait for it.
 const THINNEST_MS: f64 = 60.0;
-/// Reading that an engine may have before it gets a further part, in
-/// milliseconds: enough that it never waits for the next one, little enough
-/// that a cheaper request that comes later can go before.
-const QUEUED_MS: f64 = 150.0;
 /// What it costs that one engine more reads a long prompt of its own, in
 /// milliseconds: it gets no parts of others meanwhile.
 const OPENING_MS: f64 = 60.0;
@@ -87,7 +83,7 @@
     /// still reads.
     pub fn place_long(&self, service: &str, demand: &Demand, tried: &[ServerKey]) -> Option<Plan> {
         let cost = self.cost();
-        let worth_ms = self.worth_ms(demand);
+        let worth_ms = demand.worth_ms();
         let mut views = self.views(service, tried);
         views.sort_by(|a, b| {
             let busy = |view: &View| view.wait_ms + view.load.reading_ms + view.distrust_ms;
@@ -106,8 +102,7 @@
             let roomy = views.iter().filter(|view| {
                 view.key != generating.key
                     && self.has_memory(view, held.elsewhere)
-                    && view.load.own_long_reads == 0
-                    && view.load.reading_ms <= QUEUED_MS
+                    && view.may_help()
                     && self.room_ms(view) >= part_ms
             });
             let mut chosen: Vec<&View> = roomy.take(k - 1).collect();
@@ -169,8 +164,8 @@
         best.map(|(_, view)| view)
     }
 
-    /// Chooses as few engines as serve a long prompt within `limit_ms`, though
-    /// late: those with the fewest short requests, then the least to read.
+    /// Chooses engines that serve a long prompt within `limit_ms`, though late:
+    /// those with the fewest short requests, then the least to read.
     pub fn place_late(
         &self,
         service: &str,
@@ -188,11 +183,11 @@
             let order = disturbed(a).cmp(&disturbed(b));
             order.then(busy(a).total_cmp(&busy(b)))
         });
-        self.fewest(&views, demand, limit_ms)
+        self.least_harm(&views, demand, limit_ms)
     }
 
-    /// Chooses engines for a prompt that exceeds one engine: as few as serve it
-    /// within `limit_ms`, and only if many more are idle: it keeps them for so
+    /// Chooses engines for a prompt that exceeds one engine and serve it within
+    /// `limit_ms`, only if many more are idle: it keeps them for so
     /// long that a wave of other requests would miss them.
     pub fn place_oversized(
         &self,
@@ -206,19 +201,22 @@
             let load = &view.load;
             !view.in_short_pool && load.occupied() == 0 && load.reading_ms < IDLE_READING_MS
         });
-        let plan = self.fewest(&views, demand, limit_ms)?;
+        let plan = self.least_harm(&views, demand, limit_ms)?;
         let engines = plan.helpers.len() + 1;
         (views.len() >= IDLE_FOR_EACH * engines).then_some(plan)
     }
 
-    fn fewest(&self, views: &[View], demand: &Demand, limit_ms: f64) -> Option<Plan> {
+    /// Chooses the number of engines, of the first ones with the memory, that
+    /// serves a prompt within `limit_ms` and makes others least late.
+    fn least_harm(&self, views: &[View], demand: &Demand, limit_ms: f64) -> Option<Plan> {
         let cost = self.cost();
-        let worth_ms = self.worth_ms(demand);
+        let worth_ms = demand.worth_ms();
         let most = self.most_engines(demand).min(views.len());
+        let mut best: Option<Plan> = None;
         for k in 1..=most {
             let part_ms = cost.read_ms(demand.prompt / k as f64, demand.prompt);
-            let chosen: Vec<&View> = views.iter().take(k).collect();
-            let Some((first, reserve_tokens)) = self.first_of(&chosen, demand) else {
+            let held = self.held(demand, k);
+            let Some((generating, chosen)) = self.with_memory(views, &held, k) else {
                 continue;
             };
             let part_tokens = demand.prompt / k as f64;
@@ -228,19 +226,42 @@
             if first_ms > limit_ms {
                 continue;
             }
-            let (first, helpers) = self.parts(&chosen, first, part_ms);
-            return Some(Plan {
+            let harm = chosen.iter().map(|view| self.harm_ms(view, part_ms));
+            let harm_ms: f64 = harm.sum();
+            if best.as_ref().is_some_and(|best| best.loss_ms <= harm_ms) {
+                continue;
+            }
+            let (first, helpers) = self.parts(&chosen, generating, part_ms);
+            best = Some(Plan {
                 first,
                 helpers,
-                reserve_tokens,
+                reserve_tokens: held.reserved,
                 part_ms,
                 first_ms,
-                loss_ms: worth_ms,
+                loss_ms: harm_ms,
                 worth_ms,
                 grounds: Grounds::Late,
             });
         }
-        None
+        best
+    }
+
+    /// Returns the first `k` engines with the memory for a prompt, and which of
+    /// them generates.
+    fn with_memory<'v>(
+        &self,
+        views: &'v [View],
+        held: &Held,
+        k: usize,
+    ) -> Option<(ServerKey, Vec<&'v View>)> {
+        let mut generating = views.iter();
+        let generating = generating.find(|view| self.has_memory(view, held.generating))?;
+        let others = views
+            .iter()
+            .filter(|view| view.key != generating.key && self.has_memory(view, held.elsewhere));
+        let mut chosen = vec![generating];
+        chosen.extend(others.take(k - 1));
+        (chosen.len() == k).then_some((generating.key, chosen))
     }
 
     /// Returns how much an engine can read in its next pass without making
--- a/crates/notchwalk_route/src/placement/mod.rs
+++ b/crates/notchwalk_route/src/placement/mod.rs
@@ -1,10 +1,14 @@
 //! Chooses the server of a request and, for a long prompt, the engines that
 //! read parts of it.
 //!
-//! Every choice is the one with the least expected loss. Losses are counted in
-//! milliseconds of engine time of the requests that would be late, so that
-//! requests of all kinds are weighed alike: what is lost on a late request is
-//! the work that it stands for.
+//! Every choice is the one with the least expected loss. What a request is
+//! worth follows its tokens, read and generated, so that requests of all kinds
+//! are weighed alike. Engine time would overrate the longest prompts: it grows
+//! with the square of their length.
+//!
+//! An engine reads parts of others' prompts before its own, the newest part
+//! first (seen on the users' engines; see docs/PLATFORM.md). A part that is
+//! added to an engine with reading left therefore delays all of it.
 
 mod call;
 mod long;
@@ -47,8 +51,14 @@
 const TRANSIT_MS: f64 = 3.0;
 /// Events of a short answer over which its slot costs others time.
 const USUAL_EVENTS: f64 = 25.0;
-/// Tokens that a stream's event holds, roughly; one pass generates them.
-const TOKENS_PER_EVENT: f64 = 51.0;
+/// What a generated token is worth in tokens of the prompt; the users' rules
+/// state it.
+const GENERATED_WEIGHT: f64 = 10.0;
+/// Tokens that are worth a millisecond of engine time. Measured: see
+/// docs/BENCHES.md.
+const WORTH_TOKENS_PER_MS: f64 = 100.0;
+/// Tokens of an answer whose length is not known, as on the deployments known.
+const USUAL_ANSWER_TOKENS: f64 = 1_000.0;
 /// Memory that is set aside over what a prompt and its answer are thought to
 /// take.
 const RESERVED_MORE: f64 = 1.03;
@@ -80,7 +90,7 @@
     pub first_ms: f64,
     /// Expected loss, in milliseconds of engine time.
     pub loss_ms: f64,
-    /// Engine time of the request, in milliseconds.
+    /// What the request is worth, in milliseconds of engine time.
     pub worth_ms: f64,
     /// Why it was chosen.
     pub grounds: Grounds,
@@ -94,6 +104,11 @@
 }
 
 impl Demand {
+    /// Returns what the request is worth, in milliseconds of engine time.
+    pub fn worth_ms(&self) -> f64 {
+        worth_ms(self.prompt, self.answer)
+    }
+
     pub fn new(facts: &RequestFacts, now: Instant) -> Self {
         let waited = now.since(facts.arrived).as_secs_f64() * 1e3;
         let objective = facts.route.objective.as_secs_f64() * 1e3;
@@ -118,6 +133,17 @@
     in_short_pool: bool,
 }
 
+impl View {
+    /// Tells whether the engine may read a part of a prompt: what it still has
+    /// to read would be delayed by it.
+    fn may_help(&self) -> bool {
+        /// Enough that an engine never waits for its next part, little enough
+        /// that few are delayed. Measured: see docs/BENCHES.md.
+        const QUEUED_MS: f64 = 150.0;
+        self.load.own_long_reads == 0 && self.load.reading_ms <= QUEUED_MS
+    }
+}
+
 /// Places requests on the engines of one service.
 pub(crate) struct EnginePlacement<'a> {
     pub parameters: &'a EngineParameters,
@@ -132,6 +158,11 @@
     pub salt: u32,
 }
 
+/// Returns what a request is worth, in milliseconds of engine time.
+fn worth_ms(prompt_tokens: f64, answer_tokens: f64) -> f64 {
+    (prompt_tokens + GENERATED_WEIGHT * answer_tokens) / WORTH_TOKENS_PER_MS
+}
+
 fn late_part(predicted_ms: f64, allowed_ms: f64) -> f64 {
     let ratio = predicted_ms / allowed_ms;
     LATE_LOSS * ((ratio - SURELY_IN_TIME) / (SURELY_LATE - SURELY_IN_TIME)).clamp(0.0, 1.0)
@@ -158,16 +189,6 @@
         (f64::from(self.parameters.slots) * SHORT_SLOT_SHARE).max(1.0)
     }
 
-    /// Returns the engine time that a request stands for, in milliseconds.
-    pub fn worth_ms(&self, demand: &Demand) -> f64 {
-        let cost = self.cost();
-        let events = (demand.answer / TOKENS_PER_EVENT).max(1.0);
-        let slot_ms = self.parameters.steps_per_pass * self.parameters.step_ms
-            / f64::from(self.parameters.slots.max(1));
-        let writing = events * (cost.writer_ms(demand.prompt) + slot_ms);
-        cost.read_ms(demand.prompt, demand.prompt) + writing
-    }
-
     /// Tells whether no engine has the memory for a prompt and its answer.
     pub fn exceeds_engine(&self, demand: &Demand) -> bool {
         demand.prompt + demand.answer > MEMORY_SHARE * self.parameters.memory_tokens as f64
@@ -229,7 +250,6 @@
     fn harm_ms(&self, view: &View, part_ms: f64) -> f64 {
         let before = view.pass_ms + view.load.reading_ms;
         let after = before + part_ms;
-        let cost = self.cost();
         let mut harm = 0.0;
         for work in self.board.on(view.key) {
             let allowed = match work.phase {
@@ -241,10 +261,7 @@
             if more <= 0.0 {
                 continue;
             }
-            let worth = cost.read_ms(work.context_tokens, work.context_tokens)
-                + USUAL_EVENTS * cost.writer_ms(work.context_tokens)
-                + 80.0;
-            harm += more * worth;
+            harm += more * worth_ms(work.context_tokens, USUAL_ANSWER_TOKENS);
         }
         harm
     }
--- a/crates/notchwalk_route/src/placement/short.rs
+++ b/crates/notchwalk_route/src/placement/short.rs
@@ -37,7 +37,7 @@
     }
 
     pub(super) fn place_whole(&self, views: &[View], demand: &Demand) -> Option<Plan> {
-        let worth_ms = self.worth_ms(demand);
+        let worth_ms = demand.worth_ms();
         let part_ms = self.cost().read_ms(demand.prompt, demand.prompt);
         let is_short = demand.prompt <= SMALLEST_SPREAD_TOKENS * 2.0;
         let mut best: Option<Plan> = None;
@@ -79,11 +79,12 @@
 
     pub(super) fn place_spread(&self, mut views: Vec<View>, demand: &Demand) -> Option<Plan> {
         let cost = self.cost();
-        let worth_ms = self.worth_ms(demand);
+        let worth_ms = demand.worth_ms();
         // Engines that a long part disturbs least come first.
         let trial_ms = cost.read_ms(demand.prompt / 6.0, demand.prompt);
         let mut order: Vec<(f64, View)> = Vec::with_capacity(views.len());
-        for view in views.drain(..) {
+        views.retain(View::may_help);
+        for view in views {
             let pool = if view.in_short_pool { 150.0 } else { 0.0 };
             let ready = view.wait_ms + view.load.reading_ms;
             let key = self.harm_ms(&view, trial_ms) + ready + pool + view.distrust_ms;
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -94,6 +94,14 @@
             return;
         };
         let server = request.at;
+        // A helper that turned its part away would do so again.
+        if let AttemptEnd::NotRun {
+            at_fault: Some(addr),
+            ..
+        } = end
+        {
+            request.tried.extend(self.fleet.by_addr(addr));
+        }
         if matches!(
             end,
             AttemptEnd::Broken | AttemptEnd::Failed | AttemptEnd::Silent
@@ -128,7 +136,18 @@
             AttemptEnd::NotRun {
                 at_fault: Some(addr),
                 ..
-            } => self.fleet.by_addr(addr),
+            } => {
+                let at_fault = self.fleet.by_addr(addr);
+                match at_fault.filter(|&at_fault| at_fault != server) {
+                    // A helper turns a part away if it is gone, leaves or is
+                    // full; the next prompt would fail by it as well.
+                    Some(helper) => {
+                        self.fleet.note_unreachable(helper, now);
+                        None
+                    }
+                    None => at_fault,
+                }
+            }
             AttemptEnd::NotRun { moved: true, .. } => Some(server),
             AttemptEnd::NotRun { .. } => return,
             AttemptEnd::Failed => None,
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -16,6 +16,9 @@
 /// The rank on the server when neither workspace nor route says more.
 const SHORT_RANK: u8 = 2;
 const LONG_RANK: u8 = 5;
+/// Prompts beyond this many tokens rank as long; short requests have less on the
+/// deployments known.
+const LONG_PROMPT_TOKENS: u32 = 24_000;
 
 impl Router {
     pub(super) fn arrived(
@@ -150,7 +153,7 @@
             addr: server.record.addr,
             instance: server.record.instance.clone(),
             helpers: Vec::new(),
-            priority: rank(&request.facts, prompt),
+            priority: rank(&request.facts),
             deadline: request.facts.deadline,
             grounds: plan.grounds,
             resent: request.sends - 1,
@@ -186,9 +189,8 @@
 
 /// Returns the rank of a request on its server: workspaces before routes, short
 /// work before long.
-fn rank(facts: &RequestFacts, prompt_tokens: f64) -> u8 {
-    const LONG_PROMPT_TOKENS: f64 = 24_000.0;
-    let by_size = if prompt_tokens > LONG_PROMPT_TOKENS {
+fn rank(facts: &RequestFacts) -> u8 {
+    let by_size = if facts.prompt_tokens > LONG_PROMPT_TOKENS {
         LONG_RANK
     } else {
         SHORT_RANK
@@ -211,6 +213,12 @@
         true => LEAST_STREAM.max(route.objective),
         false => LEAST_CALL,
     };
+    // Reading a long prompt anew costs engines seconds, and an engine that has
+    // it is busy far more often than broken.
+    let least = match request.facts.prompt_tokens > LONG_PROMPT_TOKENS {
+        true => least * 2,
+        false => least,
+    };
     Some((request.predicted_first.since(now) * 2).max(least))
 }
 
--- a/crates/notchwalk_route/tests/decisions/placement.rs
+++ b/crates/notchwalk_route/tests/decisions/placement.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use notchwalk_route::{AttemptEnd, Event, Grounds};
+use notchwalk_route::{Assignment, AttemptEnd, Event, Grounds, RequestKey};
 
 use crate::common::{tally, Rig};
 
@@ -174,3 +174,73 @@
     }
     assert_eq!(rig.router.open_requests(), 0);
 }
+
+/// Starts `count` short requests and has them generate.
+fn fill_with_short(rig: &mut Rig, count: usize) -> Vec<(RequestKey, Assignment)> {
+    for _ in 0..count {
+        rig.arrive("/short/", 5_000);
+        rig.pass(Duration::from_millis(12));
+    }
+    let sends = rig.sends();
+    for (request, _) in &sends {
+        rig.step(Event::Started { request: *request });
+    }
+    sends
+}
+
+/// Found by a quiet day of falaj: one review stopped five engines for 1.8 s,
+/// and fifty short answers on them paused.
+#[test]
+fn a_long_prompt_does_not_stop_short_answers_that_are_worth_more() {
+    let mut rig = Rig::named("entry-1", 1);
+    fill_with_short(&mut rig, 5);
+    rig.arrive("/long/", 120_000);
+    assert!(rig.sends().is_empty());
+}
+
+/// Found by a day of load on falaj: the first engines of the list had no memory
+/// for a share, so that a late prompt was spread over all fifteen, each of them
+/// with short answers that paused for 0.7 s.
+#[test]
+fn a_late_prompt_is_read_by_few_engines_with_the_memory() {
+    let mut rig = Rig::named("entry-1", 12);
+    let mut busy = Vec::new();
+    for _ in 0..4 {
+        busy.push(rig.arrive("/long/", 210_000));
+        rig.pass(Duration::from_millis(1_500));
+        rig.step(Event::Started {
+            request: busy[busy.len() - 1],
+        });
+    }
+    rig.sends();
+    fill_with_short(&mut rig, 140);
+    rig.arrive("/long/", 260_000);
+    let mut sends = rig.sends();
+    for _ in 0..200 {
+        rig.pass(Duration::from_millis(15));
+        sends.extend(rig.sends());
+    }
+    assert_eq!(sends.len(), 1);
+    let to = &sends[0].1;
+    assert_eq!(to.grounds, Grounds::Late);
+    assert!(to.helpers.len() <= 2, "{}", to.helpers.len());
+}
+
+/// Found by a quiet day of falaj: engines read the newest part first, so that a
+/// prompt whose parts lay below those of later ones got no event for six
+/// seconds, though 0.4 s were predicted.
+#[test]
+fn no_part_is_added_to_an_engine_with_reading_left() {
+    let mut rig = Rig::named("entry-1", 18);
+    rig.arrive("/long/", 250_000);
+    let first = rig.only_send();
+    let reading: Vec<_> = first.helpers.iter().map(|helper| helper.addr).collect();
+    for tokens in [120_000, 150_000, 90_000, 200_000] {
+        rig.arrive("/long/", tokens);
+    }
+    for (_, to) in rig.sends() {
+        let mut helpers = to.helpers.iter();
+        assert!(!helpers.any(|helper| reading.contains(&helper.addr)));
+        assert!(to.helpers.iter().all(|helper| helper.addr != first.addr));
+    }
+}
--- a/crates/notchwalk_route/tests/decisions/retries.rs
+++ b/crates/notchwalk_route/tests/decisions/retries.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use notchwalk_route::{AttemptEnd, Effect, Refusal, RetryBudget};
+use notchwalk_route::{Assignment, AttemptEnd, Effect, Refusal, RetryBudget};
 
 use crate::common::Rig;
 
@@ -133,3 +133,37 @@
     rig.end(request, AttemptEnd::Broken);
     assert!(rig.sends().is_empty());
 }
+
+/// Found by a day of falaj on which servers left while the store was down: one
+/// prompt was sent six times within ten milliseconds, each time to helpers of
+/// which one had turned it away before, and was then refused.
+#[test]
+fn a_helper_that_turned_its_part_away_is_not_asked_again() {
+    let mut rig = Rig::new();
+    let request = rig.arrive("/long/", 150_000);
+    let helper = rig.only_send().helpers[0].addr;
+    rig.end(
+        request,
+        AttemptEnd::NotRun {
+            at_fault: Some(helper),
+            moved: false,
+        },
+    );
+    let named = |to: &Assignment| {
+        let mut helpers = to.helpers.iter();
+        to.addr == helper || helpers.any(|other| other.addr == helper)
+    };
+    assert!(!named(&rig.only_send()));
+    rig.arrive("/long/", 100_000);
+    assert!(!rig.sends().iter().any(|(_, to)| named(to)));
+}
+
+/// Found by a quiet day of falaj: prompts that busy engines read were given up
+/// after their objective and read anew, seconds of engine time each.
+#[test]
+fn a_long_prompt_is_given_twice_its_objective_before_another_server_is_tried() {
+    let mut rig = Rig::new();
+    rig.arrive("/long/", 90_000);
+    let silence = rig.only_send().first_silence;
+    assert!(silence >= Some(Duration::from_secs(6)), "{silence:?}");
+}
