Tasks of a thread end with it: fleets leave no descriptors open

Cause: bench fair ended with 'Too many open files' after four fleets in one process. A test with three small fleets counts 146 descriptors after one and 424 after three. monoio's runtime does not drop tasks that wait when it ends: a timer keeps its task alive and with it its sockets; both sides of callers', daemons' and engines' connections stayed open. Ruled out: daemons as processes (their descriptors go with the process), the pool of kept connections (dropped with its client). Change: notchwalk_http::spawn notes tasks, end_all ends and drops them; stand-ins, callers and daemons in threads end so. A first try with a future that yields hung: the runtime polls its own future until it waits for something.

--- a/crates/notchwalk_http/src/lib.rs
+++ b/crates/notchwalk_http/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod head;
 mod server;
+mod tasks;
 
 pub mod prelude;
 
@@ -20,6 +21,7 @@
 pub use error::HttpError;
 pub use head::{chunk_into, request_head, response_head, CHUNK_END};
 pub use server::{serve, Exchange, ServerLimits, Service};
+pub use tasks::{end_all, spawn};
 
 /// A future that stays on its thread, as monoio tasks do.
 pub type LocalBoxFuture<'a, T> = std::pin::Pin<Box<dyn std::future::Future<Output = T> + 'a>>;
--- a/crates/notchwalk_http/src/server.rs
+++ b/crates/notchwalk_http/src/server.rs
@@ -341,7 +341,7 @@
         }
         let guard = OpenConnections::open(&open);
         let service = service.clone();
-        monoio::spawn(async move {
+        crate::spawn(async move {
             let _guard = guard;
             serve_connection(stream, peer, limits, service).await;
         });
--- a/crates/notchwalk_standin/src/engine/api.rs
+++ b/crates/notchwalk_standin/src/engine/api.rs
@@ -81,9 +81,9 @@
         fence: Rc::default(),
         other: Rc::default(),
     };
-    monoio::spawn(run_steps(handle.sim.clone(), woken));
+    notchwalk_http::spawn(run_steps(handle.sim.clone(), woken));
     let service: Rc<dyn Service> = Rc::new(handle.clone());
-    monoio::spawn(serve(listener, ServerLimits::default(), service));
+    notchwalk_http::spawn(serve(listener, ServerLimits::default(), service));
     Ok((addr, handle))
 }
 
--- a/crates/notchwalk_standin/src/entry.rs
+++ b/crates/notchwalk_standin/src/entry.rs
@@ -104,8 +104,7 @@
         }
     }
 
-    /// Ends it at once. A thread's sockets stay open until this process ends,
-    /// as those of a machine that froze.
+    /// Ends it at once, as a crash would.
     pub fn kill(&mut self) {
         match &mut self.kind {
             Kind::Thread(daemon) => daemon.kill(),
--- a/crates/notchwalk_standin/src/platform/api.rs
+++ b/crates/notchwalk_standin/src/platform/api.rs
@@ -116,7 +116,7 @@
     let service: Rc<dyn Service> = Rc::new(Api {
         state: Rc::new(state),
     });
-    monoio::spawn(serve(listener, ServerLimits::default(), service));
+    notchwalk_http::spawn(serve(listener, ServerLimits::default(), service));
     Ok(addr)
 }
 
--- a/crates/notchwalk_standin/src/service.rs
+++ b/crates/notchwalk_standin/src/service.rs
@@ -60,7 +60,7 @@
         ..State::default()
     };
     let service: Rc<dyn Service> = Rc::new(Api(Rc::new(state)));
-    monoio::spawn(serve(listener, ServerLimits::default(), service));
+    notchwalk_http::spawn(serve(listener, ServerLimits::default(), service));
     Ok(addr)
 }
 
--- a/crates/notchwalk_standin/src/thread.rs
+++ b/crates/notchwalk_standin/src/thread.rs
@@ -66,6 +66,7 @@
                 while !flag.load(Ordering::Relaxed) {
                     monoio::time::sleep(LOOK_EVERY).await;
                 }
+                notchwalk_http::end_all().await;
             });
         };
         let thread = std::thread::Builder::new()
--- a/crates/notchwalk_standin/src/workload.rs
+++ b/crates/notchwalk_standin/src/workload.rs
@@ -251,11 +251,12 @@
                         let key = keys[caller.workspace].clone();
                         let (client, model) = (client.clone(), model.clone());
                         let results = results.clone();
-                        monoio::spawn(async move {
+                        notchwalk_http::spawn(async move {
                             call_on(&client, began, entry, key, model, caller, &results).await;
                         });
                     }
                     monoio::time::sleep(over.saturating_sub(began.elapsed())).await;
+                    notchwalk_http::end_all().await;
                     results.take()
                 })
             })
--- /dev/null
+++ b/crates/notchwalk_standin/tests/descriptors.rs
@@ -0,0 +1,65 @@
+//! Fleets that ended leave no descriptors open. A test file of its own, since
+//! it counts those of its whole process.
+
+use std::time::Duration;
+
+use notchwalk_standin::{
+    fleet::{Fleet, FleetConfig},
+    operators::WorkspaceSpec,
+    workload::{run_closed, ClosedCaller, Stream},
+};
+
+const CALLERS: usize = 40;
+
+fn open_descriptors() -> usize {
+    std::fs::read_dir("/proc/self/fd").unwrap().count()
+}
+
+/// Starts a fleet, has callers ask for more than it serves, and ends it while
+/// their requests are on their way.
+fn run_a_fleet() {
+    let config = FleetConfig::new(vec![WorkspaceSpec::new("desk", 1.0)])
+        .with_sizes(2, 2, 1)
+        .with_time_scale(4.0);
+    let fleet = Fleet::start(config);
+    let stream = Stream {
+        per_s: 0.0,
+        min_prompt: 2_000,
+        max_prompt: 20_000,
+        min_answer: 4,
+        max_answer: 8,
+        timeout: Duration::from_secs(60),
+    };
+    let callers = (0..CALLERS).map(|i| ClosedCaller {
+        workspace: 0,
+        entry: i,
+        stream,
+        stop: Vec::new(),
+        seed: i as u64,
+    });
+    let model = fleet.config.bundle.model.clone();
+    let over = Duration::from_millis(700);
+    run_closed(
+        &fleet.entries(),
+        &fleet.keys(),
+        &model,
+        callers.collect(),
+        over,
+    );
+}
+
+/// Found by `bench fair`, which starts four fleets in one process and ended with
+/// "Too many open files": a runtime that ends does not drop tasks that wait for
+/// a timer, and each of them kept its sockets.
+#[test]
+fn fleets_that_ended_leave_no_descriptors_open() {
+    run_a_fleet();
+    let after_one = open_descriptors();
+    run_a_fleet();
+    run_a_fleet();
+    let after_three = open_descriptors();
+    assert!(
+        after_three <= after_one + 4,
+        "{after_one} after one, {after_three} after three"
+    );
+}
--- a/crates/notchwalkd/src/claim_writer.rs
+++ b/crates/notchwalkd/src/claim_writer.rs
@@ -111,7 +111,7 @@
     fn push(&self, shell: &Rc<Shell>, write: Write) {
         self.waiting.borrow_mut().push(write);
         if !self.gathering.replace(true) {
-            monoio::spawn(flush(shell.clone()));
+            notchwalk_http::spawn(flush(shell.clone()));
         }
     }
 
@@ -145,7 +145,7 @@
     /// Reads a claim.
     pub fn read(&self, shell: &Rc<Shell>, request: RequestKey, key: String) {
         let shell = shell.clone();
-        monoio::spawn(async move {
+        notchwalk_http::spawn(async move {
             let read = shell.platform.read(TableRead { keys: vec![key] }).await;
             let answer = match read {
                 Ok(answer) => answer_of(answer.rows.into_iter().next().flatten()),
@@ -158,7 +158,7 @@
     /// Deletes a claim whose call was not sent.
     pub fn release(&self, shell: &Rc<Shell>, key: String, token: String, fingerprint: String) {
         let shell = shell.clone();
-        monoio::spawn(async move {
+        notchwalk_http::spawn(async move {
             let value = ClaimValue {
                 token,
                 fingerprint,
@@ -212,7 +212,7 @@
             }
             Then::Stored { tries } if row.is_err() && tries > 1 => {
                 let then = Then::Stored { tries: tries - 1 };
-                monoio::spawn(store_later(shell.clone(), Write { op: write.op, then }));
+                notchwalk_http::spawn(store_later(shell.clone(), Write { op: write.op, then }));
             }
             Then::Stored { .. } => {}
         }
--- a/crates/notchwalkd/src/daemon.rs
+++ b/crates/notchwalkd/src/daemon.rs
@@ -119,14 +119,14 @@
     let shell = Shell::new(settings, boot_number(), client, platform);
     let listener = |std| TcpListener::from_std(std).map_err(DaemonError::Runtime);
     let serve_on = |std, service: Rc<dyn Service>| -> Result<(), DaemonError> {
-        monoio::spawn(serve(listener(std)?, limits, service));
+        notchwalk_http::spawn(serve(listener(std)?, limits, service));
         Ok(())
     };
     serve_on(listeners.caller, Rc::new(CallerApi::new(shell.clone())))?;
     serve_on(listeners.operator, Rc::new(OperatorApi::new(shell.clone())))?;
-    monoio::spawn(peer_link::accept(shell.clone(), listener(listeners.peer)?));
-    monoio::spawn(vm_watch::watch(shell.clone()));
-    monoio::spawn(bundle_watch::watch(shell.clone()));
+    notchwalk_http::spawn(peer_link::accept(shell.clone(), listener(listeners.peer)?));
+    notchwalk_http::spawn(vm_watch::watch(shell.clone()));
+    notchwalk_http::spawn(bundle_watch::watch(shell.clone()));
     let facts = format!(
         "vm={} caller={} peer={} operator={}",
         shell.vm().0,
@@ -136,6 +136,7 @@
     );
     LogEvent::new(LogEventKind::DaemonStarted, facts).emit();
     tick_until_stopped(&shell, &stop, &kill).await;
+    notchwalk_http::end_all().await;
     LogEvent::new(LogEventKind::DaemonStopped, format!("vm={}", shell.vm().0)).emit();
     Ok(())
 }
--- a/crates/notchwalkd/src/peer_link.rs
+++ b/crates/notchwalkd/src/peer_link.rs
@@ -120,7 +120,7 @@
             waiting: waiting.clone(),
         };
         links.insert(vm, Link { addr, tx, waiting });
-        monoio::spawn(keep_link(shell.clone(), addr, outbox));
+        notchwalk_http::spawn(keep_link(shell.clone(), addr, outbox));
     }
 }
 
@@ -224,7 +224,7 @@
         }
         open.set(open.get() + 1);
         let (shell, open) = (shell.clone(), open.clone());
-        monoio::spawn(async move {
+        notchwalk_http::spawn(async move {
             serve_link(&shell, stream, from).await;
             open.set(open.get() - 1);
         });
--- a/crates/notchwalkd/src/shell.rs
+++ b/crates/notchwalkd/src/shell.rs
@@ -290,7 +290,7 @@
             }
             Effect::Cancel { server, id, up_to } => self.spawn_cancel(server, id, up_to),
             Effect::AskHoldings(server) => {
-                monoio::spawn(engine_driver::ask_holdings(self.clone(), server));
+                notchwalk_http::spawn(engine_driver::ask_holdings(self.clone(), server));
             }
             Effect::ClaimInsert {
                 request,
@@ -305,17 +305,17 @@
                 fingerprint,
             } => self.claims.release(self, key, token, fingerprint),
             Effect::LeaseRead => {
-                monoio::spawn(order_driver::read_lease(self.clone()));
+                notchwalk_http::spawn(order_driver::read_lease(self.clone()));
             }
             Effect::LeaseWrite { expected, row } => {
-                monoio::spawn(order_driver::write_lease(self.clone(), expected, row));
+                notchwalk_http::spawn(order_driver::write_lease(self.clone(), expected, row));
             }
             Effect::Order {
                 server,
                 fence,
                 wanted,
             } => {
-                monoio::spawn(order_driver::give(self.clone(), server, fence, wanted));
+                notchwalk_http::spawn(order_driver::give(self.clone(), server, fence, wanted));
             }
             Effect::Peer { to, message } => self.links.send(to, *message),
             Effect::Log(event) => event.emit(),
@@ -376,13 +376,13 @@
         if let Some(before) = open.attempt.replace(handle) {
             before.abort();
         }
-        monoio::spawn(async move {
+        notchwalk_http::spawn(async move {
             let _ = Abortable::new(task, registration).await;
         });
     }
 
     fn spawn_cancel(self: &Rc<Self>, server: ServerId, id: RequestId, up_to: Attempt) {
-        monoio::spawn(engine_driver::cancel(self.clone(), server, id, up_to));
+        notchwalk_http::spawn(engine_driver::cancel(self.clone(), server, id, up_to));
     }
 
     /// Returns the VM this daemon runs on.
--- a/crates/notchwalkd/src/vm_watch.rs
+++ b/crates/notchwalkd/src/vm_watch.rs
@@ -104,7 +104,7 @@
 }
 
 fn spawn_poll(shell: Rc<Shell>, polled: Rc<RefCell<HashSet<ServerId>>>, id: ServerId) {
-    monoio::spawn(async move {
+    notchwalk_http::spawn(async move {
         engine_poll::poll(shell, id).await;
         polled.borrow_mut().remove(&id);
     });
