--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -202,9 +202,16 @@
 
     async fn run(self, signals: Signals) {
         let shell = &self.shell;
+        let settings = &shell.settings;
         let facts = format!(
-            "name={} boot={} caller={} peer={}",
-            shell.settings.name, shell.boot, shell.settings.caller, shell.settings.peer
+            "name={} boot={} caller={} ready={} directory={} peer={} operator={}",
+            settings.name,
+            shell.boot,
+            settings.caller,
+            settings.ready,
+            settings.directory,
+            settings.peer,
+            settings.operator
         );
         LogEvent::new(LogEventKind::DaemonStarted, facts).emit();
         let config = ConfigReader {
