Silent connections are left; oversized prompts are read whenever in time

And since parts are no longer starved, the bound on engine time of prompts over one engine refuses what would be in time. The bound of 800 ms is gone: what is in time is read.

--- a/crates/notchwalk_http/src/client.rs
+++ b/crates/notchwalk_http/src/client.rs
@@ -260,8 +260,16 @@
         })
     }
 
+    /// Closes all idle connections. To be called when a request got no answer:
+    /// connections can go silent for good without a reset, many at once, and
+    /// only new ones tell whether a server lives.
+    pub fn forget_idle(&self) {
+        self.pool.borrow_mut().clear();
+    }
+
     /// Sends a request and reads the whole response, at most `limit` bytes,
-    /// within `timeout`.
+    /// within `timeout`. After a timeout, the idle connections to that address
+    /// are closed as well.
     ///
     /// # Errors
     ///
@@ -276,7 +284,10 @@
         let exchange = async { self.stream(addr, req).await?.whole(limit).await };
         match monoio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
-            Err(_) => Err(HttpError::TimedOut),
+            Err(_) => {
+                self.pool.borrow_mut().remove(&addr);
+                Err(HttpError::TimedOut)
+            }
         }
     }
 }
--- a/crates/notchwalk_relay/src/front.rs
+++ b/crates/notchwalk_relay/src/front.rs
@@ -7,7 +7,9 @@
 use http::{header, HeaderMap, HeaderValue, StatusCode};
 use notchwalk_core::{Instant, LogEvent, LogEventKind};
 use notchwalk_http::prelude::*;
-use notchwalk_route::{Assignment, Effect, Event, Refusal, RequestFacts, RequestKey, RouteLookup};
+use notchwalk_route::{
+    Assignment, AttemptEnd, Effect, Event, Refusal, RequestFacts, RequestKey, RouteLookup,
+};
 
 use crate::{
     attempt::{self, Attempted, Delivery},
@@ -355,6 +357,9 @@
                 return Some(self.time_is_over(exchange, served, delivery).await);
             }
         };
+        if end == AttemptEnd::Silent {
+            self.shell.client.forget_idle();
+        }
         let word = attempt::end_word(end);
         self.shell.metrics.attempts.with_label_values(&[word]).inc();
         if outcome.is_none() {
@@ -386,6 +391,9 @@
         served: &Served,
         delivery: &Delivery,
     ) -> Outcome {
+        if delivery.first_at.is_none() && delivery.sends > 0 {
+            self.shell.client.forget_idle();
+        }
         self.shell.step(Event::Abandoned {
             request: served.key,
         });
--- a/crates/notchwalk_route/src/placement/long.rs
+++ b/crates/notchwalk_route/src/placement/long.rs
@@ -14,10 +14,6 @@
 /// The longest pass that is planned on an engine without short requests, in
 /// milliseconds: long streams too must go on.
 const LONGEST_PASS_MS: f64 = 900.0;
-/// Reading of a prompt that exceeds one engine, divided by the engines for long
-/// requests, up to which it is read in time, in milliseconds. Measured on 18
-/// engines, reading 17 s at once made a second's short requests late.
-const OVERSIZED_EACH_MS: f64 = 800.0;
 /// Engines that must be idle for each that reads a prompt late. Measured: see
 /// docs/BENCHES.md.
 const IDLE_FOR_EACH: usize = 6;
@@ -66,15 +62,6 @@
         }
     }
 
-    /// Tells whether a prompt that exceeds one engine may be read at once: it
-    /// keeps the engines that serve long requests busy for a short while only.
-    pub fn may_read_oversized(&self, service: &str, demand: &Demand) -> bool {
-        let views = self.views(service, &[]);
-        let long = views.iter().filter(|view| !view.in_short_pool).count();
-        let each_ms = self.read_ms(demand) / long.max(1) as f64;
-        each_ms <= OVERSIZED_EACH_MS
-    }
-
     /// Chooses engines for a long prompt so that nobody's pauses grow beyond
     /// their objectives; `None` if that can't be had now.
     ///
--- a/crates/notchwalk_route/src/router/long.rs
+++ b/crates/notchwalk_route/src/router/long.rs
@@ -62,8 +62,7 @@
         let in_time = placement.place_long(service, &demand, tried);
         let in_time = in_time.filter(|plan| plan.first_ms <= left_ms);
         if placement.exceeds_engine(&demand) {
-            let affordable = placement.may_read_oversized(service, &demand);
-            return match in_time.filter(|_| affordable) {
+            return match in_time {
                 Some(plan) => LongDecision::Send(Some(plan)),
                 None => self.decide_oversized(request, &placement, &demand, now),
             };
