--- a/crates/notchwalk_standin/src/lib.rs
+++ b/crates/notchwalk_standin/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod platform;
 pub mod processes;
 pub mod report;
+pub mod routed;
 pub mod service;
 pub mod soak;
 pub mod thread;
--- a/crates/notchwalk_standin/src/main.rs
+++ b/crates/notchwalk_standin/src/main.rs
@@ -9,6 +9,7 @@
     deployment::Deployment,
     entry::run_entry,
     processes::{self, LoadOptions},
+    routed::{self, world::POLICIES},
     workload::Stream,
 };
 
@@ -51,6 +52,20 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
+    /// Play waves of routed requests over simulated engines, in simulated time,
+    /// and compare who decides on which knowledge
+    #[bpaf(command)]
+    Experiment {
+        /// Seeds to play, from 1
+        #[bpaf(argument("N"), fallback(5))]
+        seeds: u64,
+        /// Only this policy
+        #[bpaf(argument("NAME"), optional)]
+        only: Option<String>,
+        /// Draws a plot into this file
+        #[bpaf(argument("SVG"), optional)]
+        plot: Option<PathBuf>,
+    },
     /// Send prompts to entries and check every answer
     #[bpaf(command)]
     Load {
@@ -153,6 +168,7 @@
                 false => ExitCode::FAILURE,
             }
         }
+        Command::Experiment { seeds, only, plot } => experiment(seeds, only.as_deref(), plot),
         Command::Bench {
             json,
             seed,
@@ -175,6 +191,23 @@
     ExitCode::FAILURE
 }
 
+fn experiment(seeds: u64, only: Option<&str>, plot: Option<PathBuf>) -> ExitCode {
+    let policies = POLICIES.iter();
+    let chosen = policies.filter(|policy| only.is_none_or(|name| name == policy.name));
+    let reports: Vec<_> = chosen
+        .map(|&policy| routed::play(policy, 1..seeds.saturating_add(1)))
+        .collect();
+    if reports.is_empty() {
+        let names: Vec<&str> = POLICIES.iter().map(|policy| policy.name).collect();
+        return fail(&format!("there is no such policy; there are {names:?}"));
+    }
+    println!("{}", routed::report::table(&reports));
+    match plot.map(|path| routed::report::plot(&reports, &path)) {
+        Some(Err(e)) => fail(&e.to_string()),
+        _ => ExitCode::SUCCESS,
+    }
+}
+
 /// Runs one kind of stand-in of a deployment.
 fn stand_in(path: &Path, run: fn(Deployment) -> std::io::Result<()>) -> ExitCode {
     match Deployment::load(path) {
--- /dev/null
+++ b/crates/notchwalk_standin/src/routed/mod.rs
@@ -0,0 +1,32 @@
+//! An experiment in simulated time: the router's decisions over engines that
+//! cost what the users' pages say, on waves like those of their sites. Rounds of
+//! policy need neither the users' bench nor a guess.
+//!
+//! | file | what it holds |
+//! |---|---|
+//! | `engine` | one engine: passes, parts, memory |
+//! | `traffic` | kinds of requests, waves, arrivals |
+//! | `world` | routers, engines and what arrivals come to |
+//! | `report` | shares of worth by kind and wave, as a table and a plot |
+
+pub mod engine;
+pub mod report;
+pub mod traffic;
+pub mod world;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use report::Report;
+use world::{Policy, World};
+
+/// Plays one policy over several seeds.
+pub fn play(policy: Policy, seeds: std::ops::Range<u64>) -> Report {
+    let mut report = Report::new(policy.name);
+    for seed in seeds {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let arrivals = traffic::arrivals(&mut rng);
+        report.add(World::new(policy, arrivals).run());
+    }
+    report
+}
