Engines that fail an order for memory are left out

One engine had crashed at second 16.8; the order to it failed at once, the router was told only that not all memory was granted, and chose the same sixteen engines again with every tick for half a second. Change: the router hears which engines failed and whether they could be reached; this request leaves them out, and one that can't be reached is closed for all. Conclusion: the price of orders was the symptom, a blind retry the cause.

--- a/crates/notchwalk_relay/src/engine_orders.rs
+++ b/crates/notchwalk_relay/src/engine_orders.rs
@@ -5,7 +5,7 @@
 use http::{Method, StatusCode};
 use notchwalk_core::{LogEvent, LogEventKind};
 use notchwalk_http::prelude::*;
-use notchwalk_route::{Event, RequestKey, ReservationOrder};
+use notchwalk_route::{Event, FailedReservation, RequestKey, ReservationOrder};
 
 use crate::shell::Shell;
 
@@ -32,24 +32,27 @@
 pub(crate) async fn reserve(shell: Rc<Shell>, request: RequestKey, orders: Vec<ReservationOrder>) {
     let sends = orders.iter().map(|order| send(&shell, order));
     let answers = futures_util::future::join_all(sends).await;
-    let mut granted = true;
+    let mut failed = Vec::new();
     for (order, answer) in orders.iter().zip(answers) {
-        let reason = match answer {
+        let (unreachable, reason) = match answer {
             Ok(status) if status.is_success() => continue,
-            Ok(status) => status.to_string(),
+            Ok(status) => (false, status.to_string()),
             Err(e) => {
                 shell.step(Event::Unanswered(order.clone()));
-                e.to_string()
+                (e.nothing_sent(), e.to_string())
             }
         };
-        granted = false;
+        failed.push(FailedReservation {
+            addr: order.addr,
+            unreachable,
+        });
         let facts = format!(
             "reservation={} addr={} reason={reason:?}",
             order.id, order.addr
         );
         LogEvent::new(LogEventKind::ReservationFailed, facts).emit();
     }
-    shell.step(Event::Reserved { request, granted });
+    shell.step(Event::Reserved { request, failed });
 }
 
 /// Renews a reservation or gives its memory back. Failures are logged; the
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -32,6 +32,16 @@
     Broken,
 }
 
+/// An engine on which memory could not be set aside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FailedReservation {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Whether it could not be reached; otherwise it had no memory free, or its
+    /// answer got lost.
+    pub unreachable: bool,
+}
+
 /// One thing that happened.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -82,12 +92,13 @@
         /// The count.
         alive: u32,
     },
-    /// An answer to an order for memory came.
+    /// All orders to set memory aside for a request were answered, or failed.
     Reserved {
         /// The request.
         request: RequestKey,
-        /// Whether all of the memory is set aside.
-        granted: bool,
+        /// The engines on which it failed; all of the memory is set aside if
+        /// there is none.
+        failed: Vec<FailedReservation>,
     },
     /// An order for memory went unanswered: it may be carried out late.
     Unanswered(ReservationOrder),
--- a/crates/notchwalk_route/src/lib.rs
+++ b/crates/notchwalk_route/src/lib.rs
@@ -37,7 +37,7 @@
 pub use board::{Board, PeerWork, WorkPhase};
 pub use effect::{Assignment, Effect, Grounds, Helper, Refusal, ReservationOrder};
 pub use engine_cost::EngineCost;
-pub use event::{AttemptEnd, Event};
+pub use event::{AttemptEnd, Event, FailedReservation};
 pub use fleet::{Fleet, Server, ServerChange, ServerKey, ServerRecord, ServerStage};
 pub use request::{RequestFacts, RequestKey};
 pub use retry_budget::RetryBudget;
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -198,7 +198,7 @@
             } => self.peer_work(peer, &servers, work, now),
             Event::PeerGone { peer } => self.board.forget_peer(peer),
             Event::Entries { alive } => self.entries = alive.max(1),
-            Event::Reserved { request, granted } => self.reserved(request, granted, now, out),
+            Event::Reserved { request, failed } => self.reserved(request, &failed, now, out),
             Event::Unanswered(order) => self.reservations.note_unanswered(&order, now),
             Event::Tick => self.tick(now, out),
             Event::Draining { after } => self.draining_from = Some(now.after(after)),
--- a/crates/notchwalk_route/src/router/reserving.rs
+++ b/crates/notchwalk_route/src/router/reserving.rs
@@ -4,8 +4,8 @@
 
 use super::Router;
 use crate::{
-    long_queue::Waiting, placement::Demand, reservations::HOLD, Assignment, Effect, Helper,
-    RequestKey, ReservationOrder, ServerKey,
+    long_queue::Waiting, placement::Demand, reservations::HOLD, Assignment, Effect,
+    FailedReservation, Helper, RequestKey, ReservationOrder, ServerKey,
 };
 
 impl Router {
@@ -53,7 +53,7 @@
     pub(super) fn reserved(
         &mut self,
         key: RequestKey,
-        granted: bool,
+        failed: &[FailedReservation],
         now: Instant,
         out: &mut Vec<Effect>,
     ) {
@@ -68,7 +68,7 @@
         let fleet = &self.fleet;
         let servers = request.helpers.iter().chain(&request.at);
         let ready = |&key: &ServerKey| fleet.get(key).is_some_and(|server| server.is_ready());
-        if granted && servers.into_iter().all(ready) {
+        if failed.is_empty() && servers.into_iter().all(ready) {
             out.push(Effect::Send {
                 request: key,
                 to: assignment,
@@ -77,7 +77,16 @@
         }
         // No server saw the request; another set of engines may do.
         request.sends -= 1;
-        request.tried.clear();
+        request.tried.retain(|server| Some(*server) != request.at);
+        for engine in failed {
+            let Some(server) = self.fleet.by_addr(engine.addr) else {
+                continue;
+            };
+            request.tried.push(server);
+            if engine.unreachable {
+                self.fleet.note_unreachable(server, now);
+            }
+        }
         self.give_back(key, now, out);
         self.lift(key);
         let Some(Some(request)) = self.requests.get(key) else {
--- a/crates/notchwalk_route/tests/decisions/random_runs.rs
+++ b/crates/notchwalk_route/tests/decisions/random_runs.rs
@@ -4,8 +4,8 @@
 use std::{collections::HashMap, time::Duration};
 
 use notchwalk_route::{
-    Assignment, AttemptEnd, Effect, Event, Refusal, Repeatability, RequestKey, ServerChange,
-    ServerStage,
+    Assignment, AttemptEnd, Effect, Event, FailedReservation, Refusal, Repeatability, RequestKey,
+    ServerChange, ServerStage,
 };
 use proptest::{
     prelude::*,
@@ -161,7 +161,12 @@
                         &mut self.seen.get_mut(&request).expect("known").0.reserving,
                         false,
                     ) {
-                        self.rig.step(Event::Reserved { request, granted });
+                        let refused = FailedReservation {
+                            addr: record(ENGINES, (which % 7) as u8).addr,
+                            unreachable: which % 2 == 0,
+                        };
+                        let failed = if granted { Vec::new() } else { vec![refused] };
+                        self.rig.step(Event::Reserved { request, failed });
                     }
                 }
             }
--- a/crates/notchwalk_route/tests/decisions/reservations.rs
+++ b/crates/notchwalk_route/tests/decisions/reservations.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, time::Duration};
 
-use notchwalk_route::{AttemptEnd, Effect, Event, RequestKey, ReservationOrder};
+use notchwalk_route::{AttemptEnd, Effect, Event, FailedReservation, RequestKey, ReservationOrder};
 
 use crate::common::Rig;
 
@@ -39,7 +39,12 @@
 }
 
 fn granted(rig: &mut Rig, request: RequestKey, granted: bool) {
-    rig.step(Event::Reserved { request, granted });
+    let refused = FailedReservation {
+        addr: "10.9.9.9:80".parse().unwrap(),
+        unreachable: false,
+    };
+    let failed = if granted { Vec::new() } else { vec![refused] };
+    rig.step(Event::Reserved { request, failed });
 }
 
 #[test]
@@ -212,3 +217,51 @@
     assert!(rig.now.since(arrived) < Duration::from_millis(750));
     assert!(rig.refusals()[0].has_not_run());
 }
+
+/// Found by an incident of falaj (inc-58bd): one engine had crashed, and memory
+/// was ordered on it and fifteen others with every tick, 453 times for nobody.
+#[test]
+fn an_engine_that_can_not_be_reached_gets_no_further_order_for_memory() {
+    let mut rig = Rig::new();
+    let request = rig.arrive("/long/", OVERSIZED);
+    let dead = reserves(&mut rig)[0].addr;
+    let failed = FailedReservation {
+        addr: dead,
+        unreachable: true,
+    };
+    rig.step(Event::Reserved {
+        request,
+        failed: vec![failed],
+    });
+    let mut rounds = 0;
+    for _ in 0..20 {
+        rig.pass(Duration::from_millis(15));
+        let placed = reserves(&mut rig);
+        assert!(
+            placed.iter().all(|order| order.addr != dead),
+            "round {rounds}"
+        );
+        rounds += usize::from(!placed.is_empty());
+    }
+    assert_eq!(rounds, 1);
+}
+
+/// The same of an engine without the memory: for this request it is left out.
+#[test]
+fn an_engine_without_the_memory_is_left_out_of_the_next_round() {
+    let mut rig = Rig::new();
+    let request = rig.arrive("/long/", OVERSIZED);
+    let full = reserves(&mut rig)[0].addr;
+    let failed = FailedReservation {
+        addr: full,
+        unreachable: false,
+    };
+    rig.step(Event::Reserved {
+        request,
+        failed: vec![failed],
+    });
+    rig.pass(Duration::from_millis(15));
+    let placed = reserves(&mut rig);
+    assert!(!placed.is_empty());
+    assert!(placed.iter().all(|order| order.addr != full));
+}
--- a/crates/notchwalk_standin/src/routed/world.rs
+++ b/crates/notchwalk_standin/src/routed/world.rs
@@ -10,9 +10,9 @@
 
 use notchwalk_core::Instant;
 use notchwalk_route::{
-    Assignment, AttemptEnd, Backend, Effect, EngineParameters, Event, PeerWork, Repeatability,
-    RequestFacts, RequestKey, Route, RouteLookup, Router, RouterConfig, ServerChange, ServerRecord,
-    ServerStage, Service, SiteConfig,
+    Assignment, AttemptEnd, Backend, Effect, EngineParameters, Event, FailedReservation, PeerWork,
+    Repeatability, RequestFacts, RequestKey, Route, RouteLookup, Router, RouterConfig,
+    ServerChange, ServerRecord, ServerStage, Service, SiteConfig,
 };
 
 use super::{
@@ -136,7 +136,7 @@
         work: Vec<PeerWork>,
     },
     Reach(Number, Box<Assignment>),
-    Reserved(Number, bool),
+    Reserved(Number, Vec<FailedReservation>),
     PassEnds(usize),
     GiveUp(Number),
 }
@@ -333,12 +333,12 @@
                 self.step(to, event);
             }
             Happening::Reach(number, to) => self.reach(number, &to),
-            Happening::Reserved(number, granted) => {
+            Happening::Reserved(number, failed) => {
                 let request = &self.requests[number];
                 let (entry, key) = (request.entry, request.key);
                 let event = Event::Reserved {
                     request: key,
-                    granted,
+                    failed,
                 };
                 self.step(entry, event);
             }
@@ -434,18 +434,23 @@
                 let Some(number) = number(request) else {
                     return;
                 };
-                let mut granted = true;
+                let mut failed = Vec::new();
                 for order in &orders {
                     let engine = self.by_addr[&order.addr];
                     let tokens = f64::from(order.tokens.unwrap_or(0));
-                    granted &= self.engines[engine].reserve(number, tokens);
+                    if !self.engines[engine].reserve(number, tokens) {
+                        failed.push(FailedReservation {
+                            addr: order.addr,
+                            unreachable: false,
+                        });
+                    }
                     self.requests[number].engines.push(engine);
                 }
-                self.requests[number].reserved = granted;
-                if !granted {
+                self.requests[number].reserved = failed.is_empty();
+                if !failed.is_empty() {
                     self.drop_request(number);
                 }
-                self.later(TO_SERVER * 2, Happening::Reserved(number, granted));
+                self.later(TO_SERVER * 2, Happening::Reserved(number, failed));
             }
             // Memory is given back when the request is dropped here.
             Effect::Order(_) | Effect::Closed { .. } | Effect::DeliverFailure { .. } => {}
