The experiment's policies and site in a file of their own

Change: policy.rs holds what is compared and the site, world.rs plays it; a comment on prompts over one engine reads better. Conclusion: no decision changes.

--- a/crates/notchwalk_route/src/placement/long.rs
+++ b/crates/notchwalk_route/src/placement/long.rs
@@ -173,9 +173,9 @@
         self.least_harm(&views, demand, limit_ms)
     }
 
-    /// Chooses engines for a prompt that exceeds one engine and serve it within
-    /// `limit_ms`, only if many more are idle: it keeps them for so
-    /// long that a wave of other requests would miss them.
+    /// Chooses engines that serve a prompt over one engine within `limit_ms`,
+    /// though late. `None` unless many more are idle: it keeps them for so long
+    /// that a wave of other requests would miss them.
     pub fn place_oversized(
         &self,
         service: &str,
--- a/crates/notchwalk_standin/src/main.rs
+++ b/crates/notchwalk_standin/src/main.rs
@@ -9,7 +9,7 @@
     deployment::Deployment,
     entry::run_entry,
     processes::{self, LoadOptions},
-    routed::{self, world::POLICIES},
+    routed::{self, policy::POLICIES},
     workload::Stream,
 };
 
--- a/crates/notchwalk_standin/src/routed/mod.rs
+++ b/crates/notchwalk_standin/src/routed/mod.rs
@@ -5,11 +5,13 @@
 //! | file | what it holds |
 //! |---|---|
 //! | `engine` | one engine: passes, parts, memory |
+//! | `policy` | who decides on which knowledge, and the site |
 //! | `traffic` | kinds of requests, waves, arrivals |
 //! | `world` | routers, engines and what arrivals come to |
 //! | `report` | shares of worth by kind and wave, as a table and a plot |
 
 pub mod engine;
+pub mod policy;
 pub mod report;
 pub mod traffic;
 pub mod world;
@@ -17,8 +19,9 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use policy::Policy;
 use report::Report;
-use world::{Policy, World};
+use world::World;
 
 /// Plays one policy over several seeds.
 pub fn play(policy: Policy, seeds: std::ops::Range<u64>) -> Report {
--- a/crates/notchwalk_standin/tests/routed.rs
+++ b/crates/notchwalk_standin/tests/routed.rs
@@ -3,9 +3,10 @@
 use notchwalk_standin::routed::{
     engine::{Part, Progress, SimulatedEngine},
     play,
+    policy::{parameters, Policy, POLICIES},
     report::Report,
     traffic::KINDS,
-    world::{parameters, Outcome, Policy, POLICIES},
+    world::Outcome,
 };
 
 fn part(request: usize, tokens: f64, helps: bool) -> Part {
