Changes are gathered for 0.3 s again

Cause: calls to the store are a fifth of the prices on the grown sites; gathering for 0.7 s was meant to halve those of entries that follow others. Change: 0.3 s again, which leaves more time before a change must be in force.

--- a/crates/notchwalk_relay/src/table_watch.rs
+++ b/crates/notchwalk_relay/src/table_watch.rs
@@ -124,10 +124,9 @@
         /// is in force here.
         const LOOK_EVERY: Duration = Duration::from_millis(100);
         /// After the first sign of a change, so that one question brings those
-        /// that follow it closely as well. With the time until a peer tells of
-        /// the change it stays under half of the three seconds within which
-        /// many entries must know it.
-        const GATHER: Duration = Duration::from_millis(700);
+        /// that follow it closely as well. (Gathering for 0.7 s saved 0.002 of
+        /// worth on the grown sites, within the spread, and time to spare.)
+        const GATHER: Duration = Duration::from_millis(300);
         /// The longest wait: what was missed is mended then.
         const LONGEST: Duration = Duration::from_secs(30);
         let since = self.shell.now();
