The reducer asserts what it promises in debug builds

Change: debug assertions: no second send of what may run once after it may have run, no more servers than a route allows, no work for a server that leaves, no work left of a request that ended. The soak and the randomised run play with them. Conclusion: release builds are unchanged.

--- a/crates/notchwalk_route/src/board.rs
+++ b/crates/notchwalk_route/src/board.rs
@@ -270,6 +270,12 @@
         self.work.get(server).map_or(&[], Vec::as_slice)
     }
 
+    /// Tells whether an own request is on any server.
+    pub(crate) fn has_request(&self, request: RequestKey) -> bool {
+        let mut works = self.work.iter().flat_map(|(_, works)| works);
+        works.any(|work| work.owner == Owner::Own(request))
+    }
+
     /// Tells whether own work changed since it was last taken.
     pub fn has_changed(&self) -> bool {
         !self.changed.is_empty()
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -52,6 +52,7 @@
         self.long_queue.remove(key);
         self.lift(key);
         self.give_back(key, now, out);
+        debug_assert!(!self.board.has_request(key), "work of an ended request");
         self.requests.remove(key);
     }
 
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -121,6 +121,15 @@
     ) -> Option<Assignment> {
         let request = self.requests.get_mut(key)?.as_mut()?;
         let server = self.fleet.get(plan.first.server)?;
+        debug_assert!(
+            request.ran_on == 0 || request.may_repeat(),
+            "what may run once is sent after it may have run"
+        );
+        debug_assert!(
+            request.ran_on < request.facts.route.max_attempts.max(1),
+            "a request is sent to more servers than its route allows"
+        );
+        debug_assert!(server.is_ready(), "a server that leaves gets work");
         let is_engine = request.facts.prompt_tokens > 0;
         request.sent_at = now;
         request.predicted_first = after_ms(now, plan.first_ms);
