The randomised run changes configurations and hears peers

Change: both happen at random; versions must not fall and repeats must stay within the window's bound. Conclusion: test code only.

--- a/crates/notchwalk_route/tests/decisions/random_runs.rs
+++ b/crates/notchwalk_route/tests/decisions/random_runs.rs
@@ -3,16 +3,17 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use notchwalk_core::Instant;
 use notchwalk_route::{
-    Assignment, AttemptEnd, Effect, Event, FailedReservation, Refusal, Repeatability, RequestKey,
-    ServerChange, ServerStage,
+    Assignment, AttemptEnd, Effect, Event, FailedReservation, PeerWork, Refusal, Repeatability,
+    RequestKey, ServerChange, ServerStage, SiteConfig, WorkPhase,
 };
 use proptest::{
     prelude::*,
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
 };
 
-use crate::common::{record, Rig, DESK, ENGINES};
+use crate::common::{record, site, Rig, DESK, ENGINES};
 
 #[derive(Clone, Debug)]
 enum Act {
@@ -23,6 +24,8 @@
     Grant(usize, bool),
     Leave(u8, bool),
     Return(u8),
+    Configure(u8),
+    Peer(u8, u8),
     Pass(u16),
 }
 
@@ -35,6 +38,8 @@
         2 => (any::<usize>(), any::<bool>()).prop_map(|(which, yes)| Act::Grant(which, yes)),
         1 => (0..10u8, any::<bool>()).prop_map(|(server, gone)| Act::Leave(server, gone)),
         1 => (0..10u8).prop_map(Act::Return),
+        1 => any::<u8>().prop_map(Act::Configure),
+        1 => (0..7u8, 0..12u8).prop_map(|(server, count)| Act::Peer(server, count)),
         3 => (1..2_000u16).prop_map(Act::Pass),
     ]
 }
@@ -43,6 +48,9 @@
 struct Seen {
     may_have_run: u32,
     open_send: Option<Assignment>,
+    /// Whether it was sent before, and whether that send reached a server.
+    sent_before: bool,
+    reached: bool,
     reserving: bool,
     ended: bool,
 }
@@ -51,6 +59,9 @@
     rig: Rig,
     seen: HashMap<RequestKey, (Seen, Repeatability, u32)>,
     order: Vec<RequestKey>,
+    /// When requests were sent first, and when a server was reached once more.
+    firsts: Vec<Instant>,
+    repeats: Vec<Instant>,
 }
 
 impl Check {
@@ -59,6 +70,8 @@
             rig: Rig::named("entry-1", 7),
             seen: HashMap::new(),
             order: Vec::new(),
+            firsts: Vec::new(),
+            repeats: Vec::new(),
         }
     }
 
@@ -112,6 +125,22 @@
         assert!(seen.may_have_run < *attempts, "runs on too many servers");
         seen.open_send = Some(to);
         seen.reserving = false;
+        let now = self.rig.now;
+        if !std::mem::replace(&mut seen.sent_before, true) {
+            self.firsts.push(now);
+        } else if seen.reached {
+            self.repeats.push(now);
+        }
+        self.check_budget();
+    }
+
+    /// Checks that repeats within the window stay within what the rig allows.
+    fn check_budget(&self) {
+        const WINDOW: Duration = Duration::from_secs(10);
+        let since = self.rig.now.before(WINDOW);
+        let recent = |times: &[Instant]| times.iter().filter(|&&at| at >= since).count() as f64;
+        let allowed = 0.2 * recent(&self.firsts) + 100.0;
+        assert!(recent(&self.repeats) <= allowed, "too many repeats");
     }
 
     fn refused(&mut self, request: RequestKey, reason: Refusal) {
@@ -175,6 +204,14 @@
                 let record = record(if server < 7 { ENGINES } else { DESK }, server % 7);
                 self.rig.step(Event::Servers(ServerChange::Present(record)));
             }
+            Act::Configure(version) => {
+                let before = self.rig.router.version();
+                let version = u64::from(version);
+                self.rig
+                    .step(Event::Configured(SiteConfig { version, ..site() }));
+                assert!(self.rig.router.version() >= before, "an older version");
+            }
+            Act::Peer(server, count) => self.peer_tells(server, count),
             Act::Pass(ms) => self.rig.pass(Duration::from_millis(ms.into())),
         }
     }
@@ -214,12 +251,40 @@
         if matches!(end, AttemptEnd::Failed | AttemptEnd::Broken) {
             seen.may_have_run += 1;
         }
+        seen.reached = end != AttemptEnd::NotConnected;
         seen.ended = matches!(end, AttemptEnd::Delivered { .. });
         self.rig.end(request, end);
     }
 
+    /// A peer tells of short requests that it has on an engine.
+    fn peer_tells(&mut self, server: u8, count: u8) {
+        let instance = record(ENGINES, server).instance;
+        let mut servers = self.rig.router.fleet().iter();
+        let Some((_, known)) = servers.find(|(_, known)| known.record.instance == instance) else {
+            return;
+        };
+        let tag = known.tag;
+        drop(servers);
+        let work = PeerWork {
+            server: tag,
+            phase: WorkPhase::Writing,
+            context_tokens: 5_000,
+            pass_tokens: 5_000,
+            read_ms: 30,
+            pause_ms: 250,
+            age_ms: 100,
+            reading_ms: 60,
+        };
+        self.rig.step(Event::PeerWork {
+            peer: 1,
+            servers: vec![work.server],
+            work: vec![work; count.into()],
+        });
+    }
+
     /// Ends everything and checks that nothing is left behind.
     fn finish(mut self) {
+        self.rig.step(Event::PeerGone { peer: 1 });
         for request in std::mem::take(&mut self.order) {
             if !self.seen[&request].0.ended {
                 self.rig.step(Event::Abandoned { request });
