An entry that lost the store asks again at once when it is back

An entry cut from the store for nine seconds, with the store back at 11.5 s, noticed it at 15.4 s and doubted removals for 1.8 s more: a server removed at 15.0 s got work at 17.1 and 17.3 s (bound 2.0 s, in touch from 14.5 s). Two reasons: an entry for which others follow the store asked only once they knew of something newer, and the first question waited up to 3 s for a change. Ruled out: load (it repeats), the policies (the code is older than them). Change: after an outage an entry asks by itself, and its first question does not wait.

--- a/crates/notchwalk_relay/src/table_watch.rs
+++ b/crates/notchwalk_relay/src/table_watch.rs
@@ -124,7 +124,8 @@
     }
 
     /// Waits while others follow the store for this entry and know of nothing
-    /// newer.
+    /// newer. After an outage it does not wait: only an answer of its own tells
+    /// the entry that the store is back.
     async fn wait_for_others(&self) {
         /// How often that is looked at; it is part of the time until a change
         /// is in force here.
@@ -137,7 +138,7 @@
         const LONGEST: Duration = Duration::from_secs(30);
         let since = self.shell.now();
         let (name, peers) = (&self.shell.settings.name, &self.shell.peers);
-        while self.seen.is_some() && !self.reader.is_behind() {
+        while self.seen.is_some() && self.lost_since.is_none() && !self.reader.is_behind() {
             let now = self.shell.now();
             let follows = peers.borrow().is_follower(name, now);
             if follows || self.reader.is_unsettled() || now.since(since) > LONGEST {
@@ -145,7 +146,7 @@
             }
             monoio::time::sleep(LOOK_EVERY).await;
         }
-        if self.seen.is_some() {
+        if self.seen.is_some() && self.lost_since.is_none() {
             monoio::time::sleep(GATHER).await;
         }
     }
