--- a/crates/notchwalk_route/src/placement/mod.rs
+++ b/crates/notchwalk_route/src/placement/mod.rs
@@ -26,9 +26,6 @@
 /// Part of a request's worth that is lost when its answer is late; on the
 /// deployments known a late answer earns a quarter.
 const LATE_LOSS: f64 = 0.75;
-/// Part of a request's worth that is lost besides when its caller gives up: the
-/// rest of its worth, and what the users charge for a second try that fails.
-const GIVEN_UP_LOSS: f64 = 0.55;
 /// Predicted over allowed time from which a miss is thought possible.
 const SURELY_IN_TIME: f64 = 0.75;
 /// Predicted over allowed time from which a miss is thought certain.
@@ -173,15 +170,6 @@
     (prompt_tokens + GENERATED_WEIGHT * answer_tokens) / WORTH_TOKENS_PER_MS
 }
 
-/// Returns the part of a request's worth that is lost if its first event comes
-/// after `first_ms`: a late answer's, and all of it once its caller gave up.
-fn lost_part(demand: &Demand, first_ms: f64) -> f64 {
-    let late = late_part(first_ms, demand.objective_ms);
-    let patience = demand.patience_ms;
-    let given_up = (first_ms / patience - SURELY_IN_TIME) / (SURELY_LATE - SURELY_IN_TIME);
-    late + GIVEN_UP_LOSS * given_up.clamp(0.0, 1.0)
-}
-
 fn late_part(predicted_ms: f64, allowed_ms: f64) -> f64 {
     let ratio = predicted_ms / allowed_ms;
     LATE_LOSS * ((ratio - SURELY_IN_TIME) / (SURELY_LATE - SURELY_IN_TIME)).clamp(0.0, 1.0)
--- a/crates/notchwalk_route/src/placement/short.rs
+++ b/crates/notchwalk_route/src/placement/short.rs
@@ -1,6 +1,6 @@
 //! Short requests, and long ones that can't wait: the least expected loss.
 
-use super::{lost_part, Demand, EnginePlacement, Plan, View, INSIDE_POOL_MS};
+use super::{late_part, Demand, EnginePlacement, Plan, View, INSIDE_POOL_MS};
 use crate::{Grounds, ServerKey};
 
 /// What a millisecond until the first event costs even if it is in time.
@@ -80,7 +80,7 @@
         let mut best: Option<Plan> = None;
         for view in views {
             let first_ms = self.first_ms(view, demand.prompt, part_ms);
-            let mut loss_ms = worth_ms * lost_part(demand, first_ms);
+            let mut loss_ms = worth_ms * late_part(first_ms, demand.objective_ms);
             loss_ms += self.harm_ms(view, part_ms) + view.distrust_ms;
             loss_ms += match (is_short, view.in_short_pool) {
                 (true, false) => OUTSIDE_POOL_MS,
@@ -143,7 +143,7 @@
                 loss_ms += self.harm_ms(view, part_ms) + pool + view.distrust_ms;
                 first_ms = first_ms.max(self.first_ms(view, demand.prompt / k as f64, part_ms));
             }
-            loss_ms += worth_ms * lost_part(demand, first_ms);
+            loss_ms += worth_ms * late_part(first_ms, demand.objective_ms);
             loss_ms += first_ms * SOONER_SHARE;
             // Each engine more is one more that can fail, and a pass more.
             loss_ms += 2.0 * k as f64;
