--- a/crates/notchwalk_route/src/placement/mod.rs
+++ b/crates/notchwalk_route/src/placement/mod.rs
@@ -104,6 +104,8 @@
     pub objective_ms: f64,
     /// Time left until the caller gives up, in milliseconds.
     pub patience_ms: f64,
+    /// Sends that failed by a helper.
+    pub helpers_failed: u32,
 }
 
 fn ms_until(at: Instant, now: Instant) -> f64 {
@@ -123,6 +125,7 @@
             answer: f64::from(facts.answer_tokens),
             objective_ms: ms_until(request.objective_at(), now).max(1.0),
             patience_ms: ms_until(request.patience_end(), now).max(1.0),
+            helpers_failed: request.helpers_failed,
         }
     }
 }
@@ -181,13 +184,17 @@
     }
 
     /// Returns over how many engines a prompt may be spread.
+    ///
+    /// After a send that failed by a helper it is half as many: when several
+    /// engines die at once, a dozen helpers hardly ever all live, and each send
+    /// finds one dead engine only.
     fn most_engines(&self, demand: &Demand) -> usize {
         let by_size = (demand.prompt / SMALLEST_PART_TOKENS) as usize;
         let named = match self.exceeds_engine(demand) {
             true => MAX_NAMED,
             false => MAX_NAMED + 1,
         };
-        by_size.clamp(1, named)
+        by_size.clamp(1, (named >> demand.helpers_failed.min(8)).max(1))
     }
 
     /// Returns how many short requests fill an engine before the next one is
--- a/crates/notchwalk_route/src/request.rs
+++ b/crates/notchwalk_route/src/request.rs
@@ -54,6 +54,8 @@
     pub ran_on: u32,
     /// Sends so far, refused ones included.
     pub sends: u32,
+    /// Sends that failed because another engine than its own was at fault.
+    pub helpers_failed: u32,
     /// Where it is now.
     pub at: Option<ServerKey>,
     /// Servers that read parts of its prompt.
@@ -81,6 +83,7 @@
             tried: Vec::new(),
             ran_on: 0,
             sends: 0,
+            helpers_failed: 0,
             at: None,
             helpers: Vec::new(),
             reserving: None,
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -101,7 +101,11 @@
             ..
         } = end
         {
-            request.tried.extend(self.fleet.by_addr(addr));
+            let at_fault = self.fleet.by_addr(addr);
+            if at_fault != server {
+                request.helpers_failed += 1;
+            }
+            request.tried.extend(at_fault);
         }
         if matches!(
             end,
--- a/crates/notchwalk_route/tests/decisions/retries.rs
+++ b/crates/notchwalk_route/tests/decisions/retries.rs
@@ -1,6 +1,9 @@
 //! What is sent again, and what never is.
 
-use std::time::Duration;
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use notchwalk_route::{Assignment, AttemptEnd, Effect, Refusal, RetryBudget};
 
@@ -167,3 +170,31 @@
     let silence = rig.only_send().first_silence;
     assert!(silence >= Some(Duration::from_secs(6)), "{silence:?}");
 }
+
+/// Several engines die at once (recorded day inc-e48d: 35 long prompts refused,
+/// each after six sends in a quarter of a second, every one with another dead
+/// engine among its helpers).
+#[test]
+fn a_long_prompt_finds_engines_that_live_before_its_sends_run_out() {
+    let mut rig = Rig::named("entry-1", 60);
+    let dead = |addr: SocketAddr| match addr.ip() {
+        IpAddr::V4(ip) => ip.octets()[3] % 6 == 0,
+        IpAddr::V6(_) => false,
+    };
+    let request = rig.arrive("/long/", 250_000);
+    for _ in 0..6 {
+        let to = rig.only_send();
+        let mut named = to.helpers.iter().map(|helper| helper.addr);
+        let at_fault = match dead(to.addr) {
+            true => Some(to.addr),
+            false => named.find(|&addr| dead(addr)),
+        };
+        if at_fault.is_none() {
+            return;
+        }
+        let moved = false;
+        rig.end(request, AttemptEnd::NotRun { at_fault, moved });
+        assert_eq!(rig.refusals(), []);
+    }
+    panic!("every send named a dead engine");
+}
