--- a/crates/notchwalk_route/src/placement/long.rs
+++ b/crates/notchwalk_route/src/placement/long.rs
@@ -195,14 +195,9 @@
                 continue;
             }
             let plan = Plan {
-                first: self.part(view, part_ms),
-                helpers: Vec::new(),
-                reserve_tokens: None,
-                part_ms,
-                first_ms,
                 loss_ms: self.harm_ms(view, part_ms),
-                worth_ms: demand.worth_ms(),
                 grounds: Grounds::Late,
+                ..self.whole_plan(view, demand, part_ms, first_ms)
             };
             best = Some((disturbed, busy_ms, plan));
         }
--- a/crates/notchwalk_route/src/placement/mod.rs
+++ b/crates/notchwalk_route/src/placement/mod.rs
@@ -307,6 +307,20 @@
         }
     }
 
+    /// Returns the plan that one engine reads a prompt whole.
+    fn whole_plan(&self, view: &View, demand: &Demand, part_ms: f64, first_ms: f64) -> Plan {
+        Plan {
+            first: self.part(view, part_ms),
+            helpers: Vec::new(),
+            reserve_tokens: None,
+            part_ms,
+            first_ms,
+            loss_ms: 0.0,
+            worth_ms: demand.worth_ms(),
+            grounds: Grounds::LeastLoss,
+        }
+    }
+
     /// Returns the part of the engine that generates, and those of the others.
     fn parts(&self, views: &[&View], first: ServerKey, part_ms: f64) -> (Part, Vec<Part>) {
         let mut generating = None;
--- a/crates/notchwalk_route/src/placement/short.rs
+++ b/crates/notchwalk_route/src/placement/short.rs
@@ -60,14 +60,9 @@
                 continue;
             }
             best = Some(Plan {
-                first: self.part(view, part_ms),
-                helpers: Vec::new(),
-                reserve_tokens: None,
-                part_ms,
-                first_ms,
                 loss_ms,
-                worth_ms: demand.worth_ms(),
                 grounds: Grounds::Late,
+                ..self.whole_plan(view, demand, part_ms, first_ms)
             });
         }
         best
@@ -101,14 +96,8 @@
                 continue;
             }
             best = Some(Plan {
-                first: self.part(view, part_ms),
-                helpers: Vec::new(),
-                reserve_tokens: None,
-                part_ms,
-                first_ms,
                 loss_ms,
-                worth_ms,
-                grounds: Grounds::LeastLoss,
+                ..self.whole_plan(view, demand, part_ms, first_ms)
             });
         }
         best
