--- a/crates/notchwalk_route/src/placement/mod.rs
+++ b/crates/notchwalk_route/src/placement/mod.rs
@@ -189,12 +189,17 @@
     /// engines die at once, a dozen helpers hardly ever all live, and each send
     /// finds one dead engine only.
     fn most_engines(&self, demand: &Demand) -> usize {
+        /// Halvings after which any number of named engines is down to one.
+        const MOST_HALVINGS: u32 = usize::BITS - (MAX_NAMED + 1).leading_zeros();
         let by_size = (demand.prompt / SMALLEST_PART_TOKENS) as usize;
         let named = match self.exceeds_engine(demand) {
             true => MAX_NAMED,
             false => MAX_NAMED + 1,
         };
-        by_size.clamp(1, (named >> demand.helpers_failed.min(8)).max(1))
+        by_size.clamp(
+            1,
+            (named >> demand.helpers_failed.min(MOST_HALVINGS)).max(1),
+        )
     }
 
     /// Returns how many short requests fill an engine before the next one is
--- a/crates/notchwalk_route/tests/decisions/retries.rs
+++ b/crates/notchwalk_route/tests/decisions/retries.rs
@@ -171,9 +171,8 @@
     assert!(silence >= Some(Duration::from_secs(6)), "{silence:?}");
 }
 
-/// Several engines die at once (recorded day inc-e48d: 35 long prompts refused,
-/// each after six sends in a quarter of a second, every one with another dead
-/// engine among its helpers).
+/// Several engines die at once. Without fewer helpers after each failure, every
+/// send names another dead engine, and the sixth is the last.
 #[test]
 fn a_long_prompt_finds_engines_that_live_before_its_sends_run_out() {
     let mut rig = Rig::named("entry-1", 60);
