--- a/crates/notchwalk_relay/src/front.rs
+++ b/crates/notchwalk_relay/src/front.rs
@@ -487,9 +487,10 @@
             }
         }
         let facts = format!(
-            "request={} route={} outcome={word} sends={} first_ms={} passes={} longest_pause_ms={} total_ms={}",
+            "request={} route={} outcome={word} tokens={} sends={} first_ms={} passes={} longest_pause_ms={} total_ms={}",
             served.id(),
             served.route,
+            served.caller.prompt_tokens,
             delivery.sends,
             first.map_or(-1, |first| first.as_millis() as i64),
             delivery.passes,
--- a/crates/notchwalk_route/src/placement/long.rs
+++ b/crates/notchwalk_route/src/placement/long.rs
@@ -117,16 +117,11 @@
             if best.as_ref().is_some_and(|best| best.loss_ms <= loss_ms) {
                 continue;
             }
-            let (first, helpers) = self.parts(&chosen, generating.key, part_ms);
             best = Some(Plan {
-                first,
-                helpers,
                 reserve_tokens: held.reserved,
-                part_ms,
-                first_ms,
                 loss_ms,
-                worth_ms,
                 grounds: Grounds::Room,
+                ..self.spread_plan(&chosen, generating.key, demand, part_ms, first_ms)
             });
         }
         best
@@ -218,7 +213,6 @@
         let mut views = self.views(service, tried);
         views.retain(|view| !view.in_short_pool && view.may_help());
         let cost = self.cost();
-        let worth_ms = demand.worth_ms();
         let trial_ms = cost.read_ms(demand.prompt / MAX_NAMED as f64, demand.prompt);
         let harm = |view: &View| self.harm_ms(view, trial_ms) + view.distrust_ms;
         views.sort_by(|a, b| {
@@ -248,16 +242,11 @@
             if best.as_ref().is_some_and(|best| best.loss_ms <= loss_ms) {
                 continue;
             }
-            let (first, helpers) = self.parts(&chosen, generating, part_ms);
             best = Some(Plan {
-                first,
-                helpers,
                 reserve_tokens: held.reserved,
-                part_ms,
-                first_ms,
                 loss_ms,
-                worth_ms,
                 grounds: Grounds::Late,
+                ..self.spread_plan(&chosen, generating, demand, part_ms, first_ms)
             });
         }
         best
--- a/crates/notchwalk_route/src/placement/mod.rs
+++ b/crates/notchwalk_route/src/placement/mod.rs
@@ -326,6 +326,29 @@
         }
     }
 
+    /// Returns the plan that engines read equal parts of a prompt, one of which
+    /// generates.
+    fn spread_plan(
+        &self,
+        chosen: &[&View],
+        generating: ServerKey,
+        demand: &Demand,
+        part_ms: f64,
+        first_ms: f64,
+    ) -> Plan {
+        let (first, helpers) = self.parts(chosen, generating, part_ms);
+        Plan {
+            first,
+            helpers,
+            reserve_tokens: None,
+            part_ms,
+            first_ms,
+            loss_ms: 0.0,
+            worth_ms: demand.worth_ms(),
+            grounds: Grounds::LeastLoss,
+        }
+    }
+
     /// Returns the part of the engine that generates, and those of the others.
     fn parts(&self, views: &[&View], first: ServerKey, part_ms: f64) -> (Part, Vec<Part>) {
         let mut generating = None;
--- a/crates/notchwalk_route/src/placement/short.rs
+++ b/crates/notchwalk_route/src/placement/short.rs
@@ -143,16 +143,10 @@
             let Some((first, reserve_tokens)) = self.first_of(&chosen, demand) else {
                 continue;
             };
-            let (first, helpers) = self.parts(&chosen, first, part_ms);
             best = Some(Plan {
-                first,
-                helpers,
                 reserve_tokens,
-                part_ms,
-                first_ms,
                 loss_ms,
-                worth_ms,
-                grounds: Grounds::LeastLoss,
+                ..self.spread_plan(&chosen, first, demand, part_ms, first_ms)
             });
         }
         best
--- a/crates/notchwalk_route/src/router/reserving.rs
+++ b/crates/notchwalk_route/src/router/reserving.rs
@@ -95,8 +95,10 @@
         let placement = self.engine_placement(&request.service, now);
         let demand = Demand::new(request, now);
         let read_ms = placement.map_or(0.0, |placement| placement.read_ms(&demand));
-        let waiting = Waiting::new(key, request, read_ms, now);
-        self.waiting.push(waiting);
+        self.waiting.push(Waiting {
+            request: key,
+            read_ms,
+        });
     }
 
     pub(super) fn give_back(&mut self, key: RequestKey, now: Instant, out: &mut Vec<Effect>) {
--- a/crates/notchwalk_route/src/router/waiting.rs
+++ b/crates/notchwalk_route/src/router/waiting.rs
@@ -58,8 +58,7 @@
         if self.waiting.is_empty() {
             return;
         }
-        for waiting in self.waiting.in_order(now) {
-            let key = waiting.request;
+        for key in self.waiting.in_order() {
             let Some(Some(request)) = self.requests.get(key) else {
                 self.waiting.remove(key);
                 continue;
@@ -231,8 +230,10 @@
             return;
         };
         let read_ms = self.long_read_ms(request, now).unwrap_or_default();
-        let waiting = Waiting::new(key, request, read_ms, now);
-        self.waiting.push(waiting);
+        self.waiting.push(Waiting {
+            request: key,
+            read_ms,
+        });
         self.send_waiting(now, out);
     }
 }
--- a/crates/notchwalk_route/src/wait_queue.rs
+++ b/crates/notchwalk_route/src/wait_queue.rs
@@ -3,45 +3,18 @@
 //! A long prompt keeps engines busy for a second and more. Bound to an engine
 //! at arrival, it would stand there in the order of arrival, and near
 //! saturation all would be late. So long requests wait here and are sent when
-//! engines have room: the cheapest first, with ageing. Short requests that are
-//! late already wait here too, for room that nobody else misses.
+//! engines have room, the cheapest first. None waits for ever: one that can't be
+//! in time any more is sent late or refused. Short requests that are late
+//! already wait here too, for room that nobody else misses.
 
-use std::time::Duration;
-
-use notchwalk_core::Instant;
-
-use crate::{request::Request, RequestKey};
+use crate::RequestKey;
 
 /// A request that waits.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Waiting {
     pub request: RequestKey,
-    /// Engine time of its prompt, in milliseconds.
+    /// Engine time of its prompt, in milliseconds; 0 for a short one.
     pub read_ms: f64,
-    pub since: Instant,
-    /// Its latency objective.
-    pub objective: Duration,
-}
-
-/// How much a request's cost counts less after it waited for its objective.
-const AGEING: f64 = 0.6;
-
-impl Waiting {
-    pub fn new(key: RequestKey, request: &Request, read_ms: f64, now: Instant) -> Self {
-        Self {
-            request: key,
-            read_ms,
-            since: now,
-            objective: request.facts.route.objective,
-        }
-    }
-
-    /// Returns its place in the order: lower goes first.
-    fn order(&self, now: Instant) -> f64 {
-        let waited = now.since(self.since).as_secs_f64();
-        let aged = (waited / self.objective.as_secs_f64().max(1e-3)).min(1.0);
-        self.read_ms * (1.0 - AGEING * aged)
-    }
 }
 
 /// The requests that wait.
@@ -73,9 +46,9 @@
     }
 
     /// Returns all that wait, the first to be sent first.
-    pub fn in_order(&self, now: Instant) -> Vec<Waiting> {
+    pub fn in_order(&self) -> Vec<RequestKey> {
         let mut waiting = self.waiting.clone();
-        waiting.sort_by(|a, b| a.order(now).total_cmp(&b.order(now)));
-        waiting
+        waiting.sort_by(|a, b| a.read_ms.total_cmp(&b.read_ms));
+        waiting.iter().map(|waiting| waiting.request).collect()
     }
 }
