Sight: a request's content has a fingerprint, in its three log lines

Cause sought: lost servers under repeated kit questions. The logs could not tell whether tries with the same number of tokens are one request. NW5101, NW5102 and NW5103 carry content=, a BLAKE3 of workspace, method, host, target and body, taken while the body arrives; nothing is decided by it.

--- a/crates/notchwalk_http/src/server.rs
+++ b/crates/notchwalk_http/src/server.rs
@@ -136,6 +136,19 @@
     /// Fails as soon as the body is known to exceed `limit` bytes, when it is
     /// trickled too slowly, or with the connection.
     pub async fn body_bytes(&mut self, limit: usize) -> Result<Bytes, HttpError> {
+        self.body_bytes_seen(limit, |_| {}).await
+    }
+
+    /// Reads the whole body and shows each piece to `see` as it arrives.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::body_bytes`].
+    pub async fn body_bytes_seen(
+        &mut self,
+        limit: usize,
+        mut see: impl FnMut(&[u8]),
+    ) -> Result<Bytes, HttpError> {
         if self.body.declared().is_some_and(|n| n > limit as u64) {
             return Err(HttpError::BodyTooLarge(limit));
         }
@@ -144,6 +157,7 @@
             if whole.len() + piece.len() > limit {
                 return Err(HttpError::BodyTooLarge(limit));
             }
+            see(&piece);
             whole.extend_from_slice(&piece);
         }
         Ok(whole.freeze())
--- a/crates/notchwalk_relay/src/front/accept.rs
+++ b/crates/notchwalk_relay/src/front/accept.rs
@@ -6,7 +6,10 @@
 use http::StatusCode;
 use notchwalk_core::Instant;
 use notchwalk_http::prelude::*;
-use notchwalk_route::{RequestFacts, RequestKey, RouteLookup, WorkspaceTag};
+use notchwalk_route::{
+    host_name, Content, Fingerprint, Fingerprinting, RequestFacts, RequestKey, RouteLookup,
+    WorkspaceTag,
+};
 
 use super::{Front, Served};
 use crate::CallerFacts;
@@ -93,8 +96,10 @@
         };
         let patience = caller.patience.unwrap_or(DEFAULT_PATIENCE);
         let held = patience.min(route.timeout.saturating_sub(TIMEOUT_MARGIN));
-        let body = match self.read_body(exchange, limits.body_bytes, held).await {
-            Ok(body) => body,
+        let name = workspace.as_ref().map(|(name, _)| name.as_ref());
+        let read = self.read_body(exchange, limits.body_bytes, held, name);
+        let (body, content) = match read.await {
+            Ok(read) => read,
             Err(None) => return Err(Rejection::CallerLeft),
             Err(Some((status, reason))) => {
                 exchange.close_after();
@@ -117,6 +122,7 @@
         };
         let served = Served {
             key: RequestKey::default(),
+            content,
             caller,
             workspace: workspace.map(|(name, _)| Rc::from(&*name)),
             route: Rc::from(route.name.as_str()),
@@ -129,26 +135,26 @@
     }
 
     fn look_up(&self, exchange: &Exchange, caller: &CallerFacts) -> RouteLookup {
-        let host = exchange
-            .header("host")
-            .or(exchange.head.uri.host())
-            .unwrap_or("");
         let router = self.shell.router.borrow();
         router
             .routes()
-            .lookup(host, exchange.path(), caller.key.as_deref())
+            .lookup(host(exchange), exchange.path(), caller.key.as_deref())
     }
 
-    /// Reads the body. An error without a status means that the caller left.
+    /// Reads the body and takes the request's fingerprint meanwhile. An error
+    /// without a status means that the caller left.
     async fn read_body(
         &self,
         exchange: &mut Exchange,
         limit: usize,
         held: Duration,
-    ) -> Result<Bytes, Option<(StatusCode, &'static str)>> {
-        let read = monoio::time::timeout(held, exchange.body_bytes(limit)).await;
+        workspace: Option<&str>,
+    ) -> Result<(Bytes, Fingerprint), Option<(StatusCode, &'static str)>> {
+        let mut content = fingerprinting(exchange, workspace);
+        let read = exchange.body_bytes_seen(limit, |piece| content.update(piece));
+        let read = monoio::time::timeout(held, read).await;
         match read {
-            Ok(Ok(body)) => Ok(body),
+            Ok(Ok(body)) => Ok((body, content.finish())),
             Ok(Err(HttpError::BodyTooLarge(_))) => Err(Some((
                 StatusCode::PAYLOAD_TOO_LARGE,
                 "the body is too large",
@@ -166,6 +172,23 @@
     }
 }
 
+/// Returns the host that a request names.
+fn host(exchange: &Exchange) -> &str {
+    let named = exchange.header("host").or(exchange.head.uri.host());
+    named.unwrap_or("")
+}
+
+/// Begins the fingerprint of a request with its head.
+fn fingerprinting(exchange: &Exchange, workspace: Option<&str>) -> Fingerprinting {
+    let head = &exchange.head;
+    Fingerprinting::new(&Content {
+        workspace,
+        method: head.method.as_str(),
+        host: &host_name(host(exchange)),
+        target: head.uri.path_and_query().map_or("/", |path| path.as_str()),
+    })
+}
+
 /// Returns the size of a request's head as it came, within a few bytes.
 fn head_bytes(exchange: &Exchange) -> usize {
     const SEPARATORS: usize = 4;
--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -10,7 +10,7 @@
 use http::{header, HeaderMap, HeaderValue, StatusCode};
 use notchwalk_core::{Instant, LogEvent, LogEventKind};
 use notchwalk_http::prelude::*;
-use notchwalk_route::{Assignment, AttemptEnd, Effect, Event, Refusal, RequestKey};
+use notchwalk_route::{Assignment, AttemptEnd, Effect, Event, Fingerprint, Refusal, RequestKey};
 
 use crate::{
     attempt::{self, Attempted, Delivery},
@@ -31,6 +31,8 @@
     pub key: RequestKey,
     /// What its head says.
     pub caller: CallerFacts,
+    /// Identifies its content, alike for all its tries.
+    pub content: Fingerprint,
     /// The workspace of its key.
     pub workspace: Option<Rc<str>>,
     /// Its route's name, for logs and metrics.
@@ -193,8 +195,9 @@
         if outcome.is_none() {
             let after = self.shell.now().since(served.arrived).as_millis();
             let facts = format!(
-                "request={} server={} end={word} after_ms={after}",
+                "request={} content={} server={} end={word} after_ms={after}",
                 served.id(),
+                served.content,
                 to.instance
             );
             LogEvent::new(LogEventKind::AttemptFailed, facts).emit();
--- a/crates/notchwalk_relay/src/front/record.rs
+++ b/crates/notchwalk_relay/src/front/record.rs
@@ -37,8 +37,9 @@
         let now = self.shell.now();
         let version = self.shell.router.borrow().version();
         let facts = format!(
-            "request={} route={} server={} helpers={} grounds={:?} resent={} since_first_ms={} waited_ms={} predicted_ms={:.0} tokens={} config={version} servers_age_ms={}",
+            "request={} content={} route={} server={} helpers={} grounds={:?} resent={} since_first_ms={} waited_ms={} predicted_ms={:.0} tokens={} config={version} servers_age_ms={}",
             served.id(),
+            served.content,
             served.route,
             to.instance,
             to.helpers.len(),
@@ -72,8 +73,9 @@
             }
         }
         let facts = format!(
-            "request={} route={} outcome={word} tokens={} sends={} first_ms={} passes={} longest_pause_ms={} total_ms={}",
+            "request={} content={} route={} outcome={word} tokens={} sends={} first_ms={} passes={} longest_pause_ms={} total_ms={}",
             served.id(),
+            served.content,
             served.route,
             served.caller.prompt_tokens,
             delivery.sends,
--- a/crates/notchwalk_route/src/routes.rs
+++ b/crates/notchwalk_route/src/routes.rs
@@ -60,8 +60,7 @@
     /// Looks up a request: the route with the longest prefix of its path, then
     /// its key.
     pub fn lookup(&self, host: &str, path: &str, key: Option<&str>) -> RouteLookup {
-        let name = host.split_once(':').map_or(host, |(name, _port)| name);
-        let routes = self.by_host.get(&name.to_ascii_lowercase());
+        let routes = self.by_host.get(&host_name(host));
         let mut routes = routes.into_iter().flatten();
         let Some(route) = routes.find(|route| path.starts_with(&route.prefix)) else {
             return RouteLookup::NoRoute;
@@ -76,3 +75,9 @@
         }
     }
 }
+
+/// Returns the name in a request's host: without its port, in lower case.
+pub fn host_name(host: &str) -> String {
+    let name = host.split_once(':').map_or(host, |(name, _port)| name);
+    name.to_ascii_lowercase()
+}
--- a/crates/notchwalk_route/tests/decisions/main.rs
+++ b/crates/notchwalk_route/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod engine_cost;
+mod fingerprints;
 mod leaving;
 mod placement;
 mod random_runs;
