--- a/crates/notchwalk_core/src/log_event.rs
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -74,6 +74,9 @@
     AttemptFailed = 5102, Info, "sending to a backend server did not succeed";
     RequestEnded = 5103, Info, "a request ended";
     RequestRejected = 5104, Info, "a request was not accepted";
+    CrashSuspected = 5201, Info, "a backend server seems to have ended under a request";
+    RequestQuarantined = 5202, Warn, "requests of one content end the servers that run them; they are sent to none for a while";
+    QuarantineEnded = 5203, Info, "a quarantine ended";
     OrderSent = 6001, Info, "an order went to an engine";
     OrderRefused = 6002, Warn, "an engine refused an order";
     LeaseHeld = 6003, Info, "this daemon holds the order lease";
--- a/crates/notchwalk_http/src/client.rs
+++ b/crates/notchwalk_http/src/client.rs
@@ -277,6 +277,11 @@
         self.pool.borrow_mut().clear();
     }
 
+    /// Closes the idle connections to one address: whoever listened there ended.
+    pub fn forget_idle_at(&self, addr: SocketAddr) {
+        self.pool.borrow_mut().remove(&addr);
+    }
+
     /// Sends a request and reads the whole response, at most `limit` bytes,
     /// within `timeout`. After a timeout, the idle connections to that address
     /// are closed as well.
--- a/crates/notchwalk_platform/src/rows.rs
+++ b/crates/notchwalk_platform/src/rows.rs
@@ -27,6 +27,8 @@
     pub version: u64,
     /// Whether rows follow after the last one.
     pub more: bool,
+    /// The store's clock in milliseconds, if it said so.
+    pub now_ms: Option<u64>,
 }
 
 /// A change of one row under a condition.
--- a/crates/notchwalk_route/src/fingerprint.rs
+++ b/crates/notchwalk_quarantine/src/fingerprint.rs
@@ -4,36 +4,47 @@
 //! What a caller may change from try to try (its id, how long it waits, the last
 //! event that it has) is left out.
 
-use std::fmt;
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+use crate::FingerprintError;
 
 /// Bytes of a fingerprint. Nobody finds a second request with the fingerprint of
 /// another workspace's one by trying.
 const BYTES: usize = 16;
-/// Bytes that a fingerprint shows in logs.
-const SHOWN_BYTES: usize = 8;
-
 /// Identifies a request's content, alike on all entries (BLAKE3, cut short).
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(from = "u128", into = "u128")]
 pub struct Fingerprint([u8; BYTES]);
 
-impl Fingerprint {
-    /// Takes a fingerprint as a peer told it.
-    pub fn from_bytes(bytes: [u8; BYTES]) -> Self {
-        Self(bytes)
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
     }
+}
 
-    /// Returns the fingerprint as peers are told it.
-    pub fn bytes(self) -> [u8; BYTES] {
-        self.0
+impl From<u128> for Fingerprint {
+    fn from(number: u128) -> Self {
+        Self(number.to_be_bytes())
     }
 }
 
-impl fmt::Display for Fingerprint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for byte in &self.0[..SHOWN_BYTES] {
-            write!(f, "{byte:02x}")?;
-        }
-        Ok(())
+impl From<Fingerprint> for u128 {
+    fn from(fingerprint: Fingerprint) -> Self {
+        Self::from_be_bytes(fingerprint.0)
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = FingerprintError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut bytes = [0; BYTES];
+        hex::decode_to_slice(text, &mut bytes).map_err(|_| FingerprintError)?;
+        Ok(Self(bytes))
     }
 }
 
@@ -44,7 +55,7 @@
     pub workspace: Option<&'a str>,
     /// The method.
     pub method: &'a str,
-    /// The host's name, as [`host_name`](crate::host_name) returns it.
+    /// The host's name in lower case and without a port.
     pub host: &'a str,
     /// The path with its query.
     pub target: &'a str,
--- /dev/null
+++ b/crates/notchwalk_quarantine/src/lib.rs
@@ -0,0 +1,41 @@
+//! Finds requests that crash the servers that run them ("queries of death") and
+//! keeps them from further servers.
+//!
+//! A limit on the retries of one try bounds nothing here: such a request comes
+//! again, as a new try, at any entry. So what counts is kept by content, over
+//! all tries, and entries tell each other.
+//!
+//! The difficulty is the other error, to turn away a request that is not at
+//! fault. Others run on a server when it ends; links are cut, connections reset,
+//! racks lost. What tells them apart:
+//!
+//! - a run that ends in success clears its content, wherever it ran;
+//! - a server that answers a request sent before the supposed crash has not
+//!   crashed;
+//! - a crash counts for a quarantine only once something else shows that the
+//!   server ended: its record is gone or of a new life, or it can't be reached;
+//! - servers lost at the same moment count as one;
+//! - a crash that a quarantined request explains counts for nobody else.
+//!
+//! | file | what it holds |
+//! |---|---|
+//! | `fingerprint` | which tries are the same request |
+//! | `suspect` | what is known of one content |
+//! | `quarantine` | all suspects of an entry, and the rules above |
+//! | `news` | what entries tell each other of them |
+//! | `recent` | contents that lately ran to a good end |
+
+mod error;
+mod fingerprint;
+mod news;
+mod quarantine;
+mod recent;
+mod suspect;
+
+pub mod prelude;
+
+pub use error::FingerprintError;
+pub use fingerprint::{Content, Fingerprint, Fingerprinting};
+pub use news::News;
+pub use quarantine::{EndReason, Finding, Quarantine, Quarantined, SuspectView, Verdict};
+pub use suspect::Crash;
--- /dev/null
+++ b/crates/notchwalk_quarantine/src/suspect.rs
@@ -0,0 +1,175 @@
+//! What is known of one content under which servers seem to have crashed.
+
+use std::time::Duration;
+
+use notchwalk_core::Instant;
+
+/// Crashes within this time count as one: a rack that is lost, or an entry's
+/// connections that are reset, strike at one moment, and entries notice it within
+/// 15 ms of each other.
+const SAME_MOMENT: Duration = Duration::from_millis(50);
+/// Two reports of a crash of the same life of a server within this time are one;
+/// no server crashes and is back within it.
+const SAME_CRASH: Duration = Duration::from_millis(400);
+/// Crashes kept of one content, the newest.
+const MAX_CRASHES: usize = 8;
+/// How long a run of a peer is believed in at most: word of its end can get lost.
+const RUN_LASTS: Duration = Duration::from_secs(3);
+
+/// A server that seems to have ended under a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// The short id of that life of the server.
+    pub server: u32,
+    /// When its connection broke.
+    pub at: Instant,
+    /// Requests that ran there besides.
+    pub others: u16,
+    /// Whether something else shows that the server ended.
+    pub confirmed: bool,
+    /// Whether this entry saw it itself.
+    pub own: bool,
+    /// Whether the server only fell silent: that says nothing unless its end is
+    /// confirmed, since servers that are busy do so far more often.
+    pub silent: bool,
+}
+
+/// Who has a run in flight: this entry, or a peer by its number here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Runner {
+    Own,
+    Peer(u32),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    runner: Runner,
+    since: Instant,
+}
+
+/// A quarantine in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Term {
+    pub since: Instant,
+    pub until: Instant,
+}
+
+/// One content.
+#[derive(Debug, Default)]
+pub(crate) struct Suspect {
+    /// Ordered by time.
+    crashes: Vec<Crash>,
+    /// Crashes up to this time count no more.
+    pub cleared_at: Instant,
+    pub term: Option<Term>,
+    /// How often it was quarantined.
+    pub times: u32,
+    /// Until when that counts.
+    pub times_until: Instant,
+    runs: Vec<Run>,
+}
+
+/// Moments at which servers were lost under a content.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Moments {
+    pub all: u32,
+    /// Those at which a server's end is confirmed.
+    pub confirmed: u32,
+}
+
+impl Suspect {
+    pub fn crashes(&self) -> &[Crash] {
+        &self.crashes
+    }
+
+    /// Adds a crash; returns whether it was not known.
+    pub fn add(&mut self, crash: Crash) -> bool {
+        if crash.at <= self.cleared_at {
+            return false;
+        }
+        let near = |known: &&mut Crash| {
+            let apart = known.at.since(crash.at).max(crash.at.since(known.at));
+            known.server == crash.server && apart < SAME_CRASH
+        };
+        if let Some(known) = self.crashes.iter_mut().find(near) {
+            known.confirmed |= crash.confirmed;
+            known.own |= crash.own;
+            return false;
+        }
+        self.crashes.push(crash);
+        self.crashes.sort_by_key(|crash| crash.at);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        true
+    }
+
+    /// Marks the crashes of a server as confirmed that lie before `seen`.
+    pub fn confirm(&mut self, server: u32, seen: Instant) {
+        for crash in &mut self.crashes {
+            crash.confirmed |= crash.server == server && crash.at <= seen;
+        }
+    }
+
+    /// Keeps the crashes that `keep` says; returns whether any was dropped.
+    pub fn retain(&mut self, keep: impl Fn(&Crash) -> bool) -> bool {
+        let before = self.crashes.len();
+        self.crashes.retain(keep);
+        self.crashes.len() < before
+    }
+
+    /// Forgets what lies before a run that ended well, or an operator's release.
+    pub fn clear(&mut self, at: Instant) {
+        self.cleared_at = self.cleared_at.max(at);
+        self.crashes.retain(|crash| crash.at > at);
+        if self.term.is_some_and(|term| term.since <= at) {
+            self.term = None;
+            self.times = 0;
+        }
+    }
+
+    pub fn moments(&self) -> Moments {
+        let mut moments = Moments::default();
+        let mut began: Option<Instant> = None;
+        let mut is_confirmed = false;
+        for crash in &self.crashes {
+            if crash.silent && !crash.confirmed {
+                continue;
+            }
+            let same = began.is_some_and(|began| crash.at.since(began) < SAME_MOMENT);
+            if !same {
+                began = Some(crash.at);
+                is_confirmed = false;
+                moments.all += 1;
+            }
+            if crash.confirmed && !is_confirmed {
+                is_confirmed = true;
+                moments.confirmed += 1;
+            }
+        }
+        moments
+    }
+
+    pub fn last_crash(&self) -> Instant {
+        self.crashes.last().map_or(Instant::ZERO, |crash| crash.at)
+    }
+
+    pub fn begin_run(&mut self, runner: Runner, now: Instant) {
+        self.end_run(runner);
+        self.runs.push(Run { runner, since: now });
+    }
+
+    pub fn end_run(&mut self, runner: Runner) {
+        self.runs.retain(|run| run.runner != runner);
+    }
+
+    /// Tells whether a request of this content is running somewhere.
+    pub fn is_running(&self, now: Instant) -> bool {
+        let lasts = |run: &Run| run.runner == Runner::Own || now.since(run.since) < RUN_LASTS;
+        self.runs.iter().any(lasts)
+    }
+
+    pub fn is_quarantined(&self, now: Instant) -> bool {
+        self.term.is_some_and(|term| now < term.until)
+    }
+}
--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -101,6 +101,7 @@
         AttemptEnd::Failed => "failed",
         AttemptEnd::Silent => "silent",
         AttemptEnd::Broken => "broken",
+        AttemptEnd::Unusable => "unusable",
     }
 }
 
@@ -179,7 +180,7 @@
         moved,
     };
     match facts.word {
-        AnswerWord::Unusable | AnswerWord::Foreign => Attempted::Ended(AttemptEnd::Broken),
+        AnswerWord::Unusable | AnswerWord::Foreign => Attempted::Ended(AttemptEnd::Unusable),
         AnswerWord::NotRun => {
             discard(answer).await;
             Attempted::Ended(not_run(false))
@@ -308,7 +309,7 @@
     }
     if delivery.head_sent {
         // An answer of another kind can't follow events already delivered.
-        return Attempted::Ended(AttemptEnd::Broken);
+        return Attempted::Ended(AttemptEnd::Unusable);
     }
     exchange.respond(status, headers, &body).await;
     delivery.note_sent(shell.now());
--- a/crates/notchwalk_relay/src/front/accept.rs
+++ b/crates/notchwalk_relay/src/front/accept.rs
@@ -6,10 +6,8 @@
 use http::StatusCode;
 use notchwalk_core::Instant;
 use notchwalk_http::prelude::*;
-use notchwalk_route::{
-    host_name, Content, Fingerprint, Fingerprinting, RequestFacts, RequestKey, RouteLookup,
-    WorkspaceTag,
-};
+use notchwalk_quarantine::{Content, Fingerprint, Fingerprinting};
+use notchwalk_route::{host_name, RequestFacts, RequestKey, RouteLookup, WorkspaceTag};
 
 use super::{Front, Served};
 use crate::CallerFacts;
@@ -119,6 +117,7 @@
             prompt_tokens: caller.prompt_tokens,
             answer_tokens: caller.guessed_answer_tokens.unwrap_or(usual),
             route: route.clone(),
+            content,
         };
         let served = Served {
             key: RequestKey::default(),
--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -10,7 +10,8 @@
 use http::{header, HeaderMap, HeaderValue, StatusCode};
 use notchwalk_core::{Instant, LogEvent, LogEventKind};
 use notchwalk_http::prelude::*;
-use notchwalk_route::{Assignment, AttemptEnd, Effect, Event, Fingerprint, Refusal, RequestKey};
+use notchwalk_quarantine::Fingerprint;
+use notchwalk_route::{Assignment, AttemptEnd, Effect, Event, Refusal, RequestKey};
 
 use crate::{
     attempt::{self, Attempted, Delivery},
@@ -246,18 +247,20 @@
         }
         let status = match reason {
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Refusal::Unknown => StatusCode::BAD_GATEWAY,
+            Refusal::Unknown | Refusal::Quarantined => StatusCode::BAD_GATEWAY,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         };
         let mut headers = HeaderMap::new();
-        if let Some(after) = retry_after {
+        // A time to come back would invite a caller whose request crashes servers.
+        if let Some(after) = retry_after.filter(|_| reason != Refusal::Quarantined) {
             let (name, value) = self.shell.dialect.retry_after(after);
             headers.insert(name, value);
         }
-        let text = Outcome::Refused(reason).word();
-        exchange
-            .respond(status, headers, format!("{text}\n").as_bytes())
-            .await;
+        let body = match reason {
+            Refusal::Quarantined => quarantined_body(retry_after.unwrap_or_default()),
+            _ => format!("{}\n", Outcome::Refused(reason).word()),
+        };
+        exchange.respond(status, headers, body.as_bytes()).await;
         Outcome::Refused(reason)
     }
 
@@ -279,6 +282,17 @@
     }
 }
 
+/// Tells a caller why its request is sent to no server, and until when.
+fn quarantined_body(left: Duration) -> String {
+    let body = serde_json::json!({
+        "error": "quarantined",
+        "message": "Servers that ran this request ended under it. It is not sent to any \
+                    until then; to repeat it does not help.",
+        "left_s": left.as_secs(),
+    });
+    format!("{body}\n")
+}
+
 impl Service for Front {
     fn call<'a>(&'a self, exchange: &'a mut Exchange) -> LocalBoxFuture<'a, ()> {
         Box::pin(self.serve(exchange))
--- a/crates/notchwalk_relay/src/front/record.rs
+++ b/crates/notchwalk_relay/src/front/record.rs
@@ -28,6 +28,8 @@
             Self::Refused(Refusal::NotRun) => "not_run",
             Self::Refused(Refusal::Unknown) => "unknown",
             Self::Refused(Refusal::TimedOut) => "timed_out",
+            Self::Refused(Refusal::Suspected) => "suspected",
+            Self::Refused(Refusal::Quarantined) => "quarantined",
         }
     }
 }
--- a/crates/notchwalk_relay/src/lib.rs
+++ b/crates/notchwalk_relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod operator;
 mod peer_link;
 mod presence;
+mod quarantine;
 mod server_watch;
 mod settings;
 mod shell;
--- a/crates/notchwalk_relay/src/metrics.rs
+++ b/crates/notchwalk_relay/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and histograms in Prometheus' text format.
 
 use prometheus::{
-    exponential_buckets, Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    exponential_buckets, Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
 };
 
 /// The figures of one process.
@@ -28,6 +28,12 @@
     pub peers_alive: IntGauge,
     /// Backend servers on record.
     pub servers: IntGauge,
+    /// Servers that seem to have ended under a request of this entry.
+    pub suspected_crashes: IntCounter,
+    /// Quarantines that this entry declared.
+    pub quarantines: IntCounter,
+    /// Contents that are sent to no server for a while.
+    pub quarantined: IntGauge,
 }
 
 fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
@@ -37,6 +43,12 @@
     counter
 }
 
+fn plain_counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(name, help).expect("the name is valid");
+    register(registry, counter.clone());
+    counter
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let gauge = IntGauge::new(name, help).expect("the name is valid");
     register(registry, gauge.clone());
@@ -106,6 +118,21 @@
                 "Requests being served",
             ),
             peers_alive: gauge(&registry, "notchwalk_peers_alive", "Peers that answer"),
+            suspected_crashes: plain_counter(
+                &registry,
+                "notchwalk_suspected_crashes_total",
+                "Servers that seem to have ended under a request",
+            ),
+            quarantines: plain_counter(
+                &registry,
+                "notchwalk_quarantines_total",
+                "Requests that crash their servers, found here",
+            ),
+            quarantined: gauge(
+                &registry,
+                "notchwalk_quarantined",
+                "Contents that are sent to no server for a while",
+            ),
             servers: gauge(
                 &registry,
                 "notchwalk_backend_servers",
--- a/crates/notchwalk_relay/src/operator.rs
+++ b/crates/notchwalk_relay/src/operator.rs
@@ -4,8 +4,13 @@
 
 use http::StatusCode;
 use notchwalk_http::prelude::*;
+use notchwalk_quarantine::Fingerprint;
+use notchwalk_route::Event;
 
-use crate::shell::Shell;
+use crate::{quarantine, shell::Shell};
+
+/// What the path that ends a quarantine begins with.
+const RELEASE_PATH: &str = "/quarantine/release/";
 
 /// Answers operators.
 pub(crate) struct Operator {
@@ -17,6 +22,32 @@
         Self { shell }
     }
 
+    /// Ends a quarantine; the path ends with the request's content.
+    fn release(&self, exchange: &Exchange) -> (StatusCode, String) {
+        if exchange.head.method != http::Method::POST {
+            let text = "a quarantine is ended with POST\n";
+            return (StatusCode::METHOD_NOT_ALLOWED, text.to_owned());
+        }
+        let text = exchange.path().trim_start_matches(RELEASE_PATH);
+        let content = match text.parse::<Fingerprint>() {
+            Ok(content) => content,
+            Err(e) => return (StatusCode::BAD_REQUEST, format!("{e}\n")),
+        };
+        let is_known = self.shell.router.borrow().quarantine().is_suspect(content);
+        if !is_known {
+            return (StatusCode::NOT_FOUND, "no such suspect\n".to_owned());
+        }
+        self.shell.step(Event::Release { content });
+        (StatusCode::OK, format!("released {content}\n"))
+    }
+
+    /// Returns how many requests are open and how many contents are quarantined.
+    fn counts(&self) -> (usize, usize) {
+        let router = self.shell.router.borrow();
+        let quarantined = router.quarantine().quarantined(self.shell.now());
+        (router.open_requests(), quarantined)
+    }
+
     fn state(&self) -> serde_json::Value {
         let shell = &self.shell;
         let now = shell.now();
@@ -53,6 +84,7 @@
             "entries_sharing_limits": shell.peers.borrow().sharing(now),
             "servers_age_ms": now.since(shell.servers_current.get()).as_millis() as u64,
             "servers": servers,
+            "suspects": quarantine::state(shell),
         })
     }
 }
@@ -62,12 +94,17 @@
         Box::pin(async move {
             match exchange.path() {
                 "/metrics" => {
-                    let open = self.shell.router.borrow().open_requests();
+                    let (open, quarantined) = self.counts();
+                    self.shell.metrics.quarantined.set(quarantined as i64);
                     self.shell.metrics.open_requests.set(open as i64);
                     let text = self.shell.metrics.text();
                     exchange.respond_text(StatusCode::OK, &text).await;
                 }
                 "/state" => exchange.respond_json(StatusCode::OK, &self.state()).await,
+                path if path.starts_with(RELEASE_PATH) => {
+                    let (status, text) = self.release(exchange);
+                    exchange.respond_text(status, &text).await
+                }
                 _ => {
                     exchange
                         .respond_text(StatusCode::NOT_FOUND, "no such page\n")
--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -9,6 +9,7 @@
 
 use monoio::net::udp::UdpSocket;
 use notchwalk_core::{Instant, LogEvent, LogEventKind};
+use notchwalk_quarantine::News;
 use notchwalk_route::{Event, PeerWork};
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
@@ -39,6 +40,8 @@
 const SHARES_FOR: Duration = Duration::from_secs(600);
 /// Works told in one datagram at most, so that it fits one packet.
 const MAX_WORKS: usize = 60;
+/// The same of what is told of suspects.
+const MAX_NEWS: usize = 12;
 /// The largest datagram read, in bytes.
 const MAX_DATAGRAM: usize = 16 * 1024;
 /// Entries that follow the store's changes for all, at least; the rest read
@@ -67,6 +70,9 @@
     servers: Vec<u32>,
     /// What it has there.
     work: Vec<PeerWork>,
+    /// What it knows of requests under which servers ended.
+    #[serde(default)]
+    news: Vec<News>,
 }
 
 #[derive(Debug)]
@@ -201,6 +207,7 @@
         servers_changed: shell.servers_changed.get(),
         servers,
         work,
+        news: Vec::new(),
     }
 }
 
@@ -224,6 +231,16 @@
     messages
 }
 
+/// Adds what is told of suspects, in as many messages as it takes.
+fn with_news(shell: &Shell, mut messages: Vec<PeerMessage>, news: &[News]) -> Vec<PeerMessage> {
+    for some in news.chunks(MAX_NEWS) {
+        let mut told = message(shell, Vec::new(), Vec::new());
+        told.news = some.to_vec();
+        messages.push(told);
+    }
+    messages
+}
+
 async fn tell(shell: &Shell, socket: &UdpSocket, messages: Vec<PeerMessage>) {
     let targets = shell.peers.borrow().targets();
     for message in messages {
@@ -249,10 +266,12 @@
         shell.work_changed.wait().await;
         let now = shell.now();
         let (servers, work) = shell.router.borrow_mut().take_changed_work(now);
-        if servers.is_empty() {
-            continue;
+        let news = shell.router.borrow_mut().take_news();
+        let mut told = Vec::new();
+        if !servers.is_empty() {
+            told = messages(&shell, servers, work);
         }
-        tell(&shell, &socket, messages(&shell, servers, work)).await;
+        tell(&shell, &socket, with_news(&shell, told, &news)).await;
     }
 }
 
@@ -269,7 +288,9 @@
         if let Some(first) = told.first_mut() {
             first.from = Some(PresenceRecord::of(&shell));
         }
-        tell(&shell, &socket, told).await;
+        let whole = beat % WHOLE_EVERY == 0;
+        let news = shell.router.borrow().quarantine().retold(whole, now);
+        tell(&shell, &socket, with_news(&shell, told, &news)).await;
         beat = beat.wrapping_add(1);
         watch_peers(&shell);
         let pause = shell.peers.borrow().heartbeat();
@@ -379,6 +400,12 @@
     if started_anew {
         shell.step(Event::PeerGone { peer: number });
     }
+    if !message.news.is_empty() {
+        shell.step(Event::News {
+            peer: number,
+            news: message.news,
+        });
+    }
     if !message.servers.is_empty() {
         shell.step(Event::PeerWork {
             peer: number,
--- a/crates/notchwalk_relay/src/presence.rs
+++ b/crates/notchwalk_relay/src/presence.rs
@@ -8,9 +8,9 @@
 use notchwalk_platform::{PlatformError, Row, RowWrite};
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
-use crate::{peer_link, shell::Shell, table_watch::Backoff};
+use crate::{peer_link, quarantine, shell::Shell, table_watch::Backoff};
 
-/// The table that holds the records.
+/// The table that holds the records, and what else an entry reads at its start.
 pub(crate) const TABLE: &str = "entries";
 
 /// What an entry says of itself.
@@ -109,10 +109,11 @@
     }
 }
 
-async fn read_records(shell: &Shell) -> Result<(), PlatformError> {
+async fn read_records(shell: &Rc<Shell>) -> Result<(), PlatformError> {
     let mut from = String::new();
     loop {
         let page = shell.store.read(TABLE, &from).await?;
+        shell.note_store_ms(&page);
         for row in &page.rows {
             learn(shell, row);
         }
@@ -123,7 +124,10 @@
     }
 }
 
-fn learn(shell: &Shell, row: &Row) {
+fn learn(shell: &Rc<Shell>, row: &Row) {
+    if quarantine::is_quarantine(row) {
+        return quarantine::learn(shell, row);
+    }
     let Some(value) = &row.value else {
         return;
     };
--- /dev/null
+++ b/crates/notchwalk_relay/src/quarantine.rs
@@ -0,0 +1,228 @@
+//! Logs, counts and keeps what the router finds out about requests under which
+//! servers ended.
+//!
+//! Quarantines are kept in the platform's store, since entries forget all when all
+//! of them lose power, and each request would cost three servers more. They stand
+//! in the table of the entries' records, which each entry reads at its start anyway.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use notchwalk_core::{LogEvent, LogEventKind};
+use notchwalk_platform::{Row, RowWrite};
+use notchwalk_quarantine::{Crash, EndReason, Finding, Fingerprint, Quarantined, Verdict};
+use notchwalk_route::{Event, Fleet};
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
+
+use crate::{presence::TABLE, shell::Shell, table_watch::Backoff};
+
+/// What keys of quarantines begin with; names of entries hold no slash.
+const KEY_PREFIX: &str = "quarantine/";
+/// How long after its end a row stays for others to see, before whoever reads it
+/// removes it.
+const KEPT_AFTER_END: Duration = Duration::from_secs(3_600);
+
+/// A quarantine as the store keeps it.
+#[derive(Debug, Serialize_tuple, Deserialize_tuple)]
+struct QuarantineRow {
+    /// When it ends, by the store's clock, in milliseconds.
+    until_ms: u64,
+    /// How often the content was quarantined.
+    times: u32,
+}
+
+fn key_of(content: Fingerprint) -> String {
+    format!("{KEY_PREFIX}{content}")
+}
+
+/// Tells whether a row holds a quarantine.
+pub(crate) fn is_quarantine(row: &Row) -> bool {
+    row.key.starts_with(KEY_PREFIX)
+}
+
+/// Carries out what follows from a finding.
+pub(crate) fn found(shell: &Rc<Shell>, finding: Finding) {
+    match finding {
+        Finding::Crashed {
+            content,
+            crash,
+            moments,
+        } => log_crash(shell, content, &crash, moments),
+        Finding::Quarantined(quarantined) => {
+            log_quarantined(shell, &quarantined);
+            if quarantined.own {
+                monoio::spawn(keep(shell.clone(), quarantined.content, quarantined.times));
+            }
+        }
+        Finding::Ended { content, reason } => {
+            let facts = format!("content={content} reason={reason:?}");
+            LogEvent::new(LogEventKind::QuarantineEnded, facts).emit();
+            if matches!(reason, EndReason::Succeeded | EndReason::Released) {
+                monoio::spawn(remove(shell.clone(), content));
+            }
+        }
+    }
+}
+
+fn log_crash(shell: &Shell, content: Fingerprint, crash: &Crash, moments: u32) {
+    shell.metrics.suspected_crashes.inc();
+    let router = shell.router.borrow();
+    let facts = format!(
+        "content={content} server={} others={} silent={} moments={moments}",
+        server_name(router.fleet(), crash.server),
+        crash.others,
+        crash.silent
+    );
+    LogEvent::new(LogEventKind::CrashSuspected, facts).emit();
+}
+
+fn log_quarantined(shell: &Shell, quarantined: &Quarantined) {
+    if quarantined.own {
+        shell.metrics.quarantines.inc();
+    }
+    let router = shell.router.borrow();
+    let (fleet, now) = (router.fleet(), shell.now());
+    let crashes = quarantined.crashes.iter().map(|crash| {
+        let server = server_name(fleet, crash.server);
+        let age = now.since(crash.at).as_millis();
+        format!("{server}:{age}ms:confirmed={}", crash.confirmed)
+    });
+    let crashes: Vec<String> = crashes.collect();
+    let facts = format!(
+        "content={} lasts_s={} times={} declared_here={} crashes={}",
+        quarantined.content,
+        quarantined.lasts.as_secs(),
+        quarantined.times,
+        quarantined.own,
+        crashes.join(",")
+    );
+    LogEvent::new(LogEventKind::RequestQuarantined, facts).emit();
+}
+
+/// Returns a server's instance, or the short id of one that is gone.
+fn server_name(fleet: &Fleet, tag: u32) -> String {
+    let known = fleet.by_tag(tag).and_then(|key| fleet.get(key));
+    known.map_or_else(
+        || format!("{tag:08x}"),
+        |server| server.record.instance.clone(),
+    )
+}
+
+/// Keeps a quarantine in the store, as often as it takes while it is in force.
+async fn keep(shell: Rc<Shell>, content: Fingerprint, times: u32) {
+    let mut backoff = Backoff::new(Duration::from_millis(200));
+    loop {
+        let now = shell.now();
+        let verdict = shell.router.borrow().quarantine().verdict(content, now);
+        let Verdict::Quarantined { until } = verdict else {
+            return;
+        };
+        if let Some(store_ms) = shell.store_ms() {
+            let until_ms = store_ms + until.since(now).as_millis() as u64;
+            let row = QuarantineRow { until_ms, times };
+            if write(&shell, content, Some(&row)).await {
+                return;
+            }
+        }
+        backoff.pause().await;
+    }
+}
+
+/// Removes a quarantine from the store, as often as it takes.
+async fn remove(shell: Rc<Shell>, content: Fingerprint) {
+    let mut backoff = Backoff::new(Duration::from_millis(200));
+    while !write(&shell, content, None).await {
+        backoff.pause().await;
+    }
+}
+
+/// Returns whether the store took the row, or nothing can be written at all.
+async fn write(shell: &Shell, content: Fingerprint, row: Option<&QuarantineRow>) -> bool {
+    let mut value = None;
+    if let Some(row) = row {
+        let mut buf = Vec::new();
+        if let Err(e) = ciborium::into_writer(row, &mut buf) {
+            log::error!("a quarantine can't be written: {e}");
+            return true;
+        }
+        value = Some(Bytes::from(buf));
+    }
+    let write = RowWrite {
+        table: TABLE.to_owned(),
+        key: key_of(content),
+        value,
+        expected: None,
+    };
+    match shell.store.write(write).await {
+        Ok(_) => true,
+        Err(e) => {
+            log::debug!("the quarantine of {content} is not kept yet: {e}");
+            false
+        }
+    }
+}
+
+/// Takes a quarantine that the store kept.
+pub(crate) fn learn(shell: &Rc<Shell>, row: &Row) {
+    let content = row.key.strip_prefix(KEY_PREFIX).unwrap_or("").parse();
+    let value = row.value.as_ref().map(|value| value.as_ref());
+    let kept = ciborium::from_reader::<QuarantineRow, _>(value.unwrap_or_default());
+    let (Ok(content), Ok(kept)) = (content, kept) else {
+        log::warn!("the quarantine in row {:?} can't be read", row.key);
+        return;
+    };
+    let Some(store_ms) = shell.store_ms() else {
+        return;
+    };
+    let left = Duration::from_millis(kept.until_ms.saturating_sub(store_ms));
+    if !left.is_zero() {
+        let times = kept.times;
+        return shell.step(Event::Restored {
+            content,
+            left,
+            times,
+        });
+    }
+    let ended = Duration::from_millis(store_ms.saturating_sub(kept.until_ms));
+    if ended >= KEPT_AFTER_END {
+        monoio::spawn(remove(shell.clone(), content));
+    }
+}
+
+/// Returns what is known of suspects, for operators.
+pub(crate) fn state(shell: &Shell) -> Vec<serde_json::Value> {
+    let (router, now) = (shell.router.borrow(), shell.now());
+    let fleet = router.fleet();
+    let suspects = router.quarantine().suspects(now);
+    let suspects = suspects.into_iter().map(|suspect| {
+        let crashes: Vec<serde_json::Value> = suspect
+            .crashes
+            .iter()
+            .map(|crash| {
+                serde_json::json!({
+                    "server": server_name(fleet, crash.server),
+                    "age_ms": now.since(crash.at).as_millis() as u64,
+                    "others": crash.others,
+                    "confirmed": crash.confirmed,
+                    "silent": crash.silent,
+                    "seen_here": crash.own,
+                })
+            })
+            .collect();
+        let (word, left) = match suspect.verdict {
+            Verdict::Free => ("free", None),
+            Verdict::Suspected { .. } => ("suspected", None),
+            Verdict::Busy => ("runs_elsewhere", None),
+            Verdict::Held => ("held", None),
+            Verdict::Quarantined { until } => ("quarantined", Some(until.since(now))),
+        };
+        serde_json::json!({
+            "content": suspect.content.to_string(),
+            "verdict": word,
+            "left_ms": left.map(|left| left.as_millis() as u64),
+            "times": suspect.times,
+            "crashes": crashes,
+        })
+    });
+    suspects.collect()
+}
--- a/crates/notchwalk_relay/src/server_watch.rs
+++ b/crates/notchwalk_relay/src/server_watch.rs
@@ -27,7 +27,14 @@
     missing: HashMap<String, Instant>,
     /// Until when a record that is missing may be one that lapsed.
     doubt_until: Instant,
-    known: HashMap<String, ServerRecord>,
+    known: HashMap<String, KnownServer>,
+}
+
+/// A server on record.
+struct KnownServer {
+    record: ServerRecord,
+    /// The version of its row: an older one that comes later says nothing.
+    version: u64,
 }
 
 impl ServerReader {
@@ -40,8 +47,17 @@
         }
     }
 
+    /// Reads a record. One that says less than before of a server that tells when
+    /// it started has another writer.
     fn record(&self, row: &Row) -> Option<ServerRecord> {
-        match self.shell.dialect.server(row) {
+        let record = self.shell.dialect.server(row);
+        let known = self.known.get(&row.key);
+        let told_birth = known.is_some_and(|known| known.record.born.is_some());
+        let record = record.and_then(|record| match told_birth && record.born.is_none() {
+            true => Err("it no longer says when the server started".to_owned()),
+            false => Ok(record),
+        });
+        match record {
             Ok(record) => Some(record),
             Err(reason) => {
                 let facts = format!("server={} reason={reason:?}", row.key);
@@ -51,21 +67,49 @@
         }
     }
 
-    fn present(&mut self, record: ServerRecord) {
+    fn present(&mut self, record: ServerRecord, version: u64) {
         self.missing.remove(&record.instance);
-        if self.known.get(&record.instance) == Some(&record) {
+        let known = self.known.get_mut(&record.instance);
+        if let Some(known) = known.filter(|known| known.record == record) {
+            known.version = version;
             return;
         }
         let facts = format!(
-            "server={} service={} addr={} stage={:?}",
-            record.instance, record.service, record.addr, record.stage
+            "server={} service={} addr={} stage={:?} born={}",
+            record.instance,
+            record.service,
+            record.addr,
+            record.stage,
+            record.born.unwrap_or(0)
         );
         LogEvent::new(LogEventKind::ServerRegistered, facts).emit();
-        self.known.insert(record.instance.clone(), record.clone());
+        self.forget_connections(&record);
+        let known = KnownServer {
+            record: record.clone(),
+            version,
+        };
+        self.known.insert(record.instance.clone(), known);
         self.shell
             .step(Event::Servers(ServerChange::Present(record)));
     }
 
+    /// Closes the connections kept to a server that started again: they lead to a
+    /// process that is gone, and may not say so.
+    fn forget_connections(&self, record: &ServerRecord) {
+        let Some(known) = self.known.get(&record.instance) else {
+            return;
+        };
+        if known.record.born != record.born {
+            self.shell.client.forget_idle_at(known.record.addr);
+        }
+    }
+
+    /// Tells whether a newer row of the same server was seen.
+    fn is_outdated(&self, row: &Row) -> bool {
+        let known = self.known.get(&row.key);
+        known.is_some_and(|known| row.version < known.version)
+    }
+
     fn lapsed(&mut self, instance: &str) {
         if !self.known.contains_key(instance) {
             return;
@@ -136,12 +180,17 @@
         let before = self.shell.servers_changed.get();
         self.shell.servers_changed.set(newest.max(before));
         for row in rows {
+            if self.is_outdated(&row) {
+                continue;
+            }
             if row.value.is_none() {
                 self.lapsed(&row.key);
                 continue;
             }
-            if let Some(record) = self.record(&row) {
-                self.present(record);
+            match self.record(&row) {
+                Some(record) => self.present(record, row.version),
+                // It names no server to use, whatever stood there before.
+                None => self.lapsed(&row.key),
             }
         }
     }
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -6,12 +6,13 @@
 use local_sync::mpsc::unbounded;
 use notchwalk_core::{Clock, Instant, LogEvent, LogEventKind};
 use notchwalk_http::Client;
-use notchwalk_platform::RowStore;
+use notchwalk_platform::{RowPage, RowStore};
 use notchwalk_route::{ClientLimits, Effect, Event, RequestKey, Router};
 use slotmap::SecondaryMap;
 
 use crate::{
-    engine_orders, metrics::Metrics, peer_link::Peers, signal::Signal, Dialect, RelaySettings,
+    engine_orders, metrics::Metrics, peer_link::Peers, quarantine, signal::Signal, Dialect,
+    RelaySettings,
 };
 
 /// Receives the effects that concern one request.
@@ -52,7 +53,9 @@
     pub servers_known: std::cell::Cell<u64>,
     /// When the register of servers was last known to be current.
     pub servers_current: std::cell::Cell<Instant>,
-    /// Raised when work of this entry changed that peers are to be told of.
+    /// The store's clock in milliseconds, and when it said so.
+    store_clock: std::cell::Cell<Option<(Instant, u64)>>,
+    /// Raised when peers are to be told of this entry's work, or of suspects.
     pub work_changed: Signal,
     inboxes: RefCell<SecondaryMap<RequestKey, unbounded::Tx<Effect>>>,
 }
@@ -82,6 +85,7 @@
             servers_changed: std::cell::Cell::new(0),
             servers_known: std::cell::Cell::new(0),
             servers_current: std::cell::Cell::new(Instant::ZERO),
+            store_clock: std::cell::Cell::default(),
             work_changed: Signal::default(),
             inboxes: RefCell::default(),
         }
@@ -92,6 +96,19 @@
         self.clock.now()
     }
 
+    /// Notes what the store's clock said.
+    pub fn note_store_ms(&self, page: &RowPage) {
+        if let Some(ms) = page.now_ms {
+            self.store_clock.set(Some((self.now(), ms)));
+        }
+    }
+
+    /// Returns the time by the store's clock, in milliseconds, if it ever said it.
+    pub fn store_ms(&self) -> Option<u64> {
+        let (at, ms) = self.store_clock.get()?;
+        Some(ms + self.now().since(at).as_millis() as u64)
+    }
+
     /// Tells whether requests can be served: a configuration is in force and
     /// the process was not told to stop.
     pub fn is_ready(&self) -> bool {
@@ -115,7 +132,8 @@
         for effect in effects {
             self.carry_out(effect);
         }
-        if self.router.borrow().has_changed_work() {
+        let router = self.router.borrow();
+        if router.has_changed_work() || router.quarantine().has_news() {
             self.work_changed.raise();
         }
     }
@@ -134,6 +152,7 @@
                 monoio::spawn(engine_orders::send_once(self.clone(), order));
             }
             Effect::Closed { server, pause } => self.log_closed(server, pause),
+            Effect::Found(finding) => quarantine::found(self, finding),
         }
     }
 
--- a/crates/notchwalk_route/src/effect.rs
+++ b/crates/notchwalk_route/src/effect.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use notchwalk_core::Instant;
+use notchwalk_quarantine::Finding;
 
 use crate::{RequestKey, ServerKey};
 
@@ -75,12 +76,17 @@
     Unknown,
     /// Its time is over.
     TimedOut,
+    /// Servers ended under requests of its content; whether by its fault is not
+    /// known yet.
+    Suspected,
+    /// Requests of its content crash their servers: it is sent to none for a while.
+    Quarantined,
 }
 
 impl Refusal {
     /// Tells whether the refusal proves that the request has not run.
     pub fn has_not_run(self) -> bool {
-        !matches!(self, Self::Unknown | Self::TimedOut)
+        !matches!(self, Self::Unknown | Self::TimedOut | Self::Quarantined)
     }
 }
 
@@ -113,7 +119,8 @@
         request: RequestKey,
         /// Why.
         reason: Refusal,
-        /// When the caller may come back.
+        /// When the caller may come back; for a quarantined request, when that
+        /// ends.
         retry_after: Option<Duration>,
     },
     /// Deliver the server's own error that was kept; the router forgets the
@@ -131,6 +138,8 @@
     },
     /// Renew a reservation or give its memory back.
     Order(ReservationOrder),
+    /// Something became known of requests under which servers ended.
+    Found(Finding),
     /// A server gets no work for a while.
     Closed {
         /// The server.
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use notchwalk_quarantine::{Fingerprint, News};
+
 use crate::{PeerWork, RequestFacts, RequestKey, ReservationOrder, ServerChange, SiteConfig};
 
 /// How sending a request to a server ended.
@@ -27,9 +29,12 @@
     Failed,
     /// The server said nothing for too long; the request may have run.
     Silent,
-    /// The connection broke or the answer could not be used; the request may
-    /// have run.
+    /// The connection broke; the request may have run, and the server may have
+    /// ended.
     Broken,
+    /// The server answered and the answer could not be used; the request may have
+    /// run.
+    Unusable,
 }
 
 /// An engine on which memory could not be set aside.
@@ -87,6 +92,27 @@
         /// The peer's number on this entry.
         peer: u32,
     },
+    /// A peer told of requests under which servers ended.
+    News {
+        /// The peer's number on this entry.
+        peer: u32,
+        /// What it told.
+        news: Vec<News>,
+    },
+    /// A quarantine was read from the store.
+    Restored {
+        /// The content.
+        content: Fingerprint,
+        /// How long it still holds.
+        left: Duration,
+        /// How often it was quarantined.
+        times: u32,
+    },
+    /// An operator ends a quarantine.
+    Release {
+        /// The content.
+        content: Fingerprint,
+    },
     /// How many entries share what is allowed to all, this one included.
     Entries {
         /// The count.
--- a/crates/notchwalk_route/src/fleet.rs
+++ b/crates/notchwalk_route/src/fleet.rs
@@ -1,7 +1,11 @@
 //! The backend servers: which exist, which may be given new work, and how they
 //! have answered.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use notchwalk_core::Instant;
 use slotmap::{new_key_type, SlotMap};
@@ -38,8 +42,11 @@
 /// A server as it registered itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerRecord {
-    /// The id of this life of the server.
+    /// Its id, which it may keep when it starts again.
     pub instance: String,
+    /// When this life of it began, in milliseconds since 1970, if it says so: all
+    /// that is believed of a server belongs to one life.
+    pub born: Option<u64>,
     /// Its service.
     pub service: String,
     /// Where it listens.
@@ -83,7 +90,7 @@
 impl Server {
     fn new(record: ServerRecord) -> Self {
         Self {
-            tag: tag_of(&record.instance),
+            tag: life_tag(&record),
             record,
             failures: 0,
             failure_rate: 0.0,
@@ -103,6 +110,24 @@
     }
 }
 
+/// Derives the short id of a life of a server.
+fn life_tag(record: &ServerRecord) -> u32 {
+    match record.born {
+        Some(born) => tag_of(&format!("{}/{born}", record.instance)),
+        None => tag_of(&record.instance),
+    }
+}
+
+/// A life of a server that started again since.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EndedLife {
+    pub key: ServerKey,
+    /// Its short id.
+    pub tag: u32,
+    /// Where it listened.
+    pub addr: SocketAddr,
+}
+
 /// All servers.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -110,16 +135,16 @@
     by_instance: HashMap<String, ServerKey>,
     by_tag: HashMap<u32, ServerKey>,
     by_service: HashMap<String, Vec<ServerKey>>,
+    /// Lives that ended as the server started again: a request may still be on
+    /// one. The newest last.
+    ended_lives: VecDeque<EndedLife>,
 }
 
 impl Fleet {
-    /// Applies a change; returns the servers that are gone.
-    pub fn apply(&mut self, change: ServerChange) -> Vec<ServerKey> {
+    /// Applies a change; returns the servers that are gone, with their short ids.
+    pub fn apply(&mut self, change: ServerChange) -> Vec<(ServerKey, u32)> {
         match change {
-            ServerChange::Present(record) => {
-                self.upsert(record);
-                Vec::new()
-            }
+            ServerChange::Present(record) => self.upsert(record).into_iter().collect(),
             ServerChange::Gone(instance) => self.remove(&instance).into_iter().collect(),
             ServerChange::Whole(records) => {
                 let mut gone = Vec::new();
@@ -131,22 +156,24 @@
                     gone.extend(self.remove(&instance));
                 }
                 for record in records {
-                    self.upsert(record);
+                    gone.extend(self.upsert(record));
                 }
                 gone
             }
         }
     }
 
-    fn upsert(&mut self, record: ServerRecord) {
+    /// Returns the life of the server that this record ends.
+    fn upsert(&mut self, record: ServerRecord) -> Option<(ServerKey, u32)> {
+        let ended = self.end_other_life(&record);
         if let Some(&key) = self.by_instance.get(&record.instance) {
             let server = &mut self.servers[key];
             // A server that said it leaves does not come back in this life.
             if server.record.stage == ServerStage::Leaving {
-                return;
+                return None;
             }
             server.record = record;
-            return;
+            return None;
         }
         let (instance, service) = (record.instance.clone(), record.service.clone());
         let server = Server::new(record);
@@ -158,16 +185,40 @@
         keys.push(key);
         let servers = &self.servers;
         keys.sort_by_key(|&key| servers[key].tag);
+        ended
     }
 
-    fn remove(&mut self, instance: &str) -> Option<ServerKey> {
+    /// Ends the life of a server that starts again under its id: work, distrust and
+    /// connections of before are not those of the new one.
+    fn end_other_life(&mut self, record: &ServerRecord) -> Option<(ServerKey, u32)> {
+        /// As many as can crash within the time that requests stay on them.
+        const KEPT: usize = 64;
+        let &key = self.by_instance.get(&record.instance)?;
+        let known = self.servers.get(key)?;
+        if known.record.born == record.born {
+            return None;
+        }
+        let (tag, addr) = (known.tag, known.record.addr);
+        self.ended_lives.push_back(EndedLife { key, tag, addr });
+        if self.ended_lives.len() > KEPT {
+            self.ended_lives.pop_front();
+        }
+        self.remove(&record.instance)
+    }
+
+    /// Returns a life that ended as its server started again.
+    pub(crate) fn ended_life(&self, key: ServerKey) -> Option<&EndedLife> {
+        self.ended_lives.iter().find(|life| life.key == key)
+    }
+
+    fn remove(&mut self, instance: &str) -> Option<(ServerKey, u32)> {
         let key = self.by_instance.remove(instance)?;
         let server = self.servers.remove(key)?;
         self.by_tag.remove(&server.tag);
         if let Some(keys) = self.by_service.get_mut(&server.record.service) {
             keys.retain(|&other| other != key);
         }
-        Some(key)
+        Some((key, server.tag))
     }
 
     /// Returns a server that still exists.
@@ -197,6 +248,12 @@
         self.servers.iter()
     }
 
+    /// Tells whether a server answered as it should since `since`.
+    pub fn was_heard_since(&self, key: ServerKey, since: Instant) -> bool {
+        let server = self.servers.get(key);
+        server.is_some_and(|server| server.heard_at > since)
+    }
+
     /// Notes that a server answered as it should.
     pub fn note_success(&mut self, key: ServerKey, now: Instant) {
         let Some(server) = self.servers.get_mut(key) else {
--- a/crates/notchwalk_route/src/lib.rs
+++ b/crates/notchwalk_route/src/lib.rs
@@ -10,7 +10,6 @@
 //! | `site` | what an operator configures: routes, services, workspaces, limits |
 //! | `routes` | which route a request takes, and whose key it carries |
 //! | `first_try` | since when a caller has been asking |
-//! | `fingerprint` | which tries are the same request |
 //! | `fleet` | which backend servers exist and which may be used |
 //! | `board` | what runs on each server, by this entry and by its peers |
 //! | `engine_cost` | what work costs on a model engine |
@@ -25,7 +24,6 @@
 mod effect;
 mod engine_cost;
 mod event;
-mod fingerprint;
 mod first_try;
 mod fleet;
 mod placement;
@@ -44,7 +42,6 @@
 pub use effect::{Assignment, Effect, Grounds, Helper, Refusal, ReservationOrder};
 pub use engine_cost::EngineCost;
 pub use event::{AttemptEnd, Event, FailedReservation};
-pub use fingerprint::{Content, Fingerprint, Fingerprinting};
 pub use fleet::{Fleet, Server, ServerChange, ServerKey, ServerRecord, ServerStage};
 pub use request::{RequestFacts, RequestKey};
 pub use retry_budget::RetryBudget;
--- a/crates/notchwalk_route/src/placement/call.rs
+++ b/crates/notchwalk_route/src/placement/call.rs
@@ -6,13 +6,15 @@
 use crate::{Board, Fleet, Grounds, ServerKey};
 
 /// Chooses the server of a plain service with the fewest calls for its slots,
-/// one of the near failure domain if all else is equal.
+/// one of the near failure domain if all else is equal. What runs there counts
+/// once more as likely as the call crashes its server.
 pub(crate) fn place_call(
     fleet: &Fleet,
     board: &Board,
     service: &str,
     near: &str,
     tried: &[ServerKey],
+    crash_risk: f64,
     now: Instant,
 ) -> Option<Plan> {
     /// Added to the load of a server for its failure rate of 1.
@@ -34,7 +36,8 @@
             FAR
         };
         let used = load.occupied() as f64 / f64::from(server.record.slots.max(1));
-        let cost = used + DISTRUST * server.failure_rate + far;
+        let at_stake = crash_risk * load.occupied() as f64;
+        let cost = used + DISTRUST * server.failure_rate + far + at_stake;
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, key));
         }
--- a/crates/notchwalk_route/src/placement/long.rs
+++ b/crates/notchwalk_route/src/placement/long.rs
@@ -75,6 +75,9 @@
     /// engine that generates for a long request must not get parts while it
     /// still reads.
     pub fn place_long(&self, service: &str, demand: &Demand, tried: &[ServerKey]) -> Option<Plan> {
+        if demand.crash_risk > 0.0 && !self.exceeds_engine(demand) {
+            return self.place_whole(&self.views(service, tried), demand);
+        }
         let cost = self.cost();
         let worth_ms = demand.worth_ms();
         let mut views = self.views(service, tried);
@@ -184,7 +187,7 @@
             }
             let long = view.load.writers + view.load.own_long_reads;
             let disturbed = (view.load.short, long);
-            let busy_ms = view.load.reading_ms + view.distrust_ms;
+            let busy_ms = view.load.reading_ms + view.distrust_ms + self.at_stake_ms(view, demand);
             let order = (disturbed, busy_ms);
             if best.as_ref().is_some_and(|best| (best.0, best.1) <= order) {
                 continue;
--- a/crates/notchwalk_route/src/placement/mod.rs
+++ b/crates/notchwalk_route/src/placement/mod.rs
@@ -106,6 +106,8 @@
     pub patience_ms: f64,
     /// Sends that failed by a helper.
     pub helpers_failed: u32,
+    /// How likely it crashes its server, 0 to 1.
+    pub crash_risk: f64,
 }
 
 fn ms_until(at: Instant, now: Instant) -> f64 {
@@ -118,7 +120,7 @@
         worth_ms(self.prompt, self.answer)
     }
 
-    pub fn new(request: &Request, now: Instant) -> Self {
+    pub fn new(request: &Request, crash_risk: f64, now: Instant) -> Self {
         let facts = &request.facts;
         Self {
             prompt: f64::from(facts.prompt_tokens),
@@ -126,6 +128,7 @@
             objective_ms: ms_until(request.objective_at(), now).max(1.0),
             patience_ms: ms_until(request.patience_end(), now).max(1.0),
             helpers_failed: request.helpers_failed,
+            crash_risk,
         }
     }
 }
@@ -285,6 +288,17 @@
         harm
     }
 
+    /// Returns what is lost on the requests of an engine, as likely as this one
+    /// crashes it.
+    fn at_stake_ms(&self, view: &View, demand: &Demand) -> f64 {
+        if demand.crash_risk <= 0.0 {
+            return 0.0;
+        }
+        let works = self.board.on(view.key).iter();
+        let worth = works.map(|work| worth_ms(work.context_tokens, USUAL_ANSWER_TOKENS));
+        demand.crash_risk * LATE_LOSS * worth.sum::<f64>()
+    }
+
     fn first_ms(&self, view: &View, part_tokens: f64, part_ms: f64) -> f64 {
         let load = &view.load;
         let writers = load.writers + load.readers + 1;
--- a/crates/notchwalk_route/src/placement/short.rs
+++ b/crates/notchwalk_route/src/placement/short.rs
@@ -29,7 +29,9 @@
     pub fn place(&self, service: &str, demand: &Demand, tried: &[ServerKey]) -> Option<Plan> {
         let views = self.views(service, tried);
         let whole = self.place_whole(&views, demand);
-        if demand.prompt <= SMALLEST_SPREAD_TOKENS {
+        // What may crash its server is read by one only.
+        let is_alone = demand.crash_risk > 0.0 && !self.exceeds_engine(demand);
+        if is_alone || demand.prompt <= SMALLEST_SPREAD_TOKENS {
             return whole;
         }
         let spread = self.place_spread(views, demand);
@@ -55,7 +57,7 @@
                 continue;
             }
             let first_ms = self.first_ms(view, demand.prompt, part_ms);
-            let loss_ms = first_ms + view.distrust_ms;
+            let loss_ms = first_ms + view.distrust_ms + self.at_stake_ms(view, demand);
             if best.as_ref().is_some_and(|best| best.loss_ms <= loss_ms) {
                 continue;
             }
@@ -77,6 +79,7 @@
             let first_ms = self.first_ms(view, demand.prompt, part_ms);
             let mut loss_ms = worth_ms * late_part(first_ms, demand.objective_ms);
             loss_ms += self.harm_ms(view, part_ms) + view.distrust_ms;
+            loss_ms += self.at_stake_ms(view, demand);
             loss_ms += match (is_short, view.in_short_pool) {
                 (true, false) => OUTSIDE_POOL_MS,
                 (false, true) => INSIDE_POOL_MS,
--- a/crates/notchwalk_route/src/request.rs
+++ b/crates/notchwalk_route/src/request.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use notchwalk_core::Instant;
+use notchwalk_quarantine::Fingerprint;
 use slotmap::new_key_type;
 
 use crate::{Assignment, Repeatability, Route, ServerKey, WorkspaceTag};
@@ -26,6 +27,8 @@
 pub struct RequestFacts {
     /// Its route.
     pub route: Arc<Route>,
+    /// Identifies its content, alike for all its tries.
+    pub content: Fingerprint,
     /// Its workspace; the default for a route that asks for no key.
     pub workspace: WorkspaceTag,
     /// The rank of its workspace, 0 first.
@@ -70,6 +73,8 @@
     pub predicted_first: Instant,
     /// When it was sent last.
     pub sent_at: Instant,
+    /// Since when it waits to be sent.
+    pub waits_since: Instant,
     /// Whether an event of its stream was delivered.
     pub started: bool,
 }
@@ -79,6 +84,7 @@
         Self {
             first_tried: facts.arrived.before(since_first),
             sent_at: facts.arrived,
+            waits_since: facts.arrived,
             predicted_first: facts.arrived,
             facts,
             service,
--- a/crates/notchwalk_route/src/reservations.rs
+++ b/crates/notchwalk_route/src/reservations.rs
@@ -6,7 +6,7 @@
 //! at once when the request ended. An order whose answer was lost may be
 //! carried out late, so giving back is repeated for a while.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use notchwalk_core::Instant;
 
@@ -119,6 +119,12 @@
         orders
     }
 
+    /// Forgets what was set aside on an engine that started again: a renewal would
+    /// set memory aside there for a request that is not on it.
+    pub fn forget_at(&mut self, addr: SocketAddr) {
+        self.held.retain(|held| held.order.addr != addr);
+    }
+
     /// Returns the orders that are due: renewals and repeated givings back.
     pub fn due(&mut self, now: Instant) -> Vec<ReservationOrder> {
         let mut due = Vec::new();
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -14,6 +14,9 @@
 /// When a caller may come back whose request had to make way. Waves of long
 /// work last for seconds.
 const OVERLOAD_RETRY: Duration = Duration::from_millis(4_000);
+/// When a caller may come back under whose request servers ended: by then their
+/// records mostly tell whether they crashed.
+const SUSPECTED_RETRY: Duration = Duration::from_millis(2_000);
 
 impl Router {
     pub(super) fn started(&mut self, key: RequestKey, now: Instant) {
@@ -69,11 +72,16 @@
             true => Refusal::Unknown,
             false => reason,
         };
+        let content = self.requests.get(key).and_then(Option::as_ref);
+        let content = content.map(|request| request.facts.content);
+        let left = content.and_then(|content| self.quarantine_left(content, now));
         self.forget(key, now, out);
         let retry_after = match reason {
             Refusal::NotReady => Some(Duration::from_millis(500)),
             Refusal::Draining => Some(Duration::from_millis(50)),
             Refusal::Overloaded => Some(OVERLOAD_RETRY),
+            Refusal::Suspected => Some(SUSPECTED_RETRY),
+            Refusal::Quarantined => left,
             Refusal::NoServer | Refusal::NotRun => Some(Duration::from_millis(300)),
             Refusal::Unknown | Refusal::TimedOut => None,
         };
@@ -91,6 +99,11 @@
         now: Instant,
         out: &mut Vec<Effect>,
     ) {
+        let Some(Some(request)) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.waits_since = now;
+        self.note_end(key, end, now);
         let Some(Some(request)) = self.requests.get_mut(key) else {
             return;
         };
@@ -109,7 +122,7 @@
         }
         if matches!(
             end,
-            AttemptEnd::Broken | AttemptEnd::Failed | AttemptEnd::Silent
+            AttemptEnd::Broken | AttemptEnd::Unusable | AttemptEnd::Failed | AttemptEnd::Silent
         ) {
             request.ran_on += 1;
         }
@@ -160,7 +173,7 @@
                 self.fleet.note_unreachable(server, now);
                 None
             }
-            AttemptEnd::Broken => Some(server),
+            AttemptEnd::Broken | AttemptEnd::Unusable => Some(server),
             AttemptEnd::Silent => {
                 if let Some(pause) = self.fleet.note_silence(server, now) {
                     out.push(Effect::Closed { server, pause });
@@ -212,6 +225,13 @@
             out.push(Effect::DeliverFailure { request: key });
             return;
         }
-        self.refuse(key, Refusal::NotRun, now, out);
+        let content = self.requests.get(key).and_then(Option::as_ref);
+        let content = content.map(|request| request.facts.content);
+        let left = content.and_then(|content| self.quarantine_left(content, now));
+        let reason = match left {
+            Some(_) => Refusal::Quarantined,
+            None => Refusal::NotRun,
+        };
+        self.refuse(key, reason, now, out);
     }
 }
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -7,15 +7,18 @@
 //! | `waiting` | whether a request goes now, waits or is refused |
 //! | `reserving` | memory set aside for a request |
 //! | `ending` | what follows when sending it ended |
+//! | `suspects` | what that says of its content; which contents go to no server |
 
 mod ending;
 mod reserving;
 mod sending;
+mod suspects;
 mod waiting;
 
 use std::{collections::HashMap, time::Duration};
 
 use notchwalk_core::Instant;
+use notchwalk_quarantine::Quarantine;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use slotmap::SlotMap;
@@ -73,6 +76,7 @@
     shares: Shares,
     shares_at: Instant,
     first_tries: FirstTries,
+    quarantine: Quarantine,
     reservation_number: u64,
     draining_from: Option<Instant>,
     rng: Pcg64Mcg,
@@ -98,6 +102,7 @@
             shares: Shares::default(),
             shares_at: Instant::ZERO,
             first_tries: FirstTries::default(),
+            quarantine: Quarantine::default(),
             reservation_number: 0,
             draining_from: None,
         }
@@ -198,19 +203,32 @@
             Event::Arrived { request, facts } => self.arrived(request, facts, now, out),
             Event::Started { request } => self.started(request, now),
             Event::AttemptEnded { request, end } => self.attempt_ended(request, end, now, out),
-            Event::Abandoned { request } => self.forget(request, now, out),
+            Event::Abandoned { request } => self.abandoned(request, now, out),
             Event::PeerWork {
                 peer,
                 servers,
                 work,
             } => self.peer_work(peer, &servers, work, now),
-            Event::PeerGone { peer } => self.board.forget_peer(peer),
+            Event::PeerGone { peer } => {
+                self.board.forget_peer(peer);
+                self.quarantine.forget_peer(peer);
+            }
+            Event::News { peer, news } => self.hear_news(peer, &news, now),
+            Event::Restored {
+                content,
+                left,
+                times,
+            } => self.quarantine.restore(content, left, times, now),
+            Event::Release { content } => {
+                self.quarantine.release(content, now);
+            }
             Event::Entries { count } => self.entries = Some(count),
             Event::Reserved { request, failed } => self.reserved(request, &failed, now, out),
             Event::Unanswered(order) => self.reservations.note_unanswered(&order, now),
             Event::Tick => self.tick(now, out),
             Event::Draining { after } => self.draining_from = Some(now.after(after)),
         }
+        self.tell_findings(out);
     }
 
     fn configure(&mut self, site: &SiteConfig, now: Instant) {
@@ -228,9 +246,13 @@
         self.services = services.map(|s| (s.name.clone(), s)).collect();
     }
 
-    fn servers_changed(&mut self, change: ServerChange, _now: Instant) {
-        for key in self.fleet.apply(change) {
+    fn servers_changed(&mut self, change: ServerChange, now: Instant) {
+        for (key, tag) in self.fleet.apply(change) {
             self.board.forget_server(key);
+            if let Some(life) = self.fleet.ended_life(key) {
+                self.reservations.forget_at(life.addr);
+            }
+            self.quarantine.note_server_ended(tag, false, now);
         }
     }
 
@@ -244,6 +266,7 @@
 
     fn tick(&mut self, now: Instant, out: &mut Vec<Effect>) {
         self.board.forget_silent_peers(now.before(PEER_SILENCE));
+        self.quarantine.pass_time(now);
         for order in self.reservations.due(now) {
             out.push(Effect::Order(order));
         }
--- a/crates/notchwalk_route/src/router/reserving.rs
+++ b/crates/notchwalk_route/src/router/reserving.rs
@@ -4,8 +4,8 @@
 
 use super::Router;
 use crate::{
-    placement::Demand, reservations::HOLD, wait_queue::Waiting, Assignment, Effect,
-    FailedReservation, Helper, RequestKey, ReservationOrder, ServerKey,
+    reservations::HOLD, wait_queue::Waiting, Assignment, Effect, FailedReservation, Helper,
+    RequestKey, ReservationOrder, ServerKey,
 };
 
 impl Router {
@@ -93,7 +93,7 @@
             return;
         };
         let placement = self.engine_placement(&request.service, now);
-        let demand = Demand::new(request, now);
+        let demand = self.demand(request, now);
         let read_ms = placement.map_or(0.0, |placement| placement.read_ms(&demand));
         self.waiting.push(Waiting {
             request: key,
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -64,13 +64,26 @@
         String::new()
     }
 
+    pub(super) fn demand(&self, request: &Request, now: Instant) -> Demand {
+        Demand::new(request, self.crash_risk(request, now), now)
+    }
+
     pub(super) fn plan(&self, request: &Request, now: Instant) -> Option<Plan> {
         let Some(placement) = self.engine_placement(&request.service, now) else {
             let (fleet, board) = (&self.fleet, &self.board);
             let near = &self.config.failure_domain;
-            return place_call(fleet, board, &request.service, near, &request.tried, now);
+            let risk = self.crash_risk(request, now);
+            return place_call(
+                fleet,
+                board,
+                &request.service,
+                near,
+                &request.tried,
+                risk,
+                now,
+            );
         };
-        let demand = Demand::new(request, now);
+        let demand = self.demand(request, now);
         placement.place(&request.service, &demand, &request.tried)
     }
 
@@ -124,6 +137,7 @@
             "a request is sent to more servers than its route allows"
         );
         debug_assert!(server.is_ready(), "a server that leaves gets work");
+        self.quarantine.note_sent(request.facts.content, now);
         let is_engine = request.facts.prompt_tokens > 0;
         request.sent_at = now;
         request.predicted_first = after_ms(now, plan.first_ms);
--- a/crates/notchwalk_route/src/router/waiting.rs
+++ b/crates/notchwalk_route/src/router/waiting.rs
@@ -10,7 +10,7 @@
 
 use notchwalk_core::Instant;
 
-use super::Router;
+use super::{suspects::Standing, Router};
 use crate::{
     placement::{Demand, EnginePlacement, Plan},
     request::Request,
@@ -55,8 +55,8 @@
     Wait,
     /// It is sent; `None` if no server is left.
     Send(Option<Plan>),
-    /// The fleet has no room for it.
-    Refuse,
+    /// It is refused.
+    Refuse(Refusal),
 }
 
 impl Router {
@@ -73,7 +73,7 @@
             };
             match self.decide(request, now) {
                 Decision::Wait => {}
-                Decision::Refuse => self.refuse(key, Refusal::Overloaded, now, out),
+                Decision::Refuse(reason) => self.refuse(key, reason, now, out),
                 Decision::Send(plan) => {
                     self.waiting.remove(key);
                     self.send_by(key, plan, now, out);
@@ -94,10 +94,15 @@
     }
 
     fn decide(&self, request: &Request, now: Instant) -> Decision {
+        match self.standing(request, now) {
+            Standing::Clear => {}
+            Standing::Wait => return Decision::Wait,
+            Standing::Refuse(reason) => return Decision::Refuse(reason),
+        }
         let Some(placement) = self.engine_placement(&request.service, now) else {
             return Decision::Send(self.plan(request, now));
         };
-        let demand = Demand::new(request, now);
+        let demand = self.demand(request, now);
         if self.long_read_ms(request, now).is_some() {
             return self.decide_long(request, &placement, &demand, now);
         }
@@ -136,7 +141,7 @@
             return Decision::Send(spare);
         }
         if is_over && self.is_crowded(&request.service) {
-            return Decision::Refuse;
+            return Decision::Refuse(Refusal::Overloaded);
         }
         let may_wait = plan.as_ref().is_some_and(|plan| {
             plan.first_ms * PREDICTION_SPREAD + PATIENCE_MARGIN_MS < demand.patience_ms
@@ -220,7 +225,7 @@
             Some(plan) if plan.loss_ms <= LATE_HARM * plan.worth_ms => Decision::Send(Some(plan)),
             Some(_) if may_wait => Decision::Wait,
             Some(plan) => Decision::Send(Some(plan)),
-            None => Decision::Refuse,
+            None => Decision::Refuse(Refusal::Overloaded),
         }
     }
 
@@ -263,7 +268,7 @@
             return None;
         }
         let placement = self.engine_placement(&request.service, now)?;
-        let read_ms = placement.read_ms(&Demand::new(request, now));
+        let read_ms = placement.read_ms(&self.demand(request, now));
         (read_ms > SHORT_READ_MS).then_some(read_ms)
     }
 
--- a/crates/notchwalk_route/tests/decisions/common.rs
+++ b/crates/notchwalk_route/tests/decisions/common.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use notchwalk_core::Instant;
+use notchwalk_quarantine::{Content, Fingerprint, Fingerprinting};
 use notchwalk_route::{
     Assignment, AttemptEnd, Backend, Effect, EngineParameters, Event, Refusal, Repeatability,
     RequestFacts, RequestKey, Route, RouteLookup, Router, RouterConfig, ServerChange, ServerRecord,
@@ -79,9 +80,22 @@
     }
 }
 
+/// Returns the fingerprint of a request with this body.
+pub fn content(body: &str) -> Fingerprint {
+    let mut fingerprinting = Fingerprinting::new(&Content {
+        workspace: None,
+        method: "POST",
+        host: "a.example",
+        target: "/",
+    });
+    fingerprinting.update(body.as_bytes());
+    fingerprinting.finish()
+}
+
 pub fn record(service: &str, number: u8) -> ServerRecord {
     ServerRecord {
         instance: format!("{service}-{number}"),
+        born: None,
         service: service.to_owned(),
         addr: format!("10.0.{}.{number}:80", service.len())
             .parse()
@@ -99,6 +113,9 @@
     pub effects: Vec<Effect>,
     /// Whose requests arrive.
     pub workspace: WorkspaceTag,
+    /// What the requests that arrive are; `None` makes each another one.
+    pub content: Option<Fingerprint>,
+    arrivals: u64,
 }
 
 impl Rig {
@@ -127,6 +144,8 @@
             now: Instant::from_millis(1_000),
             effects: Vec::new(),
             workspace: WorkspaceTag::default(),
+            content: None,
+            arrivals: 0,
         };
         rig.step(Event::Entries { count: 1 });
         rig.step(Event::Configured(site()));
@@ -168,6 +187,8 @@
     ) -> RequestKey {
         let route = self.route(path);
         let patience = route.timeout - since_first;
+        self.arrivals += 1;
+        let own = content(&self.arrivals.to_string());
         let facts = RequestFacts {
             workspace: self.workspace,
             workspace_priority: 0,
@@ -177,6 +198,7 @@
             prompt_tokens,
             answer_tokens: 800,
             route,
+            content: self.content.unwrap_or(own),
         };
         let request = self.router.new_request();
         self.step(Event::Arrived { request, facts });
--- a/crates/notchwalk_standin/src/routed/world.rs
+++ b/crates/notchwalk_standin/src/routed/world.rs
@@ -9,6 +9,7 @@
 };
 
 use notchwalk_core::Instant;
+use notchwalk_quarantine::{Content, Fingerprint, Fingerprinting};
 use notchwalk_route::{
     Assignment, AttemptEnd, Effect, Event, FailedReservation, PeerWork, RequestFacts, RequestKey,
     Route, RouteLookup, Router, RouterConfig, ServerChange, WorkspaceTag,
@@ -237,6 +238,7 @@
         self.by_key.insert((entry, key), number);
         let facts = RequestFacts {
             route: self.routes[arrival.kind].clone(),
+            content: content_of(number),
             workspace: WorkspaceTag::default(),
             workspace_priority: 0,
             arrived: self.now,
@@ -334,7 +336,10 @@
                 self.later(TO_SERVER * 2, Happening::Reserved(number, failed));
             }
             // Memory is given back when the request is dropped here.
-            Effect::Order(_) | Effect::Closed { .. } | Effect::DeliverFailure { .. } => {}
+            Effect::Order(_)
+            | Effect::Closed { .. }
+            | Effect::DeliverFailure { .. }
+            | Effect::Found(_) => {}
         }
     }
 
@@ -478,3 +483,15 @@
         }
     }
 }
+
+/// Returns the fingerprint of a request: each of them is another one.
+fn content_of(number: Number) -> Fingerprint {
+    let target = number.to_string();
+    let content = Content {
+        workspace: None,
+        method: "POST",
+        host: "",
+        target: &target,
+    };
+    Fingerprinting::new(&content).finish()
+}
