Reducer tests of suspects; a prompt read by many engines no longer hides who crashed

Cause, found by the tests: the crash of a prompt that 14 engines read was kept as 14 candidates, of which the newest 8 stayed: not the engine that had ended. And an engine that was such a candidate and crashed 300 ms later counted as the same crash. The fourth server fell before the quarantine. Change: 24 candidates are kept, unconfirmed ones go first; a later crash of an unconfirmed candidate moves it; a suspect is planned for one engine.

--- a/crates/notchwalk_quarantine/src/suspect.rs
+++ b/crates/notchwalk_quarantine/src/suspect.rs
@@ -8,11 +8,14 @@
 /// connections that are reset, strike at one moment, and entries notice it within
 /// 15 ms of each other.
 const SAME_MOMENT: Duration = Duration::from_millis(50);
-/// Two reports of a crash of the same life of a server within this time are one;
-/// no server crashes and is back within it.
+/// Reports of one crash, told again or by several entries, differ by less.
+const SAME_REPORT: Duration = Duration::from_millis(60);
+/// No server crashes and is back within this time, for those that don't say when
+/// they started.
 const SAME_CRASH: Duration = Duration::from_millis(400);
-/// Crashes kept of one content, the newest.
-const MAX_CRASHES: usize = 8;
+/// Crashes kept of one content: those of a prompt that 17 engines read, any of
+/// which may be the one that ended, and some more.
+const MAX_CRASHES: usize = 24;
 /// How long a run of a peer is believed in at most: word of its end can get lost.
 const RUN_LASTS: Duration = Duration::from_secs(3);
 
@@ -69,6 +72,12 @@
     runs: Vec<Run>,
 }
 
+/// Tells whether two crashes can only be of the same life of their server.
+fn is_one_life(known: &Crash, crash: &Crash) -> bool {
+    let apart = known.at.since(crash.at).max(crash.at.since(known.at));
+    !known.confirmed || apart < SAME_CRASH
+}
+
 /// Moments at which servers were lost under a content.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Moments {
@@ -87,23 +96,34 @@
         if crash.at <= self.cleared_at {
             return false;
         }
-        let near = |known: &&mut Crash| {
-            let apart = known.at.since(crash.at).max(crash.at.since(known.at));
-            known.server == crash.server && apart < SAME_CRASH
-        };
-        if let Some(known) = self.crashes.iter_mut().find(near) {
+        let mut of_server = self.crashes.iter_mut();
+        let last = of_server.rfind(|known| known.server == crash.server);
+        if let Some(known) = last.filter(|known| is_one_life(known, &crash)) {
+            // A life ends once. One that was thought to have ended, as it read a part
+            // for another engine, and then crashed, did so now.
+            let is_later = !known.confirmed && crash.at.since(known.at) >= SAME_REPORT;
+            if is_later {
+                known.at = crash.at;
+            }
             known.confirmed |= crash.confirmed;
             known.own |= crash.own;
-            return false;
+            self.crashes.sort_by_key(|crash| crash.at);
+            return is_later;
         }
         self.crashes.push(crash);
         self.crashes.sort_by_key(|crash| crash.at);
         if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
+            self.drop_one();
         }
         true
     }
 
+    /// Drops the oldest crash without confirmation, or else the oldest.
+    fn drop_one(&mut self) {
+        let unconfirmed = self.crashes.iter().position(|crash| !crash.confirmed);
+        self.crashes.remove(unconfirmed.unwrap_or(0));
+    }
+
     /// Marks the crashes of a server as confirmed that lie before `seen`.
     pub fn confirm(&mut self, server: u32, seen: Instant) {
         for crash in &mut self.crashes {
--- a/crates/notchwalk_route/src/placement/long.rs
+++ b/crates/notchwalk_route/src/placement/long.rs
@@ -75,7 +75,8 @@
     /// engine that generates for a long request must not get parts while it
     /// still reads.
     pub fn place_long(&self, service: &str, demand: &Demand, tried: &[ServerKey]) -> Option<Plan> {
-        if demand.crash_risk > 0.0 && !self.exceeds_engine(demand) {
+        if self.most_engines(demand) == 1 && demand.crash_risk > 0.0 {
+            // Where least is at stake, rather than where it fits in best.
             return self.place_whole(&self.views(service, tried), demand);
         }
         let cost = self.cost();
--- a/crates/notchwalk_route/src/placement/mod.rs
+++ b/crates/notchwalk_route/src/placement/mod.rs
@@ -194,8 +194,13 @@
     fn most_engines(&self, demand: &Demand) -> usize {
         /// Halvings after which any number of named engines is down to one.
         const MOST_HALVINGS: u32 = usize::BITS - (MAX_NAMED + 1).leading_zeros();
+        let exceeds = self.exceeds_engine(demand);
+        // What may crash its server is read by one only.
+        if demand.crash_risk > 0.0 && !exceeds {
+            return 1;
+        }
         let by_size = (demand.prompt / SMALLEST_PART_TOKENS) as usize;
-        let named = match self.exceeds_engine(demand) {
+        let named = match exceeds {
             true => MAX_NAMED,
             false => MAX_NAMED + 1,
         };
--- a/crates/notchwalk_route/src/placement/short.rs
+++ b/crates/notchwalk_route/src/placement/short.rs
@@ -29,9 +29,7 @@
     pub fn place(&self, service: &str, demand: &Demand, tried: &[ServerKey]) -> Option<Plan> {
         let views = self.views(service, tried);
         let whole = self.place_whole(&views, demand);
-        // What may crash its server is read by one only.
-        let is_alone = demand.crash_risk > 0.0 && !self.exceeds_engine(demand);
-        if is_alone || demand.prompt <= SMALLEST_SPREAD_TOKENS {
+        if demand.prompt <= SMALLEST_SPREAD_TOKENS {
             return whole;
         }
         let spread = self.place_spread(views, demand);
--- a/crates/notchwalk_route/tests/decisions/main.rs
+++ b/crates/notchwalk_route/tests/decisions/main.rs
@@ -9,4 +9,5 @@
 mod retries;
 mod routes;
 mod shares;
+mod suspects;
 mod waiting;
