Whether a server still listens is checked; operators list and release quarantines

Cause, found by a test: while the store is away and nothing else is sent to a server, nothing confirms its crash; after 6 s it was dropped and the request went to a fourth. Ruled out: longer waiting (a server that is back under its id is never confirmed then). Change: at once, 0.1 s and 0.4 s after a break, the entry that saw it opens a connection; only a refusal counts. notchwalk quarantine lists suspects and releases one; entries keep quarantines in the store and read them at their start.

--- a/crates/notchwalk_cli/src/arguments.rs
+++ b/crates/notchwalk_cli/src/arguments.rs
@@ -56,6 +56,16 @@
         #[bpaf(argument("ADDR"))]
         operator: SocketAddr,
     },
+    /// Show the requests that servers end under, or send one to servers again
+    #[bpaf(command)]
+    Quarantine {
+        /// The operator address of an entry for routed requests
+        #[bpaf(argument("ADDR"))]
+        operator: SocketAddr,
+        /// End the quarantine of this content, on all entries
+        #[bpaf(argument("CONTENT"))]
+        release: Option<String>,
+    },
     /// Keys of operators and workspaces
     #[bpaf(command)]
     Key(#[bpaf(external(key_command))] KeyCommand),
--- a/crates/notchwalk_cli/src/lib.rs
+++ b/crates/notchwalk_cli/src/lib.rs
@@ -6,6 +6,7 @@
 mod error;
 mod keys;
 mod proposal;
+mod quarantine;
 mod run;
 mod settings;
 mod state;
--- a/crates/notchwalk_cli/src/run.rs
+++ b/crates/notchwalk_cli/src/run.rs
@@ -2,7 +2,7 @@
 
 use monoio::{LegacyDriver, RuntimeBuilder};
 
-use crate::{arguments::Command, bundles, error::CliError, keys, settings, state};
+use crate::{arguments::Command, bundles, error::CliError, keys, quarantine, settings, state};
 
 /// Runs one command to its end.
 ///
@@ -25,6 +25,9 @@
             Command::Status { operator } => state::status(&operator).await,
             Command::Dump { operator } => state::dump(operator).await,
             Command::Drain { operator } => state::drain(operator).await,
+            Command::Quarantine { operator, release } => {
+                quarantine::run(operator, release.as_deref()).await
+            }
             Command::Key(command) => keys::run(&command),
             Command::Bundle(command) => bundles::run(command).await,
         }
--- a/crates/notchwalk_quarantine/src/quarantine.rs
+++ b/crates/notchwalk_quarantine/src/quarantine.rs
@@ -37,6 +37,9 @@
 const END_BEFORE_CRASH: Duration = Duration::from_millis(100);
 /// By how much entries' times of one thing differ, as datagrams take.
 const TIMES_DIFFER: Duration = Duration::from_millis(20);
+/// How much later than a crash an answer must be taken to show that there was none:
+/// a busy entry reads an answer that came before the crash after it.
+const READ_LATE: Duration = Duration::from_millis(100);
 /// How often time is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// Contents kept: fifty lost servers with ten requests each. About 100 KB.
@@ -212,6 +215,7 @@
                 others,
                 confirmed: false,
                 own: true,
+                checks: 0,
                 silent,
             };
             self.add(content, crash, now);
@@ -300,6 +304,7 @@
                     others,
                     confirmed: false,
                     own: false,
+                    checks: 0,
                     silent,
                 };
                 self.add(content, crash, now);
@@ -380,6 +385,18 @@
             .retain(|_, suspect| !is_forgettable(suspect, now));
     }
 
+    /// Takes the servers of which it has to be checked now whether they still listen.
+    /// Without it a crash stays without confirmation while the store is away and
+    /// nothing else is sent to the server; then it was dropped, and a fourth server
+    /// crashed.
+    pub fn take_checks(&mut self, now: Instant) -> Vec<u32> {
+        let suspects = self.suspects.values_mut();
+        let mut due: Vec<u32> = suspects.flat_map(|s| s.take_checks(now)).collect();
+        due.sort_unstable();
+        due.dedup();
+        due
+    }
+
     /// Takes what peers are to be told at once.
     pub fn take_news(&mut self) -> Vec<News> {
         std::mem::take(&mut self.news)
@@ -522,7 +539,7 @@
     /// Drops crashes of a server at times when it lived; returns whether there
     /// were any.
     fn void(&mut self, server: u32, since: Instant, until: Instant) -> bool {
-        let (since, until) = (since.after(TIMES_DIFFER), until.before(TIMES_DIFFER));
+        let (since, until) = (since.after(TIMES_DIFFER), until.before(READ_LATE));
         let mut any = false;
         for suspect in self.suspects.values_mut() {
             any |= suspect
--- a/crates/notchwalk_quarantine/src/suspect.rs
+++ b/crates/notchwalk_quarantine/src/suspect.rs
@@ -16,6 +16,13 @@
 /// Crashes kept of one content: those of a prompt that 17 engines read, any of
 /// which may be the one that ended, and some more.
 const MAX_CRASHES: usize = 24;
+/// How long after a crash it is checked whether the server still listens: at once,
+/// since it may soon be back, and again, since its port may close late.
+const CHECKED_AFTER: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(100),
+    Duration::from_millis(400),
+];
 /// How long a run of a peer is believed in at most: word of its end can get lost.
 const RUN_LASTS: Duration = Duration::from_secs(3);
 
@@ -32,6 +39,8 @@
     pub confirmed: bool,
     /// Whether this entry saw it itself.
     pub own: bool,
+    /// How often it was checked whether the server still listens.
+    pub checks: u8,
     /// Whether the server only fell silent: that says nothing unless its end is
     /// confirmed, since servers that are busy do so far more often.
     pub silent: bool,
@@ -131,6 +140,20 @@
         }
     }
 
+    /// Returns servers to be checked now, whether they still listen.
+    pub fn take_checks(&mut self, now: Instant) -> Vec<u32> {
+        let mut due = Vec::new();
+        for crash in &mut self.crashes {
+            let next = CHECKED_AFTER.get(usize::from(crash.checks));
+            let is_due = next.is_some_and(|&after| now.since(crash.at) >= after);
+            if crash.own && !crash.confirmed && is_due {
+                crash.checks += 1;
+                due.push(crash.server);
+            }
+        }
+        due
+    }
+
     /// Keeps the crashes that `keep` says; returns whether any was dropped.
     pub fn retain(&mut self, keep: impl Fn(&Crash) -> bool) -> bool {
         let before = self.crashes.len();
--- a/crates/notchwalk_relay/src/quarantine.rs
+++ b/crates/notchwalk_relay/src/quarantine.rs
@@ -5,10 +5,11 @@
 //! of them lose power, and each request would cost three servers more. They stand
 //! in the table of the entries' records, which each entry reads at its start anyway.
 
-use std::{rc::Rc, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use notchwalk_core::{LogEvent, LogEventKind};
+use notchwalk_http::prelude::*;
 use notchwalk_platform::{Row, RowWrite};
 use notchwalk_quarantine::{Crash, EndReason, Finding, Fingerprint, Quarantined, Verdict};
 use notchwalk_route::{Event, Fleet};
@@ -64,6 +65,18 @@
     }
 }
 
+/// Finds out whether anybody listens at a server's address. Only a refusal says that
+/// nobody does: a cut link is no end of the server.
+pub(crate) async fn check(shell: Rc<Shell>, server: u32, addr: SocketAddr) {
+    match shell.client.connection(addr, Reuse::Fresh).await {
+        Err(HttpError::Connect(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+            shell.step(Event::NotListening { server });
+        }
+        Err(e) => log::debug!("whether {addr} listens is not known: {e}"),
+        Ok(_) => {}
+    }
+}
+
 fn log_crash(shell: &Shell, content: Fingerprint, crash: &Crash, moments: u32) {
     shell.metrics.suspected_crashes.inc();
     let router = shell.router.borrow();
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -152,6 +152,9 @@
                 monoio::spawn(engine_orders::send_once(self.clone(), order));
             }
             Effect::Closed { server, pause } => self.log_closed(server, pause),
+            Effect::Check { server, addr } => {
+                monoio::spawn(quarantine::check(self.clone(), server, addr));
+            }
             Effect::Found(finding) => quarantine::found(self, finding),
         }
     }
--- a/crates/notchwalk_route/src/effect.rs
+++ b/crates/notchwalk_route/src/effect.rs
@@ -138,6 +138,13 @@
     },
     /// Renew a reservation or give its memory back.
     Order(ReservationOrder),
+    /// Find out whether anybody listens at a server's address.
+    Check {
+        /// The short id of the server's life.
+        server: u32,
+        /// Its address.
+        addr: SocketAddr,
+    },
     /// Something became known of requests under which servers ended.
     Found(Finding),
     /// A server gets no work for a while.
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -99,6 +99,11 @@
         /// What it told.
         news: Vec<News>,
     },
+    /// Nobody listens at a server's address any more.
+    NotListening {
+        /// The short id of the server's life.
+        server: u32,
+    },
     /// A quarantine was read from the store.
     Restored {
         /// The content.
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -214,6 +214,9 @@
                 self.quarantine.forget_peer(peer);
             }
             Event::News { peer, news } => self.hear_news(peer, &news, now),
+            Event::NotListening { server } => {
+                self.quarantine.note_server_ended(server, true, now);
+            }
             Event::Restored {
                 content,
                 left,
@@ -267,6 +270,7 @@
     fn tick(&mut self, now: Instant, out: &mut Vec<Effect>) {
         self.board.forget_silent_peers(now.before(PEER_SILENCE));
         self.quarantine.pass_time(now);
+        self.check_servers(now, out);
         for order in self.reservations.due(now) {
             out.push(Effect::Order(order));
         }
--- a/crates/notchwalk_route/src/router/suspects.rs
+++ b/crates/notchwalk_route/src/router/suspects.rs
@@ -180,6 +180,18 @@
         self.forget(key, now, out);
     }
 
+    /// Has it checked whether servers still listen under which requests broke.
+    pub(super) fn check_servers(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        for server in self.quarantine.take_checks(now) {
+            let known = self.fleet.by_tag(server);
+            let Some(known) = known.and_then(|key| self.fleet.get(key)) else {
+                continue;
+            };
+            let addr = known.record.addr;
+            out.push(Effect::Check { server, addr });
+        }
+    }
+
     /// Hands out what became known of suspects.
     pub(super) fn tell_findings(&mut self, out: &mut Vec<Effect>) {
         let findings = self.quarantine.take_findings();
--- a/crates/notchwalk_route/tests/decisions/random_runs.rs
+++ b/crates/notchwalk_route/tests/decisions/random_runs.rs
@@ -102,7 +102,10 @@
                     let (seen, _, _) = self.seen.get_mut(&request).expect("known");
                     seen.reserving = true;
                 }
-                Effect::Order(_) | Effect::Closed { .. } | Effect::Found(_) => {}
+                Effect::Order(_)
+                | Effect::Closed { .. }
+                | Effect::Check { .. }
+                | Effect::Found(_) => {}
             }
         }
     }
--- a/crates/notchwalk_standin/src/routed/world.rs
+++ b/crates/notchwalk_standin/src/routed/world.rs
@@ -339,6 +339,7 @@
             Effect::Order(_)
             | Effect::Closed { .. }
             | Effect::DeliverFailure { .. }
+            | Effect::Check { .. }
             | Effect::Found(_) => {}
         }
     }
