--- a/crates/notchwalk_core/src/time.rs
+++ b/crates/notchwalk_core/src/time.rs
@@ -1,7 +1,8 @@
 //! Monotonic time as plain data, so that the reducer needs no clock.
 
-use std::time::Duration;
+use std::{fmt, sync::Arc, time::Duration};
 
+use rustix::time::{clock_gettime, ClockId};
 use serde::{Deserialize, Serialize};
 
 /// A point in monotonic time, in microseconds since an origin that the owner
@@ -48,25 +49,81 @@
     }
 }
 
-/// Reads the machine's monotonic clock as [`Instant`]s.
+/// Where a [`Clock`] has its time from.
+pub trait TimeSource: Send + Sync {
+    /// Returns the time since some origin, that in which the machine was suspended
+    /// included.
+    fn elapsed(&self) -> Duration;
+
+    /// Returns the time since some origin in which the machine ran: what timers of
+    /// the runtime count.
+    fn running(&self) -> Duration;
+}
+
+/// The machine's own clocks.
 #[derive(Clone, Copy, Debug)]
+struct MachineTime;
+
+fn read_clock(id: ClockId) -> Duration {
+    let time = clock_gettime(id);
+    // Neither clock is ever negative.
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or(0))
+}
+
+impl TimeSource for MachineTime {
+    fn elapsed(&self) -> Duration {
+        read_clock(ClockId::Boottime)
+    }
+
+    fn running(&self) -> Duration {
+        read_clock(ClockId::Monotonic)
+    }
+}
+
+/// Reads a machine's clock as [`Instant`]s. Time in which the machine was suspended
+/// counts: deadlines, leases and the age of what is known run on meanwhile.
+/// docs/DESIGN.md has a table of what counts it and what does not.
+#[derive(Clone)]
 pub struct Clock {
-    origin: std::time::Instant,
+    source: Arc<dyn TimeSource>,
+    origin: Duration,
 }
 
 impl Clock {
     /// Starts a clock; its origin lies one hour back, so that "long ago" can
     /// be expressed.
     pub fn new() -> Self {
+        Self::with_source(Arc::new(MachineTime))
+    }
+
+    /// Starts a clock that reads `source`.
+    pub fn with_source(source: Arc<dyn TimeSource>) -> Self {
         Self {
-            origin: std::time::Instant::now(),
+            origin: source.elapsed(),
+            source,
         }
     }
 
     /// Returns the present time.
     pub fn now(&self) -> Instant {
         const START_US: u64 = 3_600_000_000;
-        Instant(START_US + self.origin.elapsed().as_micros() as u64)
+        let elapsed = self.source.elapsed().saturating_sub(self.origin);
+        Instant(START_US + elapsed.as_micros() as u64)
+    }
+
+    /// Returns how long the machine has been suspended in all.
+    pub fn suspended(&self) -> Duration {
+        let running = self.source.running();
+        self.source.elapsed().saturating_sub(running)
+    }
+}
+
+impl fmt::Debug for Clock {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Clock")
+            .field("now", &self.now())
+            .finish_non_exhaustive()
     }
 }
 
--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -15,7 +15,7 @@
     net::{udp::UdpSocket, TcpListener},
     LegacyDriver, RuntimeBuilder,
 };
-use notchwalk_core::{LogEvent, LogEventKind};
+use notchwalk_core::{Clock, LogEvent, LogEventKind};
 use notchwalk_http::{serve, Client, ServerLimits, Service};
 use notchwalk_platform::RowStore;
 use notchwalk_route::{Event, Router, RouterConfig};
@@ -83,6 +83,8 @@
     pub dialect: Rc<dyn Dialect>,
     /// The platform's store.
     pub store: Rc<dyn RowStore>,
+    /// The machine's clock.
+    pub clock: Clock,
     /// What stops or changes the process.
     pub signals: Signals,
 }
@@ -181,7 +183,8 @@
         });
         let client = Client::new().with_connect_timeout(CONNECT_TIMEOUT);
         let (dialect, store) = (around.dialect, around.store);
-        let shell = Rc::new(Shell::new(settings, boot, router, dialect, store, client));
+        let shell = Shell::new(settings, boot, router, dialect, store, client);
+        let shell = Rc::new(shell.with_clock(around.clock));
         let limits = ServerLimits {
             connections: shell.settings.max_descriptors / 2,
             idle: Duration::from_secs(20),
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -91,6 +91,12 @@
         }
     }
 
+    /// Sets the clock.
+    pub fn with_clock(mut self, clock: Clock) -> Self {
+        self.clock = clock;
+        self
+    }
+
     /// Returns the present time.
     pub fn now(&self) -> Instant {
         self.clock.now()
