A machine that was suspended gives up what is old and answers what is over

Cause: timers of the runtime stand still while a machine is suspended, and nothing noticed that it had been. Change: waits for a request's deadline look at the clock four times a second; each tick compares the two clocks, and after a suspension of 0.2 s or more kept connections are closed and both tables are read whole (NW1008). Silence of a server counts running time only: nothing could be heard meanwhile. Reservations that lapsed are not renewed, after a freeze neither. Ruled out: one timer for all deadlines (more code for the same), shorter looks (they cost processor time; 250 ms are under any bound here).

--- a/crates/notchwalk_core/src/log_event.rs
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -41,6 +41,7 @@
     DaemonStopped = 1004, Info, "the last request ended; the daemon ends";
     RequestPanicked = 1005, Error, "a task panicked; its request failed and the daemon goes on";
     SettingsReloaded = 1006, Info, "the settings file was read again";
+    MachineResumed = 1008, Info, "the machine was suspended and runs again";
     LogLinesDropped = 1007, Warn, "log lines were dropped";
     BundleInForce = 2001, Info, "a bundle version came into force";
     BundleRefused = 2002, Warn, "an offered bundle was refused: older, unsigned or faulty";
--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -113,6 +113,15 @@
     Silent,
 }
 
+/// Waits for as long as a server may be silent; for ever without a bound. Time in
+/// which the machine was suspended doesn't count: nothing could be heard then.
+async fn silent_for(silence: Option<Duration>) {
+    match silence {
+        Some(silence) => monoio::time::sleep(silence).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits for `future`, for the caller to leave, for the request's deadline and
 /// for a silence of the server that is too long. The silence ends the wait only
 /// if another server could be tried.
@@ -126,15 +135,11 @@
     let mut future = std::pin::pin!(future);
     let mut silence = silence;
     loop {
-        let left = served.deadline.since(shell.now());
-        let wait = silence.map_or(left, |silence| silence.min(left));
         monoio::select! {
             done = &mut future => return Awaited::Done(done),
             () = exchange.peer_closed() => return Awaited::CallerLeft,
-            () = monoio::time::sleep(wait) => {}
-        }
-        if wait >= left {
-            return Awaited::TimedOut;
+            () = shell.sleep_until(served.deadline) => return Awaited::TimedOut,
+            () = silent_for(silence) => {}
         }
         if shell
             .router
--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -228,6 +228,7 @@
         monoio::spawn(peer_link::heartbeats(shell.clone(), self.socket.clone()));
         loop {
             monoio::time::sleep(TICK).await;
+            shell.notice_suspension();
             shell.step(Event::Tick);
             log_sink::flush();
             if signals.reload.swap(false, Ordering::Relaxed) {
--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -132,11 +132,10 @@
         delivery: &mut Delivery,
     ) -> Outcome {
         loop {
-            let left = served.deadline.since(self.shell.now());
             let effect = monoio::select! {
                 effect = inbox.recv() => effect,
                 () = exchange.peer_closed() => return self.caller_left(served),
-                () = monoio::time::sleep(left) => {
+                () = self.shell.sleep_until(served.deadline) => {
                     return self.time_is_over(exchange, served, delivery).await;
                 }
             };
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -15,6 +15,13 @@
     RelaySettings,
 };
 
+/// The shortest suspension that counts as one: the two clocks are not read at the
+/// same moment. Nothing is given up sooner than that.
+const LEAST_SUSPENSION: Duration = Duration::from_millis(200);
+/// How often a wait looks at the clock: timers stand still while the machine is
+/// suspended, deadlines don't.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
 /// Receives the effects that concern one request.
 pub(crate) type Inbox = unbounded::Rx<Effect>;
 
@@ -55,6 +62,10 @@
     pub servers_current: std::cell::Cell<Instant>,
     /// The store's clock in milliseconds, and when it said so.
     store_clock: std::cell::Cell<Option<(Instant, u64)>>,
+    /// How long the machine had been suspended in all when it was last looked at,
+    /// and how often that has grown.
+    suspended: std::cell::Cell<Duration>,
+    resumes: std::cell::Cell<u64>,
     /// Raised when peers are to be told of this entry's work, or of suspects.
     pub work_changed: Signal,
     inboxes: RefCell<SecondaryMap<RequestKey, unbounded::Tx<Effect>>>,
@@ -86,6 +97,8 @@
             servers_known: std::cell::Cell::new(0),
             servers_current: std::cell::Cell::new(Instant::ZERO),
             store_clock: std::cell::Cell::default(),
+            suspended: std::cell::Cell::default(),
+            resumes: std::cell::Cell::new(0),
             work_changed: Signal::default(),
             inboxes: RefCell::default(),
         }
@@ -93,10 +106,32 @@
 
     /// Sets the clock.
     pub fn with_clock(mut self, clock: Clock) -> Self {
+        self.suspended.set(clock.suspended());
         self.clock = clock;
         self
     }
 
+    /// Returns how often the machine was suspended and resumed so far.
+    pub fn resumes(&self) -> u64 {
+        self.resumes.get()
+    }
+
+    /// Notices that the machine was suspended. Connections kept from before are
+    /// closed: the other ends gave them up unheard, and a call that may run once is
+    /// lost on one. Whoever reads the store starts anew.
+    pub fn notice_suspension(&self) {
+        let suspended = self.clock.suspended();
+        let lately = suspended.saturating_sub(self.suspended.replace(suspended));
+        if lately < LEAST_SUSPENSION {
+            return;
+        }
+        self.resumes.set(self.resumes.get() + 1);
+        self.client.forget_idle();
+        self.store.renew_connections();
+        let facts = format!("suspended_ms={}", lately.as_millis());
+        LogEvent::new(LogEventKind::MachineResumed, facts).emit();
+    }
+
     /// Returns the present time.
     pub fn now(&self) -> Instant {
         self.clock.now()
@@ -115,6 +150,17 @@
         Some(ms + self.now().since(at).as_millis() as u64)
     }
 
+    /// Waits until a time by the clock.
+    pub async fn sleep_until(&self, at: Instant) {
+        loop {
+            let left = at.since(self.now());
+            if left.is_zero() {
+                return;
+            }
+            monoio::time::sleep(left.min(LOOK_EVERY)).await;
+        }
+    }
+
     /// Tells whether requests can be served: a configuration is in force and
     /// the process was not told to stop.
     pub fn is_ready(&self) -> bool {
--- a/crates/notchwalk_relay/src/table_watch.rs
+++ b/crates/notchwalk_relay/src/table_watch.rs
@@ -124,6 +124,8 @@
     lost_since: Option<Instant>,
     /// When the store was asked last.
     asked_at: Instant,
+    /// How often the machine had been resumed when the table was last known.
+    resumes: u64,
 }
 
 impl<R: TableReader> Watch<R> {
@@ -161,7 +163,7 @@
         if was_behind {
             return Ok(Some(page.await?));
         }
-        let page = until_behind(&self.reader, page).await?;
+        let page = until_behind(&self.shell, &self.reader, page).await?;
         if page.is_none() {
             self.give_up(asked);
         }
@@ -181,7 +183,7 @@
         let asked = Asked::now(&self.shell, Some(after));
         let (table, wait) = (self.reader.table(), self.reader.wait());
         let changes = self.shell.store.changes(table, after, wait);
-        let Some(page) = until_behind(&self.reader, changes).await? else {
+        let Some(page) = until_behind(&self.shell, &self.reader, changes).await? else {
             self.give_up(asked);
             return Ok(false);
         };
@@ -206,7 +208,7 @@
         const LONGEST: Duration = Duration::from_secs(30);
         let since = self.shell.now();
         let (name, peers) = (&self.shell.settings.name, &self.shell.peers);
-        while self.seen.is_some() && !self.reader.is_behind() {
+        while self.seen.is_some() && !self.reader.is_behind() && !self.was_suspended() {
             let now = self.shell.now();
             let follows = peers.borrow().is_follower(name, now);
             if follows || self.reader.is_unsettled() || now.since(since) > LONGEST {
@@ -219,8 +221,19 @@
         }
     }
 
+    /// Tells whether the machine was suspended since the table was last known.
+    fn was_suspended(&self) -> bool {
+        self.shell.resumes() != self.resumes
+    }
+
     async fn turn(&mut self) -> Result<(), FeedError> {
         self.wait_for_others().await;
+        // What was seen before a suspension is old, and no peer may be heard yet that
+        // says so.
+        if self.was_suspended() {
+            self.seen = None;
+            self.resumes = self.shell.resumes();
+        }
         // Entries that are told of changes meet several at once.
         if self.reader.is_behind() && self.reader.has_one_row() {
             self.seen = None;
@@ -292,9 +305,10 @@
     }
 }
 
-/// Waits for an answer; `None` says that a peer knows of something newer, so that
-/// the answer got lost.
+/// Waits for an answer; `None` says that a peer knows of something newer, or that the
+/// machine was suspended meanwhile, so that the answer got lost.
 async fn until_behind<T, E>(
+    shell: &Shell,
     reader: &impl TableReader,
     answer: impl Future<Output = Result<T, E>>,
 ) -> Result<Option<T>, E> {
@@ -304,12 +318,16 @@
     /// way needs no help.
     const COMPARISONS: u32 = 2;
     let mut answer = std::pin::pin!(answer);
+    let resumes = shell.resumes();
     let mut behind = 0;
     loop {
         monoio::select! {
             page = &mut answer => return page.map(Some),
             () = monoio::time::sleep(COMPARE_EVERY) => {}
         }
+        if shell.resumes() != resumes {
+            return Ok(None);
+        }
         behind = if reader.is_behind() { behind + 1 } else { 0 };
         if behind >= COMPARISONS {
             return Ok(None);
@@ -337,6 +355,7 @@
         seen: None,
         lost_since: None,
         asked_at: Instant::ZERO,
+        resumes: 0,
     };
     watch.set_up(1);
     loop {
--- a/crates/notchwalk_route/src/reservations.rs
+++ b/crates/notchwalk_route/src/reservations.rs
@@ -28,6 +28,8 @@
     request: RequestKey,
     order: ReservationOrder,
     renew_at: Instant,
+    /// When it lapses on the engine, unless it is renewed.
+    lapses_at: Instant,
     /// Whether an order for it went unanswered: it may be carried out late.
     unanswered: bool,
 }
@@ -54,6 +56,7 @@
                 request,
                 order: order.clone(),
                 renew_at: now.after(RENEW_EVERY),
+                lapses_at: now.after(HOLD),
                 unanswered: false,
             });
         }
@@ -129,10 +132,13 @@
     pub fn due(&mut self, now: Instant) -> Vec<ReservationOrder> {
         let mut due = Vec::new();
         for held in &mut self.held {
-            if now < held.renew_at {
+            // After a suspension or a freeze the engine has freed the memory and cut
+            // the request; a renewal would set it aside anew, for nobody.
+            if now < held.renew_at || now >= held.lapses_at {
                 continue;
             }
             held.renew_at = now.after(RENEW_EVERY);
+            held.lapses_at = now.after(HOLD);
             due.push(held.order.clone());
         }
         for given in &mut self.given_back {
--- a/crates/notchwalk_route/tests/decisions/reservations.rs
+++ b/crates/notchwalk_route/tests/decisions/reservations.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::HashSet, time::Duration};
 
-use notchwalk_route::{AttemptEnd, Effect, Event, FailedReservation, RequestKey, ReservationOrder};
+use notchwalk_route::{
+    AttemptEnd, Effect, Event, FailedReservation, RequestKey, ReservationOrder, ServerChange,
+    ServerRecord,
+};
 
 use crate::common::Rig;
 
@@ -265,3 +268,48 @@
     assert!(!placed.is_empty());
     assert!(placed.iter().all(|order| order.addr != full));
 }
+
+/// An engine that starts again under its id holds nothing; a renewal would set memory
+/// aside there that no request uses.
+#[test]
+fn nothing_is_renewed_on_an_engine_that_started_again() {
+    let mut rig = Rig::new();
+    let request = rig.arrive("/long/", OVERSIZED);
+    let placed = reserves(&mut rig);
+    granted(&mut rig, request, true);
+    rig.sends();
+    let again = &placed[0];
+    let key = rig.router.fleet().by_addr(again.addr).expect("on record");
+    let server = rig.router.fleet().get(key).expect("on record");
+    let reborn = ServerRecord {
+        born: Some(2),
+        ..server.record.clone()
+    };
+    rig.step(Event::Servers(ServerChange::Present(reborn)));
+    orders(&mut rig);
+    rig.pass(Duration::from_millis(1_600));
+    let renewed: HashSet<_> = orders(&mut rig).iter().map(|order| order.addr).collect();
+    assert!(!renewed.contains(&again.addr));
+    assert_eq!(renewed.len(), placed.len() - 1);
+}
+
+/// An entry whose machine was suspended for longer than its reservations hold renewed
+/// them: the engines had cut the request and set the memory aside anew.
+#[test]
+fn what_lapsed_while_the_machine_was_suspended_is_not_renewed() {
+    let mut rig = Rig::new();
+    let request = rig.arrive("/long/", OVERSIZED);
+    let placed = reserves(&mut rig).len();
+    granted(&mut rig, request, true);
+    rig.sends();
+    rig.pass(Duration::from_millis(1_600));
+    assert_eq!(orders(&mut rig).len(), placed, "renewed while it runs");
+    rig.pass(Duration::from_millis(4_000));
+    let renewed = orders(&mut rig);
+    assert!(
+        renewed.iter().all(|order| order.tokens.is_none()),
+        "{renewed:?}"
+    );
+    rig.end(request, AttemptEnd::Broken);
+    assert_eq!(given_back(&mut rig).len(), placed);
+}
