--- a/crates/notchwalk_quarantine/src/quarantine.rs
+++ b/crates/notchwalk_quarantine/src/quarantine.rs
@@ -1,6 +1,9 @@
 //! All suspects of one entry, and what follows for their requests.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use notchwalk_core::Instant;
 
@@ -28,6 +31,9 @@
 /// How long a crash may stay without confirmation. Records of servers that ended
 /// are gone after three heartbeats of silence, 3.5 s on the deployments known.
 const SETTLES: Duration = Duration::from_secs(6);
+/// How long after the last crash a quarantine is declared: by then it is known whether
+/// other servers ended at the same moment. Meanwhile the content is held.
+const DECLARED_AFTER: Duration = Duration::from_millis(150);
 /// How long after the last crash an entry that saw none of them itself declares a
 /// quarantine: those that did may be gone.
 const OTHERS_DECLARE: Duration = Duration::from_secs(2);
@@ -41,7 +47,7 @@
 /// a busy entry reads an answer that came before the crash after it.
 const READ_LATE: Duration = Duration::from_millis(100);
 /// How often time is looked at.
-const LOOK_EVERY: Duration = Duration::from_millis(200);
+const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// Contents kept: fifty lost servers with ten requests each. About 100 KB.
 const MAX_SUSPECTS: usize = 512;
 /// Ends of servers kept.
@@ -215,6 +221,7 @@
                 others,
                 confirmed: false,
                 own: true,
+                shared: false,
                 checks: 0,
                 silent,
             };
@@ -227,7 +234,6 @@
                 silent,
             });
         }
-        self.judge(content, now);
     }
 
     /// Notes that a request ran to a good end: its content crashes no servers.
@@ -304,11 +310,11 @@
                     others,
                     confirmed: false,
                     own: false,
+                    shared: false,
                     checks: 0,
                     silent,
                 };
                 self.add(content, crash, now);
-                self.judge(content, now);
             }
             News::ServerEnded { server, age_ms } => {
                 self.confirm(server, time_of(age_ms, now));
@@ -379,8 +385,8 @@
                 let reason = EndReason::Lapsed;
                 self.findings.push(Finding::Ended { content, reason });
             }
-            self.judge(content, now);
         }
+        self.judge(now);
         self.suspects
             .retain(|_, suspect| !is_forgettable(suspect, now));
     }
@@ -485,8 +491,9 @@
         self.make_room(content, now);
         let suspect = self.suspects.entry(content).or_default();
         let is_new = suspect.add(crash);
+        self.compare_losses(crash.at);
         if is_new && crash.own {
-            let moments = suspect.moments().all;
+            let moments = self.suspects.get(&content).map_or(0, |s| s.moments().all);
             self.findings.push(Finding::Crashed {
                 content,
                 crash,
@@ -495,6 +502,24 @@
         }
     }
 
+    /// Compares which servers were lost at one moment with those that each content ran
+    /// on. One that lacks some of them is not the cause: three losses of many servers
+    /// at once turned prompts away that many engines read.
+    fn compare_losses(&mut self, at: Instant) {
+        let suspects = self.suspects.values();
+        let crashes = suspects.flat_map(|suspect| suspect.crashes_at(at));
+        let ended: HashSet<u32> = crashes
+            .filter(|crash| crash.confirmed)
+            .map(|crash| crash.server)
+            .collect();
+        for suspect in self.suspects.values_mut() {
+            let ran_on: HashSet<u32> = suspect.crashes_at(at).map(|c| c.server).collect();
+            if !ran_on.is_empty() {
+                suspect.set_shared(at, !ended.is_subset(&ran_on));
+            }
+        }
+    }
+
     /// Tells whether a content that is quarantined explains a crash.
     fn is_explained(&self, content: Fingerprint, crash: &Crash, now: Instant) -> bool {
         let mut others = self.suspects.iter();
@@ -524,16 +549,15 @@
         if self.ends.len() < MAX_ENDS {
             self.ends.insert(server, seen);
         }
-        let mut affected = Vec::new();
-        for (&content, suspect) in &mut self.suspects {
-            if !suspect.crashes().iter().any(|c| c.server == server) {
-                continue;
-            }
-            suspect.confirm(server, seen.after(END_BEFORE_CRASH));
-            affected.push(content);
+        let mut moments = Vec::new();
+        for suspect in self.suspects.values_mut() {
+            moments.extend(suspect.confirm(server, seen.after(END_BEFORE_CRASH)));
         }
-        self.judge_all(&affected, seen);
-        !affected.is_empty()
+        moments.dedup();
+        for &at in &moments {
+            self.compare_losses(at);
+        }
+        !moments.is_empty()
     }
 
     /// Drops crashes of a server at times when it lived; returns whether there
@@ -560,26 +584,21 @@
         }
     }
 
-    fn judge(&mut self, content: Fingerprint, now: Instant) {
-        self.judge_all(&[content], now);
-    }
-
-    /// Quarantines those of some contents against which enough is known. Those
-    /// that stand alike are judged alike; only then do their crashes explain what
-    /// happened to the rest.
-    fn judge_all(&mut self, contents: &[Fingerprint], now: Instant) {
-        let mut found = Vec::new();
-        for &content in contents {
-            let Some(suspect) = self.suspects.get(&content) else {
-                continue;
-            };
-            let is_due = suspect.moments().confirmed >= moments_allowed(suspect);
+    /// Quarantines the contents against which enough is known. Those that stand alike
+    /// are judged alike; only then do their crashes explain what happened to the rest.
+    fn judge(&mut self, now: Instant) {
+        let due = |suspect: &Suspect| {
             let seen_here = suspect.crashes().iter().any(|crash| crash.own);
-            let waited = now.since(suspect.last_crash()) >= OTHERS_DECLARE;
-            if is_due && suspect.term.is_none() && (seen_here || waited) {
-                found.push(content);
-            }
-        }
+            let wait = match seen_here {
+                true => DECLARED_AFTER,
+                false => OTHERS_DECLARE,
+            };
+            let is_proved = suspect.moments().confirmed >= moments_allowed(suspect);
+            is_proved && suspect.term.is_none() && now.since(suspect.last_crash()) >= wait
+        };
+        let suspects = self.suspects.iter();
+        let found = suspects.filter(|(_, suspect)| due(suspect));
+        let found: Vec<Fingerprint> = found.map(|(&content, _)| content).collect();
         for content in found {
             let times = self.suspects.get(&content).map_or(0, |s| s.times) + 1;
             let doublings = (times - 1).min(u32::BITS / 2);
--- a/crates/notchwalk_quarantine/src/suspect.rs
+++ b/crates/notchwalk_quarantine/src/suspect.rs
@@ -7,12 +7,9 @@
 /// Crashes within this time count as one: a rack that is lost, or an entry's
 /// connections that are reset, strike at one moment, and entries notice it within
 /// 15 ms of each other.
-const SAME_MOMENT: Duration = Duration::from_millis(50);
+pub(crate) const SAME_MOMENT: Duration = Duration::from_millis(50);
 /// Reports of one crash, told again or by several entries, differ by less.
 const SAME_REPORT: Duration = Duration::from_millis(60);
-/// No server crashes and is back within this time, for those that don't say when
-/// they started.
-const SAME_CRASH: Duration = Duration::from_millis(400);
 /// Crashes kept of one content: those of a prompt that 17 engines read, any of
 /// which may be the one that ended, and some more.
 const MAX_CRASHES: usize = 24;
@@ -39,6 +36,9 @@
     pub confirmed: bool,
     /// Whether this entry saw it itself.
     pub own: bool,
+    /// Whether other servers were lost at the same moment on which the content did
+    /// not run: then something else struck them all.
+    pub shared: bool,
     /// How often it was checked whether the server still listens.
     pub checks: u8,
     /// Whether the server only fell silent: that says nothing unless its end is
@@ -81,10 +81,9 @@
     runs: Vec<Run>,
 }
 
-/// Tells whether two crashes can only be of the same life of their server.
-fn is_one_life(known: &Crash, crash: &Crash) -> bool {
-    let apart = known.at.since(crash.at).max(crash.at.since(known.at));
-    !known.confirmed || apart < SAME_CRASH
+/// Tells whether two crashes may have one cause.
+pub(crate) fn is_same_moment(a: Instant, b: Instant) -> bool {
+    a.since(b).max(b.since(a)) < SAME_MOMENT
 }
 
 /// Moments at which servers were lost under a content.
@@ -105,11 +104,11 @@
         if crash.at <= self.cleared_at {
             return false;
         }
-        let mut of_server = self.crashes.iter_mut();
-        let last = of_server.rfind(|known| known.server == crash.server);
-        if let Some(known) = last.filter(|known| is_one_life(known, &crash)) {
-            // A life ends once. One that was thought to have ended, as it read a part
-            // for another engine, and then crashed, did so now.
+        let mut known = self.crashes.iter_mut();
+        if let Some(known) = known.find(|known| known.server == crash.server) {
+            // A life ends once; connections that break later were to a dead server.
+            // One that was thought to have ended, as it read a part for another
+            // engine, and then crashed, did so now.
             let is_later = !known.confirmed && crash.at.since(known.at) >= SAME_REPORT;
             if is_later {
                 known.at = crash.at;
@@ -133,13 +132,30 @@
         self.crashes.remove(unconfirmed.unwrap_or(0));
     }
 
-    /// Marks the crashes of a server as confirmed that lie before `seen`.
-    pub fn confirm(&mut self, server: u32, seen: Instant) {
+    /// Marks the crash of a server as confirmed that lies before `seen`; returns when
+    /// it was.
+    pub fn confirm(&mut self, server: u32, seen: Instant) -> Option<Instant> {
+        let mut crashes = self.crashes.iter_mut();
+        let crash = crashes.find(|crash| crash.server == server && crash.at <= seen)?;
+        crash.confirmed = true;
+        Some(crash.at)
+    }
+
+    /// Sets whether other servers were lost at the moment of a crash.
+    pub fn set_shared(&mut self, at: Instant, shared: bool) {
         for crash in &mut self.crashes {
-            crash.confirmed |= crash.server == server && crash.at <= seen;
+            if is_same_moment(crash.at, at) {
+                crash.shared = shared;
+            }
         }
     }
 
+    /// Returns the crashes at one moment.
+    pub fn crashes_at(&self, at: Instant) -> impl Iterator<Item = &Crash> {
+        let crashes = self.crashes.iter();
+        crashes.filter(move |crash| is_same_moment(crash.at, at))
+    }
+
     /// Returns servers to be checked now, whether they still listen.
     pub fn take_checks(&mut self, now: Instant) -> Vec<u32> {
         let mut due = Vec::new();
@@ -176,7 +192,7 @@
         let mut began: Option<Instant> = None;
         let mut is_confirmed = false;
         for crash in &self.crashes {
-            if crash.silent && !crash.confirmed {
+            if crash.shared || crash.silent && !crash.confirmed {
                 continue;
             }
             let same = began.is_some_and(|began| crash.at.since(began) < SAME_MOMENT);
--- a/crates/notchwalk_quarantine/tests/rules.rs
+++ b/crates/notchwalk_quarantine/tests/rules.rs
@@ -96,6 +96,8 @@
     assert!(first < 0.1 && second == 1.0, "{first} {second}");
     entry.pass(300);
     entry.crashes(bad, 3);
+    assert_eq!(entry.verdict(bad), Verdict::Held);
+    entry.pass(200);
     assert!(entry.is_quarantined(bad));
     assert!(entry.is_free(content(2)));
     let quarantined = entry.quarantine.take_findings().into_iter();
@@ -120,6 +122,7 @@
     assert_eq!(entry.verdict(bad), Verdict::Held);
     entry.pass(900);
     entry.ends(3);
+    entry.pass(60);
     assert!(entry.is_quarantined(bad));
 }
 
@@ -226,6 +229,7 @@
     for server in 0..3 {
         entry.ends(server);
     }
+    entry.pass(60);
     assert!(entry.is_quarantined(bad));
 }
 
@@ -243,6 +247,7 @@
     three.ends(2);
     three.pass(300);
     three.crashes(bad, 3);
+    three.pass(200);
     assert!(three.is_quarantined(bad));
     two.now = three.now;
     three.tell(&mut two);
@@ -306,6 +311,7 @@
     entry.pass(601_000);
     assert!(entry.is_free(bad));
     entry.crashes(bad, 9);
+    entry.pass(200);
     let Verdict::Quarantined { until } = entry.verdict(bad) else {
         panic!("{:?}", entry.verdict(bad));
     };
@@ -364,3 +370,49 @@
     let is_it = |news: &News| matches!(news, News::Quarantined { content, .. } if *content == bad);
     assert!(told.iter().any(is_it));
 }
+
+/// Seen on a day of lost servers: a prompt that many engines read was on one of the
+/// lost ones three times, and was turned away for ten minutes. A request crashes the
+/// servers that run it; here others went at the same moment.
+#[test]
+fn a_loss_that_struck_other_servers_too_is_no_requests_fault() {
+    let (mut entry, unlucky) = (Entry::new(), content(1));
+    for round in 0..4 {
+        let server = round * 10;
+        entry.crashes(unlucky, server);
+        entry.pass(8);
+        entry.crashes(content(100 + u128::from(round)), server + 1);
+        entry.pass(2_000);
+    }
+    assert!(entry.is_free(unlucky), "{:?}", entry.verdict(unlucky));
+}
+
+/// The same request, on two servers at once, crashes both; what runs beside it on one
+/// of them is not at fault.
+#[test]
+fn two_runs_at_once_that_crash_both_servers_count_against_their_content() {
+    let (mut entry, bad, beside) = (Entry::new(), content(1), content(2));
+    for round in 0..3 {
+        let (one, other) = (round * 10, round * 10 + 1);
+        entry.breaks(beside, one);
+        entry.breaks(bad, one);
+        entry.breaks(bad, other);
+        entry.ends(one);
+        entry.ends(other);
+        entry.pass(300);
+    }
+    assert!(entry.is_quarantined(bad));
+    assert!(entry.is_free(beside));
+}
+
+/// Seen on a day with the store away: connections to one crashed server broke again and
+/// again, and each time counted as a crash.
+#[test]
+fn a_life_of_a_server_ends_once() {
+    let (mut entry, good) = (Entry::new(), content(1));
+    for _ in 0..5 {
+        entry.crashes(good, 1);
+        entry.pass(600);
+    }
+    assert!(matches!(entry.verdict(good), Verdict::Suspected { .. }));
+}
--- a/crates/notchwalk_route/tests/decisions/suspects.rs
+++ b/crates/notchwalk_route/tests/decisions/suspects.rs
@@ -55,6 +55,8 @@
             rig.pass(Duration::from_millis(30));
         }
     }
+    // By then it is known that no other server ended at the same moment.
+    rig.pass(Duration::from_millis(200));
     crashes
 }
 
@@ -339,6 +341,7 @@
         rig.effects.clear();
         rig.pass(Duration::from_millis(60));
     }
+    rig.pass(Duration::from_millis(100));
     for other in others {
         rig.end(other, AttemptEnd::Delivered { healthy: true });
     }
@@ -371,6 +374,7 @@
             }
         }
     }
+    rig.pass(Duration::from_millis(200));
     assert!(is_quarantined(&rig, bad()));
 }
 
