Failing test: completions that crash their engines, the same cause elsewhere

Cause: notchwalk_decide has the fault of the routed side: up to eight attempts a try, nothing between tries. Six crashes in four tries where three are allowed (the retry budget bounds the rest).

--- a/crates/notchwalk_decide/tests/decisions/main.rs
+++ b/crates/notchwalk_decide/tests/decisions/main.rs
@@ -5,3 +5,4 @@
 mod common;
 mod orders;
 mod policy;
+mod suspects;
