Completions that crash their engines are quarantined as well

Change: notchwalk_decide holds a Quarantine: asked at admission and before each retry, fed by the ends of attempts, confirmed by engines that no longer report their load or can't be reached, told to peers at once and with heartbeats. Engines keep their number when they start again, so a life counter goes into the short id. Callers get 422 quarantined with the time left; the API is our own, so that a final status is free. Ruled out: a limit over tries by idempotency key (most completions have none). Not taken over: the store (entries that all lose power forget), least harm for the second run, calls whose body is passed on unread.

--- a/crates/notchwalk_decide/examples/one_request.rs
+++ b/crates/notchwalk_decide/examples/one_request.rs
@@ -75,6 +75,7 @@
             max_tokens: 50,
             prefix: Vec::new(),
         }),
+        content: None,
         priority: None,
         timeout_ms: None,
     };
--- a/crates/notchwalk_decide/src/admission.rs
+++ b/crates/notchwalk_decide/src/admission.rs
@@ -15,7 +15,7 @@
     lane::Lane,
     node::{Cx, Node},
     request::{Phase, Request},
-    schedule,
+    schedule, suspects,
     timer::TimerKind,
 };
 
@@ -45,7 +45,11 @@
     let caller = arrival.caller;
     if let Err((code, retry_ms)) = admit(node, cx, arrival) {
         node.counters.refused += 1;
-        let retry_after_ms = retry_ms.and_then(|ms| retry_after(node, ms));
+        let retry_after_ms = match code {
+            // Not a time to come back: when the quarantine ends.
+            FailureCode::Quarantined => retry_ms,
+            _ => retry_ms.and_then(|ms| retry_after(node, ms)),
+        };
         let failure = Failure {
             code,
             outcome: OutcomeWord::NotRun,
@@ -121,6 +125,9 @@
             return Err((FailureCode::ContextExceeded, None));
         }
     }
+    if let Some((code, ms)) = suspects::refusal(node, arrival.content, cx.now) {
+        return Err((code, Some(ms)));
+    }
     let sized = size_up(node, &arrival.work);
     let timeout_ms = arrival.timeout_ms.unwrap_or(policy.default_timeout_ms);
     let timeout_ms = timeout_ms.clamp(1, policy.max_timeout_ms);
@@ -163,6 +170,7 @@
         claim: claim::new_claim(&arrival, &bundle),
         queued_at: None,
         plan: None,
+        content: arrival.content,
         work: arrival.work,
     };
     enter(node, cx, request);
--- a/crates/notchwalk_decide/src/attempt.rs
+++ b/crates/notchwalk_decide/src/attempt.rs
@@ -16,10 +16,10 @@
     invariant::invariant,
     long_work,
     node::{Cx, Node},
-    request::{Phase, RequestKey, Running},
+    request::{Phase, Request, RequestKey, Running},
     schedule,
     server::ServerKey,
-    sweep,
+    suspects, sweep,
     timer::TimerKind,
 };
 
@@ -30,7 +30,7 @@
 /// The longest pause after a failed attempt.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 /// How long a stream may stay silent after its first token.
-const STALL: Duration = Duration::from_secs(5);
+pub(crate) const STALL: Duration = Duration::from_secs(5);
 /// How long a first token may take beyond a multiple of the prompt's time.
 const FIRST_TOKEN_STALL: Duration = Duration::from_secs(10);
 /// That multiple.
@@ -80,6 +80,7 @@
     req.sent = true;
     req.running = Some(Running {
         server,
+        since: cx.now,
         progress: cx.now,
         answers: false,
         held,
@@ -108,6 +109,7 @@
     node.counters.attempts += 1;
     charge_estimate(node, key);
     set_stall_timer(node, cx, key);
+    suspects::on_sent(node, cx, key);
     cx.emit(Effect::Dispatch(dispatch));
 }
 
@@ -332,12 +334,14 @@
         }
         return;
     }
+    suspects::on_attempt_ended(node, cx, key, &end);
     match end {
         AttemptEnd::Complete {
             prompt_tokens,
             cached_tokens,
             completion_tokens,
         } => {
+            let req = &node.requests[key];
             let whole = req.generate().is_none() || completion_tokens == req.delivered;
             if !whole {
                 return on_failed_attempt(node, cx, key, AttemptEnd::Broken);
@@ -386,7 +390,10 @@
         AttemptEnd::Refused { .. } => {
             node.servers.arena[server].refused_until = cx.now.after(REFUSED_PAUSE);
         }
-        AttemptEnd::NotSent => schedule::server_failed(node, cx, server),
+        AttemptEnd::NotSent => {
+            suspects::on_server_away(node, cx, server);
+            schedule::server_failed(node, cx, server);
+        }
         AttemptEnd::Broken | AttemptEnd::Complete { .. } => {
             let (id, up_to) = (req.id, req.attempt);
             let cancels = req.generate().is_some();
@@ -420,6 +427,10 @@
     if req.attempt.0 >= MAX_ATTEMPTS && !ran_not {
         return fail(node, cx, key, FailureCode::BackendFailed, Some(1_000));
     }
+    let content = node.requests[key].content;
+    if let Some((code, ms)) = suspects::refusal(node, content, cx.now) {
+        return fail_until(node, cx, key, code, ms);
+    }
     let percent = node.bundle().map_or(0, |b| b.policy.retry_percent);
     if !ran_not && !node.retry.take(percent) {
         return fail(node, cx, key, FailureCode::BackendFailed, Some(2_000));
@@ -453,6 +464,29 @@
     }
 }
 
+/// Ends a request whose content may not be sent now, or for so long.
+fn fail_until(node: &mut Node, cx: &mut Cx<'_>, key: RequestKey, code: FailureCode, ms: u64) {
+    if code != FailureCode::Quarantined {
+        return fail(node, cx, key, code, Some(ms));
+    }
+    let outcome = outcome_of(&node.requests[key]);
+    let failure = Failure {
+        code,
+        outcome,
+        retry_after_ms: Some(ms),
+    };
+    fail_with(node, cx, key, failure);
+}
+
+/// Returns what a failed request's caller is told of whether it ran.
+fn outcome_of(req: &Request) -> OutcomeWord {
+    match (&req.work, req.sent) {
+        (_, false) => OutcomeWord::NotRun,
+        (Work::Generate(_), true) if req.delivered > 0 => OutcomeWord::Ran,
+        (_, true) => OutcomeWord::Unknown,
+    }
+}
+
 /// Ends a request with a failure, wherever it stands.
 pub(crate) fn fail(
     node: &mut Node,
@@ -461,12 +495,7 @@
     code: FailureCode,
     retry_ms: Option<u64>,
 ) {
-    let req = &node.requests[key];
-    let outcome = match (&req.work, req.sent) {
-        (_, false) => OutcomeWord::NotRun,
-        (Work::Generate(_), true) if req.delivered > 0 => OutcomeWord::Ran,
-        (_, true) => OutcomeWord::Unknown,
-    };
+    let outcome = outcome_of(&node.requests[key]);
     let retry_after_ms = retry_ms.and_then(|ms| admission::retry_after(node, ms));
     let failure = Failure {
         code,
--- a/crates/notchwalk_decide/src/effect.rs
+++ b/crates/notchwalk_decide/src/effect.rs
@@ -75,6 +75,11 @@
     KeyReused,
     /// The caller went away.
     CallerGone,
+    /// Servers ended under requests of its content; whether by its fault is not known
+    /// yet.
+    Suspected,
+    /// Requests of its content crash their servers: it is sent to none for a while.
+    Quarantined,
 }
 
 /// A request's failure, as its caller is told.
@@ -84,7 +89,8 @@
     pub code: FailureCode,
     /// Whether the request ran.
     pub outcome: OutcomeWord,
-    /// When to come back, in milliseconds, for failures that may pass.
+    /// When to come back, in milliseconds, for failures that may pass; for a
+    /// quarantined request, when that ends.
     pub retry_after_ms: Option<u64>,
 }
 
--- a/crates/notchwalk_decide/src/event.rs
+++ b/crates/notchwalk_decide/src/event.rs
@@ -4,6 +4,7 @@
 
 use notchwalk_bundle::{Bundle, ModelKey, ServiceKey, WorkspaceKey};
 use notchwalk_core::{Attempt, RequestId, ServerId, Tokens, VmId};
+use notchwalk_quarantine::Fingerprint;
 use notchwalk_wire::{CacheEvents, Holding, LoadReport, PeerMessage};
 
 use crate::{
@@ -60,6 +61,9 @@
     pub workspace: WorkspaceKey,
     /// What is asked for.
     pub work: Work,
+    /// Identifies its content, alike for all its tries; `None` if its body is passed
+    /// on unread.
+    pub content: Option<Fingerprint>,
     /// The priority asked for, bounded by the workspace's.
     pub priority: Option<u8>,
     /// The timeout asked for, bounded by the bundle.
--- a/crates/notchwalk_decide/src/lib.rs
+++ b/crates/notchwalk_decide/src/lib.rs
@@ -30,6 +30,7 @@
 mod retry;
 mod schedule;
 mod server;
+mod suspects;
 mod sweep;
 mod timer;
 
--- a/crates/notchwalk_decide/src/membership.rs
+++ b/crates/notchwalk_decide/src/membership.rs
@@ -21,7 +21,7 @@
     event::PeerRecord,
     long_home, long_work,
     node::{Cx, Node},
-    schedule,
+    schedule, suspects,
 };
 
 /// How often each peer is sent a heartbeat.
@@ -205,7 +205,7 @@
 
     /// Chooses the peers that get heartbeats: all, or with many entries the
     /// next ones on a ring of ids, which gives each the same number.
-    fn receivers(&self) -> Vec<VmId> {
+    pub(crate) fn receivers(&self) -> Vec<VmId> {
         let listed = |p: &Peer| p.record.is_some() || p.counts_as_live();
         let all = self
             .peers
@@ -262,6 +262,7 @@
         PeerMessage::Heartbeat(_) => {}
         PeerMessage::LongRequest(request) => long_home::on_request(node, cx, from, request),
         PeerMessage::LongReply(reply) => long_work::on_reply(node, cx, reply),
+        PeerMessage::Suspects(news) => node.quarantine.hear(from.0, &news, cx.now),
         // The driver moves bundles; the reducer only ever sees a checked one.
         PeerMessage::BundleAsk(_) | PeerMessage::BundleOffer(_) => {}
     }
@@ -365,6 +366,7 @@
     if cx.now >= node.membership.next_heartbeat {
         node.membership.next_heartbeat = cx.now.after(HEARTBEAT_EVERY);
         send_heartbeats(node, cx);
+        suspects::on_heartbeat(node, cx);
     }
 }
 
--- a/crates/notchwalk_decide/src/node.rs
+++ b/crates/notchwalk_decide/src/node.rs
@@ -4,6 +4,7 @@
 
 use notchwalk_bundle::{Bundle, PolicyKind};
 use notchwalk_core::{Instant, LogEvent, LogEventKind, RequestId, Tokens};
+use notchwalk_quarantine::Quarantine;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use slotmap::SlotMap;
@@ -27,6 +28,7 @@
     retry::RetryBudget,
     schedule::{self, Schedule},
     server::Servers,
+    suspects,
     sweep::{self, Cancels},
     timer::{TimerKind, Timers},
 };
@@ -105,6 +107,7 @@
     pub(crate) releases: ClaimReleases,
     pub(crate) orders: Orders,
     pub(crate) drain: Drain,
+    pub(crate) quarantine: Quarantine,
     pub(crate) counters: Counters,
 }
 
@@ -133,6 +136,7 @@
             releases: ClaimReleases::default(),
             orders: Orders::default(),
             drain: Drain::default(),
+            quarantine: Quarantine::default(),
             counters: Counters::default(),
         }
     }
@@ -225,6 +229,7 @@
         orders::on_tick(self, cx);
         schedule::on_tick(self, cx);
         drain::on_tick(self, cx);
+        suspects::on_tick(self, cx);
     }
 
     fn put_in_force(&mut self, cx: &mut Cx<'_>, bundle: Arc<Bundle>) {
@@ -315,6 +320,11 @@
         membership::live_entries(self)
     }
 
+    /// Returns what is known of requests under which servers ended.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// Returns the counts since the boot.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/crates/notchwalk_decide/src/request.rs
+++ b/crates/notchwalk_decide/src/request.rs
@@ -1,6 +1,7 @@
 //! One admitted request and where it stands.
 
 use notchwalk_core::{Attempt, Instant, RequestId, Tokens};
+use notchwalk_quarantine::Fingerprint;
 use slotmap::new_key_type;
 
 use crate::{catalog::GroupKey, catalog::WorkspaceSlot, claim::Claim, event::Work, lane::Lane};
@@ -37,6 +38,8 @@
     pub server: ServerKey,
     /// When the last frame came, or when it was sent.
     pub progress: Instant,
+    /// When it was sent.
+    pub since: Instant,
     /// Whether a token came: its prompt is computed.
     pub answers: bool,
     /// Tokens held on the server.
@@ -58,6 +61,8 @@
     pub group: GroupKey,
     /// What is to be done.
     pub work: Work,
+    /// Identifies its content, if its body was read.
+    pub content: Option<Fingerprint>,
     /// Its length class.
     pub lane: Lane,
     /// Its place among the requests of its node.
--- a/crates/notchwalk_decide/src/schedule.rs
+++ b/crates/notchwalk_decide/src/schedule.rs
@@ -21,6 +21,7 @@
     queue::Place,
     request::{Phase, RequestKey},
     server::{LoadedGroup, ServerKey},
+    suspects,
     timer::TimerKind,
 };
 
@@ -245,6 +246,7 @@
     let Some(key) = node.servers.key(id) else {
         return;
     };
+    suspects::on_server_answers(node, key);
     if report.leaving {
         mark_leaving(node, cx, key);
     }
@@ -301,6 +303,7 @@
 /// An engine did not report when asked.
 pub(crate) fn on_load_failed(node: &mut Node, cx: &mut Cx<'_>, id: ServerId) {
     if let Some(key) = node.servers.key(id) {
+        suspects::on_server_away(node, cx, key);
         server_failed(node, cx, key);
     }
 }
--- a/crates/notchwalk_decide/src/server.rs
+++ b/crates/notchwalk_decide/src/server.rs
@@ -137,6 +137,10 @@
     pub paid_at: Instant,
     /// Its circuit.
     pub circuit: Circuit,
+    /// Lives of it that this node saw end.
+    pub lives: u32,
+    /// It could not be reached when it was last tried.
+    pub away: bool,
     /// It refused work as overloaded until then.
     pub refused_until: Instant,
     /// What its prefix cache is believed to hold.
@@ -159,6 +163,8 @@
             grant: None,
             paid_at: Instant::ZERO,
             circuit: Circuit::Closed { failures: 0 },
+            lives: 0,
+            away: false,
             refused_until: Instant::ZERO,
             prefix: PrefixIndex::default(),
         }
--- a/crates/notchwalk_decide/tests/decisions/common.rs
+++ b/crates/notchwalk_decide/tests/decisions/common.rs
@@ -8,6 +8,7 @@
     Arrival, AttemptEnd, CallWork, CallerKey, Dispatch, Effect, Event, Failure, GenerateWork, Node,
     NodeConfig, RequestKey, ServerKind, ServerRecord, Work,
 };
+use notchwalk_quarantine::Fingerprint;
 use notchwalk_wire::{LoadReport, LoadedModel};
 
 const PUBLIC_KEYS: [&str; 2] = [
@@ -53,6 +54,8 @@
     pub now_ms: u64,
     /// All effects since they were last taken.
     pub out: Vec<Effect>,
+    /// What the requests that arrive are.
+    pub content: Option<Fingerprint>,
     next_caller: u64,
 }
 
@@ -68,6 +71,7 @@
             node: Node::new(NodeConfig::new(VmId(1), BootNumber(5), "d", 7)),
             now_ms: 1_000,
             out: Vec::new(),
+            content: None,
             next_caller: 0,
         };
         let bundle = Bundle::parse(1, &parts(policy)).expect("a valid bundle");
@@ -136,6 +140,7 @@
             caller: CallerKey(self.next_caller),
             workspace: WorkspaceKey(workspace),
             work,
+            content: self.content,
             priority: Some(priority),
             timeout_ms: Some(timeout_ms),
         })));
--- a/crates/notchwalk_decide/tests/decisions/suspects.rs
+++ b/crates/notchwalk_decide/tests/decisions/suspects.rs
@@ -1,7 +1,8 @@
 //! Requests under which backend servers end, over all their tries.
 
 use notchwalk_core::ServerId;
-use notchwalk_decide::{AttemptEnd, Event};
+use notchwalk_decide::{AttemptEnd, Event, FailureCode};
+use notchwalk_quarantine::Fingerprint;
 
 use crate::common::{dispatches, failures, Rig};
 
@@ -12,6 +13,7 @@
 fn a_completion_that_crashes_its_engines_is_sent_to_three_at_most() {
     const ENGINES: u32 = 12;
     let mut rig = Rig::new(ENGINES);
+    rig.content = Some(Fingerprint::from(7));
     let mut crashed = Vec::new();
     for _ in 0..4 {
         rig.generate(100, 10, 60_000);
@@ -26,4 +28,13 @@
         }
     }
     assert_eq!(crashed.len(), 3, "{crashed:?}");
+    rig.take();
+    rig.generate(100, 10, 60_000);
+    let refused = failures(&rig.take());
+    assert_eq!(refused[0].code, FailureCode::Quarantined);
+    rig.content = Some(Fingerprint::from(8));
+    rig.generate(100, 10, 60_000);
+    // Engines that failed get no work for a while.
+    rig.pass(3_000, ENGINES);
+    assert_eq!(dispatches(&rig.take()).len(), 1, "others are served");
 }
--- a/crates/notchwalk_standin/src/bench/steps.rs
+++ b/crates/notchwalk_standin/src/bench/steps.rs
@@ -140,6 +140,7 @@
                 max_tokens: FRAMES,
                 prefix: Vec::new(),
             }),
+            content: None,
             priority: None,
             timeout_ms: Some(3_600_000),
         };
--- a/crates/notchwalk_standin/src/soak/arrivals.rs
+++ b/crates/notchwalk_standin/src/soak/arrivals.rs
@@ -34,6 +34,7 @@
             caller,
             workspace: WorkspaceKey(self.rng.random_range(0..4)),
             work,
+            content: None,
             priority: Some(self.rng.random_range(0..9)),
             timeout_ms: Some(timeout_ms),
         };
--- a/crates/notchwalk_wire/src/peer.rs
+++ b/crates/notchwalk_wire/src/peer.rs
@@ -2,6 +2,7 @@
 //! cost a node 3 KB a second, and names would be most of it.
 
 use notchwalk_core::{BootNumber, RequestId, ServerId, Tokens, VmId};
+use notchwalk_quarantine::News;
 use serde::{Deserialize, Serialize};
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
@@ -138,4 +139,6 @@
     BundleAsk(u64),
     /// A bundle: its manifest and parts as JSON.
     BundleOffer(String),
+    /// What is known of requests under which servers ended.
+    Suspects(Vec<News>),
 }
--- a/crates/notchwalkd/src/api_error.rs
+++ b/crates/notchwalkd/src/api_error.rs
@@ -60,13 +60,20 @@
     /// Builds the error of a decision.
     pub fn from_decision(failure: Failure) -> Self {
         let (status, code, message) = describe(failure.code);
+        let mut message = message.to_owned();
+        let mut retry_after_ms = failure.retry_after_ms;
+        if failure.code == FailureCode::Quarantined {
+            // No time to come back: to repeat it would crash servers again.
+            let left = retry_after_ms.take().unwrap_or(0) / 1_000;
+            message += &format!(" for {left} s; to repeat it does not help");
+        }
         Self {
             status,
             code,
-            message: message.to_owned(),
+            message,
             param: None,
             outcome: failure.outcome,
-            retry_after_ms: failure.retry_after_ms,
+            retry_after_ms,
         }
     }
 
@@ -173,6 +180,16 @@
             "idempotency_key_reused",
             "the idempotency key was used for a different request",
         ),
+        Code::Suspected => (
+            AWAY,
+            "suspected",
+            "servers ended under this request; whether by its fault is not known yet",
+        ),
+        Code::Quarantined => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "quarantined",
+            "servers that ran this request ended under it; it is sent to none",
+        ),
         Code::CallerGone => (
             StatusCode::REQUEST_TIMEOUT,
             "caller_gone",
--- a/crates/notchwalkd/src/completions.rs
+++ b/crates/notchwalkd/src/completions.rs
@@ -7,6 +7,7 @@
 use notchwalk_bundle::{Bundle, Model};
 use notchwalk_decide::{block_hashes, Arrival, CallerKey, Event, GenerateWork, RequestKey, Work};
 use notchwalk_http::{chunk_into, Exchange};
+use notchwalk_quarantine::{Content, Fingerprint, Fingerprinting};
 use notchwalk_wire::Prompt;
 
 use crate::{
@@ -87,6 +88,7 @@
     refuse_unread(shell, caller)?;
     let body = read_body(shell, exchange).await?;
     let wanted = completion_request::parse(dialect, &body)?;
+    let content = content_of(exchange, caller, &body);
     drop(body);
     let variant = resolve(&caller.bundle, caller, &wanted.model)?;
     let max_tokens = wanted.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
@@ -106,6 +108,7 @@
         caller: key,
         workspace: caller.workspace,
         work,
+        content: Some(content),
         priority: options.priority,
         timeout_ms: options.timeout_ms,
     };
@@ -125,6 +128,19 @@
     }
 }
 
+/// Returns what identifies a request over its tries.
+fn content_of(exchange: &Exchange, caller: &Caller, body: &[u8]) -> Fingerprint {
+    let workspace = caller.bundle.workspace(caller.workspace);
+    let mut fingerprinting = Fingerprinting::new(&Content {
+        workspace: Some(&workspace.name),
+        method: exchange.head.method.as_str(),
+        host: "",
+        target: exchange.path(),
+    });
+    fingerprinting.update(body);
+    fingerprinting.finish()
+}
+
 /// Refuses what is refused whatever the body says, before it is read: a
 /// refusal must cost less than the work it refuses.
 fn refuse_unread(shell: &Shell, caller: &Caller) -> Result<(), ApiFailure> {
--- a/crates/notchwalkd/src/service_proxy.rs
+++ b/crates/notchwalkd/src/service_proxy.rs
@@ -12,6 +12,7 @@
 use notchwalk_http::{
     chunk_into, request_head, Connection, Exchange, HttpError, Reuse, StreamedResponse, CHUNK_END,
 };
+use notchwalk_quarantine::{Content, Fingerprint, Fingerprinting};
 
 use crate::{
     api_error::ApiFailure,
@@ -100,6 +101,7 @@
     let repeatable = listed && matches!(body, Body::Held(_)) && idempotency_key.is_none();
     let target = target_of(exchange, name);
     let fingerprint = fingerprint(&method, &target, &body);
+    let content = content_of(&workspace.name, &method, &target, &body);
     let claim = idempotency_key.as_ref().map(|idempotency_key| {
         let key = claim_key(&workspace.name, name, idempotency_key);
         (key, fingerprint.clone())
@@ -114,6 +116,7 @@
             idempotency_key,
             fingerprint,
         }),
+        content,
         priority: options.priority,
         timeout_ms: Some(options.timeout_ms.unwrap_or(service.timeout_ms)),
     };
@@ -185,6 +188,22 @@
     }
 }
 
+/// Returns what identifies a call over its tries; a body that is passed on unread tells
+/// nothing.
+fn content_of(workspace: &str, method: &Method, target: &str, body: &Body) -> Option<Fingerprint> {
+    let Body::Held(body) = body else {
+        return None;
+    };
+    let mut fingerprinting = Fingerprinting::new(&Content {
+        workspace: Some(workspace),
+        method: method.as_str(),
+        host: "",
+        target,
+    });
+    fingerprinting.update(body);
+    Some(fingerprinting.finish())
+}
+
 fn fingerprint(method: &Method, target: &str, body: &Body) -> String {
     let mut hasher = blake3::Hasher::new();
     hasher.update(method.as_str().as_bytes());
