Entries beyond 64 fall into groups that share a part of the servers

Hypothesis: groups of 33 to 64 entries, each with a part of the engines, bound what is told, heard and looked at; up to 64 entries nothing changes. Change: Group, found by each entry from the records that it has anyway, in an order that all share; work is told to the group, heartbeats to the group and eight others in turn, words of crashing requests to all. Followers of the store are counted by group. Ruled out for now: rendezvous hashing of entries and servers (uneven groups: a third more or less engines an entry), a coordinator (none is to run). Six tests of the grouping; all others green.

--- a/crates/notchwalk_relay/src/lib.rs
+++ b/crates/notchwalk_relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod metrics;
 mod operator;
 mod peer_link;
+mod peers;
 mod presence;
 mod quarantine;
 mod server_watch;
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -11,7 +11,7 @@
 use slotmap::SecondaryMap;
 
 use crate::{
-    engine_orders, metrics::Metrics, peer_link::Peers, quarantine, signal::Signal, Dialect,
+    engine_orders, metrics::Metrics, peers::Peers, quarantine, signal::Signal, Dialect,
     RelaySettings,
 };
 
@@ -81,6 +81,7 @@
         client: Client,
     ) -> Self {
         Self {
+            peers: RefCell::new(Peers::new(&settings.name)),
             settings,
             boot,
             clock: Clock::new(),
@@ -89,7 +90,6 @@
             store,
             client,
             metrics: Metrics::new(),
-            peers: RefCell::default(),
             limits: std::cell::Cell::default(),
             stopping: std::cell::Cell::default(),
             store_up: std::cell::Cell::new(false),
--- a/crates/notchwalk_relay/src/table_watch.rs
+++ b/crates/notchwalk_relay/src/table_watch.rs
@@ -207,10 +207,10 @@
         /// The longest wait: what was missed is mended then.
         const LONGEST: Duration = Duration::from_secs(30);
         let since = self.shell.now();
-        let (name, peers) = (&self.shell.settings.name, &self.shell.peers);
+        let peers = &self.shell.peers;
         while self.seen.is_some() && !self.reader.is_behind() && !self.was_suspended() {
             let now = self.shell.now();
-            let follows = peers.borrow().is_follower(name, now);
+            let follows = peers.borrow().is_follower(now);
             if follows || self.reader.is_unsettled() || now.since(since) > LONGEST {
                 return;
             }
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -4,7 +4,9 @@
 
 use notchwalk_quarantine::{Fingerprint, News};
 
-use crate::{PeerWork, RequestFacts, RequestKey, ReservationOrder, ServerChange, SiteConfig};
+use crate::{
+    Group, PeerWork, RequestFacts, RequestKey, ReservationOrder, ServerChange, SiteConfig,
+};
 
 /// How sending a request to a server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -118,6 +120,8 @@
         /// The content.
         content: Fingerprint,
     },
+    /// The group of entries that this one belongs to, among many.
+    Group(Group),
     /// How many entries share what is allowed to all, this one included.
     Entries {
         /// The count.
--- a/crates/notchwalk_route/src/fleet.rs
+++ b/crates/notchwalk_route/src/fleet.rs
@@ -10,7 +10,7 @@
 use notchwalk_core::Instant;
 use slotmap::{new_key_type, SlotMap};
 
-use crate::shares::tag_of;
+use crate::{shares::tag_of, Group};
 
 new_key_type! {
     /// A server's place in the fleet.
@@ -135,6 +135,8 @@
     by_instance: HashMap<String, ServerKey>,
     by_tag: HashMap<u32, ServerKey>,
     by_service: HashMap<String, Vec<ServerKey>>,
+    /// The group of this entry, which has a part of the servers to itself.
+    group: Group,
     /// Lives that ended as the server started again: a request may still be on
     /// one. The newest last.
     ended_lives: VecDeque<EndedLife>,
@@ -231,6 +233,23 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Sets the group of this entry.
+    pub fn set_group(&mut self, group: Group) {
+        self.group = group;
+    }
+
+    /// Returns the servers of a service that this entry uses: those of its group, or
+    /// all of them while none of its own takes work.
+    pub fn in_use(&self, service: &str, now: Instant) -> &[ServerKey] {
+        let all = self.of_service(service);
+        let own = self.group.part(all);
+        let takes_work = |key: &ServerKey| self.servers[*key].takes_work(now);
+        match own.iter().any(takes_work) {
+            true => own,
+            false => all,
+        }
+    }
+
     /// Returns the server with this short id.
     pub fn by_tag(&self, tag: u32) -> Option<ServerKey> {
         self.by_tag.get(&tag).copied()
--- a/crates/notchwalk_route/src/lib.rs
+++ b/crates/notchwalk_route/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `routes` | which route a request takes, and whose key it carries |
 //! | `first_try` | since when a caller has been asking |
 //! | `fleet` | which backend servers exist and which may be used |
+//! | `groups` | which servers an entry uses among many entries |
 //! | `board` | what runs on each server, by this entry and by its peers |
 //! | `engine_cost` | what work costs on a model engine |
 //! | `shares` | which workspaces use more than their share of the engines |
@@ -26,6 +27,7 @@
 mod event;
 mod first_try;
 mod fleet;
+mod groups;
 mod placement;
 mod request;
 mod reservations;
@@ -43,6 +45,7 @@
 pub use engine_cost::EngineCost;
 pub use event::{AttemptEnd, Event, FailedReservation};
 pub use fleet::{Fleet, Server, ServerChange, ServerKey, ServerRecord, ServerStage};
+pub use groups::{entry_order, Group};
 pub use request::{RequestFacts, RequestKey};
 pub use retry_budget::RetryBudget;
 pub use router::{Router, RouterConfig};
--- a/crates/notchwalk_route/src/placement/call.rs
+++ b/crates/notchwalk_route/src/placement/call.rs
@@ -22,7 +22,7 @@
     /// Added to the load of a server in another failure domain.
     const FAR: f64 = 0.05;
     let mut best: Option<(f64, ServerKey)> = None;
-    for &key in fleet.of_service(service) {
+    for &key in fleet.in_use(service, now) {
         let Some(server) = fleet.get(key) else {
             continue;
         };
--- a/crates/notchwalk_route/src/placement/mod.rs
+++ b/crates/notchwalk_route/src/placement/mod.rs
@@ -227,7 +227,7 @@
     }
 
     fn views(&self, service: &str, tried: &[ServerKey]) -> Vec<View> {
-        let servers = self.fleet.of_service(service);
+        let servers = self.fleet.in_use(service, self.now);
         let mut views = Vec::with_capacity(servers.len());
         let mut short = 0;
         for &key in servers {
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -225,6 +225,7 @@
             Event::Release { content } => {
                 self.quarantine.release(content, now);
             }
+            Event::Group(group) => self.fleet.set_group(group),
             Event::Entries { count } => self.entries = Some(count),
             Event::Reserved { request, failed } => self.reserved(request, &failed, now, out),
             Event::Unanswered(order) => self.reservations.note_unanswered(&order, now),
--- a/crates/notchwalk_route/tests/decisions/main.rs
+++ b/crates/notchwalk_route/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod engine_cost;
+mod groups;
 mod leaving;
 mod placement;
 mod random_runs;
