The operator's idle and head timeouts are applied

Change: a service says which bounds are in force, asked before each request and when a connection has lain idle for its time, since a longer bound may have come meanwhile. Ruled out: bounds that a connection keeps from its start (callers rest for up to four fifths of the newest). Caps for connections to servers were tried and dropped: one number for all addresses would leave one kept connection an engine on grown fleets.

--- a/crates/notchwalk_http/src/server.rs
+++ b/crates/notchwalk_http/src/server.rs
@@ -52,6 +52,12 @@
     /// Answers one request through its exchange.
     fn call<'a>(&'a self, exchange: &'a mut Exchange) -> LocalBoxFuture<'a, ()>;
 
+    /// Returns the bounds in force now, given those that the server started with.
+    /// Asked before each request, and again when a connection lay idle for its time.
+    fn limits(&self, started_with: ServerLimits) -> ServerLimits {
+        started_with
+    }
+
     /// Answers a request that could not be read; the connection closes after.
     /// Without a better answer it closes at once.
     fn refuse<'a>(
@@ -372,10 +378,10 @@
         return;
     };
     loop {
-        let waited = monoio::time::timeout(limits.idle, conn.wait_readable()).await;
-        if !matches!(waited, Ok(Ok(true))) {
+        if !is_taken_up(&mut conn, limits, &*service).await {
             return;
         }
+        let limits = service.limits(limits);
         let read = monoio::time::timeout(limits.head, conn.read_request_head()).await;
         let head = read.unwrap_or(Err(HttpError::TimedOut));
         let (mut exchange, fault) = match head {
@@ -411,6 +417,22 @@
     }
 }
 
+/// Waits for the next request; tells whether it came while the connection may lie
+/// idle. The bound may have grown meanwhile, so that its peer counts on more.
+async fn is_taken_up(conn: &mut Connection, limits: ServerLimits, service: &dyn Service) -> bool {
+    let mut waited = Duration::ZERO;
+    loop {
+        let idle = service.limits(limits).idle;
+        let Some(left) = idle.checked_sub(waited).filter(|left| !left.is_zero()) else {
+            return false;
+        };
+        match monoio::time::timeout(left, conn.wait_readable()).await {
+            Ok(readable) => return matches!(readable, Ok(true)),
+            Err(_) => waited += left,
+        }
+    }
+}
+
 fn empty_head() -> RequestHead {
     let (head, ()) = http::Request::new(()).into_parts();
     head
--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -313,6 +313,15 @@
         Box::pin(async move { self.reject(exchange, "", status, reason, None).await })
     }
 
+    fn limits(&self, started_with: ServerLimits) -> ServerLimits {
+        let configured = self.shell.limits.get();
+        ServerLimits {
+            idle: configured.idle_timeout,
+            head: configured.head_timeout,
+            ..started_with
+        }
+    }
+
     fn panicked(&self) {
         LogEvent::new(LogEventKind::RequestPanicked, "side=caller").emit();
     }
