--- a/crates/notchwalk_route/src/board.rs
+++ b/crates/notchwalk_route/src/board.rs
@@ -289,6 +289,11 @@
         shares
     }
 
+    /// Tells whether there was ever work on a server, as far as is known.
+    pub(crate) fn knows(&self, server: ServerKey) -> bool {
+        self.work.contains_key(server)
+    }
+
     /// Returns the work on a server.
     pub(crate) fn on(&self, server: ServerKey) -> &[Work] {
         self.work.get(server).map_or(&[], Vec::as_slice)
--- a/crates/notchwalk_route/src/groups.rs
+++ b/crates/notchwalk_route/src/groups.rs
@@ -12,9 +12,10 @@
 
 use crate::shares::tag_of;
 
-/// Entries up to which there is one group; from here on a group has more than half as
-/// many.
+/// Entries up to which there is one group.
 const MOST_TOGETHER: usize = 64;
+/// Entries of a group at most, where there are several; each has more than half as many.
+const MOST_IN_GROUP: usize = 24;
 /// Servers of a service that a group has at least; with fewer, neighbouring groups share
 /// theirs. As many as read a long prompt together.
 const LEAST_SERVERS: usize = 8;
@@ -35,7 +36,10 @@
 impl Group {
     /// Returns the group of the entry at a place in the order of all entries.
     pub fn of_place(place: usize, entries: usize) -> Self {
-        let groups = entries.div_ceil(MOST_TOGETHER).next_power_of_two();
+        let groups = match entries {
+            0..=MOST_TOGETHER => 1,
+            _ => entries.div_ceil(MOST_IN_GROUP).next_power_of_two(),
+        };
         Self {
             index: place * groups / entries.max(1),
             count: groups,
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -140,9 +140,11 @@
         self.own_work(changed.into_iter(), now)
     }
 
-    /// Returns this entry's own work on all servers.
+    /// Returns this entry's own work on all servers that anybody was ever known to use:
+    /// of the others there is nothing to correct, and they are many.
     pub fn all_own_work(&self, now: Instant) -> (Vec<u32>, Vec<crate::PeerWork>) {
-        self.own_work(self.fleet.iter().map(|(key, _)| key), now)
+        let servers = self.fleet.iter().map(|(key, _)| key);
+        self.own_work(servers.filter(|&key| self.board.knows(key)), now)
     }
 
     fn own_work(
