--- a/crates/notchwalk_quarantine/src/lib.rs
+++ b/crates/notchwalk_quarantine/src/lib.rs
@@ -22,7 +22,8 @@
 //! |---|---|
 //! | `fingerprint` | which tries are the same request |
 //! | `suspect` | what is known of one content |
-//! | `quarantine` | all suspects of an entry, and the rules above |
+//! | `quarantine/` | all suspects of an entry, and the rules above |
+//! | `verdict` | what follows for a request, and what became known |
 //! | `news` | what entries tell each other of them |
 //! | `recent` | contents that lately ran to a good end |
 
@@ -32,11 +33,13 @@
 mod quarantine;
 mod recent;
 mod suspect;
+mod verdict;
 
 pub mod prelude;
 
 pub use error::FingerprintError;
 pub use fingerprint::{Content, Fingerprint, Fingerprinting};
 pub use news::News;
-pub use quarantine::{EndReason, Finding, Quarantine, Quarantined, SuspectView, Verdict};
+pub use quarantine::Quarantine;
 pub use suspect::Crash;
+pub use verdict::{EndReason, Finding, Quarantined, SuspectView, Verdict};
