Example and limitations of the quarantine crate

Cause: the other crates have a runnable example each and say what they can't do. Change: an example that prints what follows for a crashing request and one beside it.

--- /dev/null
+++ b/crates/notchwalk_quarantine/examples/query_of_death.rs
@@ -0,0 +1,39 @@
+//! A request that crashes the servers that run it comes again and again; one that ran
+//! beside it is left alone. `cargo run -p notchwalk_quarantine --example query_of_death`
+
+use std::time::Duration;
+
+use notchwalk_core::Instant;
+use notchwalk_quarantine::prelude::*;
+
+fn content(target: &str) -> Fingerprint {
+    let head = Content {
+        workspace: Some("riggers"),
+        method: "POST",
+        host: "a.example",
+        target,
+    };
+    Fingerprinting::new(&head).finish()
+}
+
+fn main() {
+    let (crashing, beside) = (content("/review/7"), content("/question/1"));
+    let mut quarantine = Quarantine::default();
+    let mut now = Instant::from_millis(3_600_000);
+    for server in 1..=3 {
+        // Both ran on the server when its connections broke; a refused connection shows
+        // that it ended.
+        quarantine.note_broken(crashing, &[server], 1, false, now);
+        if server == 1 {
+            quarantine.note_broken(beside, &[server], 1, false, now);
+        }
+        quarantine.note_server_ended(server, false, now);
+        now = now.after(Duration::from_millis(400));
+        quarantine.pass_time(now);
+        println!(
+            "after server {server}: {:?}",
+            quarantine.verdict(crashing, now)
+        );
+    }
+    println!("what ran beside it: {:?}", quarantine.verdict(beside, now));
+}
--- a/crates/notchwalk_quarantine/src/lib.rs
+++ b/crates/notchwalk_quarantine/src/lib.rs
@@ -18,6 +18,10 @@
 //!   them only;
 //! - a crash that a quarantined request explains counts for nobody else.
 //!
+//! Limitations: two requests that were at all three of each other's crashes are both
+//! quarantined; one that crashes only some servers is cleared by each good end; a body
+//! that is passed on unread has no fingerprint.
+//!
 //! | file | what it holds |
 //! |---|---|
 //! | `fingerprint` | which tries are the same request |
