What is left of a quarantine is asked in one place; the caller's text reads by itself

Cause: read as a newcomer: the same three lines stood twice, and the text said until then without saying when. Change: both. No decision changed; decision tests green.

--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -285,8 +285,8 @@
 fn quarantined_body(left: Duration) -> String {
     let body = serde_json::json!({
         "error": "quarantined",
-        "message": "Servers that ran this request ended under it. It is not sent to any \
-                    until then; to repeat it does not help.",
+        "message": "Servers that ran this request ended under it. It is sent to none for \
+                    so many seconds; to repeat it does not help.",
         "left_s": left.as_secs(),
     });
     format!("{body}\n")
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -72,9 +72,7 @@
             true => Refusal::Unknown,
             false => reason,
         };
-        let content = self.requests.get(key).and_then(Option::as_ref);
-        let content = content.map(|request| request.facts.content);
-        let left = content.and_then(|content| self.quarantine_left(content, now));
+        let left = self.quarantine_left(key, now);
         self.forget(key, now, out);
         let retry_after = match reason {
             Refusal::NotReady => Some(Duration::from_millis(500)),
@@ -225,10 +223,7 @@
             out.push(Effect::DeliverFailure { request: key });
             return;
         }
-        let content = self.requests.get(key).and_then(Option::as_ref);
-        let content = content.map(|request| request.facts.content);
-        let left = content.and_then(|content| self.quarantine_left(content, now));
-        let reason = match left {
+        let reason = match self.quarantine_left(key, now) {
             Some(_) => Refusal::Quarantined,
             None => Refusal::NotRun,
         };
--- a/crates/notchwalk_route/src/router/suspects.rs
+++ b/crates/notchwalk_route/src/router/suspects.rs
@@ -58,9 +58,10 @@
         }
     }
 
-    /// Returns how long a content is still quarantined.
-    pub(super) fn quarantine_left(&self, content: Fingerprint, now: Instant) -> Option<Duration> {
-        match self.quarantine.verdict(content, now) {
+    /// Returns how long a request's content is still quarantined, if it is.
+    pub(super) fn quarantine_left(&self, key: RequestKey, now: Instant) -> Option<Duration> {
+        let request = self.requests.get(key)?.as_ref()?;
+        match self.quarantine.verdict(request.facts.content, now) {
             Verdict::Quarantined { until } => Some(until.since(now)),
             _ => None,
         }
