Two requests that crash servers in crowds no longer hide behind each other

Change: a loss that struck others too counts half; losses are compared within 25 ms, not 50; what another content explains, that is quarantined or was there at another moment too, is no common cause. A request and its returns meet at most four losses, two moments' worth or three with repeated ones, so that losses alone quarantine nobody.

--- a/crates/notchwalk_quarantine/src/lib.rs
+++ b/crates/notchwalk_quarantine/src/lib.rs
@@ -14,8 +14,8 @@
 //!   crashed;
 //! - a crash counts for a quarantine only once something else shows that the
 //!   server ended: its record is gone or of a new life, or it can't be reached;
-//! - servers lost at the same moment count as one, and for nobody who ran on some of
-//!   them only;
+//! - servers lost at the same moment count as one, and half for who ran on some of them
+//!   only;
 //! - a crash that a quarantined request explains counts for nobody else.
 //!
 //! Limitations: two requests that were at all three of each other's crashes are both
--- a/crates/notchwalk_quarantine/src/quarantine/evidence.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/evidence.rs
@@ -32,9 +32,12 @@
         self.make_room(content, now);
         let suspect = self.suspects.entry(content).or_default();
         let is_new = suspect.add(crash);
-        self.compare_losses(crash.at);
+        self.compare_losses(crash.at, now);
         if is_new && crash.own {
-            let moments = self.suspects.get(&content).map_or(0, |s| s.moments().all);
+            let moments = self
+                .suspects
+                .get(&content)
+                .map_or(0, |s| s.moments().count());
             self.findings.push(Finding::Crashed {
                 content,
                 crash,
@@ -46,13 +49,24 @@
     /// Compares which servers were lost at one moment with those that each content ran
     /// on. One that lacks some of them is not the cause: three losses of many servers
     /// at once turned prompts away that many engines read.
-    pub(super) fn compare_losses(&mut self, at: Instant) {
-        let suspects = self.suspects.values();
-        let crashes = suspects.flat_map(|suspect| suspect.crashes_at(at));
-        let ended: HashSet<u32> = crashes
-            .filter(|crash| crash.confirmed)
-            .map(|crash| crash.server)
-            .collect();
+    /// What another content explains, that is quarantined or was there at another moment
+    /// as well, was no common cause: two requests that crash servers often enough do so
+    /// at one moment.
+    pub(super) fn compare_losses(&mut self, at: Instant, now: Instant) {
+        let (mut ended, mut explained) = (HashSet::new(), HashSet::new());
+        for suspect in self.suspects.values() {
+            if suspect.crashes_at(at).next().is_none() {
+                continue;
+            }
+            let is_cause = suspect.is_quarantined(now) || suspect.moments().count() > 1;
+            for crash in suspect.crashes_at(at).filter(|crash| crash.confirmed) {
+                ended.insert(crash.server);
+                if is_cause {
+                    explained.insert(crash.server);
+                }
+            }
+        }
+        ended.retain(|server| !explained.contains(server));
         for suspect in self.suspects.values_mut() {
             let ran_on: HashSet<u32> = suspect.crashes_at(at).map(|c| c.server).collect();
             if !ran_on.is_empty() {
@@ -96,7 +110,7 @@
         }
         moments.dedup();
         for &at in &moments {
-            self.compare_losses(at);
+            self.compare_losses(at, seen);
         }
         !moments.is_empty()
     }
--- a/crates/notchwalk_quarantine/src/quarantine/judging.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/judging.rs
@@ -11,12 +11,12 @@
     EndReason, Finding, Fingerprint, Quarantined,
 };
 
-/// Separate moments at which servers ended under a content, from which it is sent
-/// to no more of them. The users' bound is three; with two, requests that were
+/// Separate moments at which servers ended under a content, in halves, from which it is
+/// sent to no more of them. The users' bound is three; with two, requests that were
 /// twice beside one that crashes servers would be turned away with it.
-const MOMENTS_TO_QUARANTINE: u32 = 3;
+const HALVES_TO_QUARANTINE: u32 = 2 * 3;
 /// The same once a content was quarantined before.
-const MOMENTS_AFTER_QUARANTINE: u32 = 1;
+const HALVES_AFTER_QUARANTINE: u32 = 2;
 /// How long the first quarantine lasts; each further one twice as long. Long
 /// against the seconds that a server takes to come back, so that what it costs
 /// to learn it again, three servers, is rare; short enough that a request which
@@ -81,7 +81,7 @@
                 true => DECLARED_AFTER,
                 false => OTHERS_DECLARE,
             };
-            let is_proved = suspect.moments().confirmed >= moments_allowed(suspect);
+            let is_proved = suspect.moments().confirmed_halves() >= halves_allowed(suspect);
             is_proved && suspect.term.is_none() && now.since(suspect.last_crash()) >= wait
         };
         let suspects = self.suspects.iter();
@@ -129,12 +129,15 @@
             });
         }
         for (&other, suspect) in &mut self.suspects {
-            let is_spoken_for = suspect.moments().all >= moments_allowed(suspect);
+            let is_spoken_for = suspect.moments().halves() >= halves_allowed(suspect);
             if other == content || suspect.is_quarantined(now) || is_spoken_for {
                 continue;
             }
             suspect.retain(|crash| !crashes.iter().any(|known| is_same(known, crash)));
         }
+        for crash in &crashes {
+            self.compare_losses(crash.at, now);
+        }
         self.findings.push(Finding::Quarantined(Quarantined {
             content,
             crashes,
@@ -147,10 +150,10 @@
 
 /// A content that was quarantined before needs no further proof: those that had as
 /// much against them were judged with it.
-pub(super) fn moments_allowed(suspect: &Suspect) -> u32 {
+pub(super) fn halves_allowed(suspect: &Suspect) -> u32 {
     match suspect.times {
-        0 => MOMENTS_TO_QUARANTINE,
-        _ => MOMENTS_AFTER_QUARANTINE,
+        0 => HALVES_TO_QUARANTINE,
+        _ => HALVES_AFTER_QUARANTINE,
     }
 }
 
@@ -158,7 +161,7 @@
 /// those that ran there may be the cause, if a request is it at all; being there
 /// twice is hardly chance.
 pub(super) fn risk(suspect: &Suspect, moments: Moments) -> f64 {
-    if moments.all > 1 {
+    if moments.count() > 1 {
         return 1.0;
     }
     let others = suspect.crashes().iter().map(|crash| crash.others).min();
--- a/crates/notchwalk_quarantine/src/quarantine/mod.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/mod.rs
@@ -20,7 +20,7 @@
     suspect::{Crash, Runner, Suspect},
     EndReason, Finding, Fingerprint, SuspectView, Verdict,
 };
-use judging::{moments_allowed, risk};
+use judging::{halves_allowed, risk};
 
 /// The suspects of one entry.
 #[derive(Debug, Default)]
@@ -45,15 +45,19 @@
             return Verdict::Quarantined { until: term.until };
         }
         let moments = suspect.moments();
-        if moments.all == 0 {
+        if moments.count() == 0 {
             return Verdict::Free;
         }
-        if moments.all >= moments_allowed(suspect) {
+        if moments.halves() >= halves_allowed(suspect) {
             return Verdict::Held;
         }
         if suspect.is_running(now) && !self.recent.contains(content, now) {
             return Verdict::Busy;
         }
+        // One loss that struck others too says next to nothing.
+        if moments.alone == 0 && moments.shared < 2 {
+            return Verdict::Free;
+        }
         Verdict::Suspected {
             risk: risk(suspect, moments),
         }
--- a/crates/notchwalk_quarantine/src/quarantine/telling.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/telling.rs
@@ -125,7 +125,7 @@
             if suspect.is_quarantined(now) {
                 continue;
             }
-            let many = whole && suspect.moments().all > 1;
+            let many = whole && suspect.moments().count() > 1;
             for crash in suspect.crashes() {
                 let fresh = crash.own && now.since(crash.at) < RETOLD_FOR;
                 if !fresh && !many {
--- a/crates/notchwalk_quarantine/src/suspect.rs
+++ b/crates/notchwalk_quarantine/src/suspect.rs
@@ -7,7 +7,11 @@
 /// Crashes within this time count as one: a rack that is lost, or an entry's
 /// connections that are reset, strike at one moment, and entries notice it within
 /// 15 ms of each other.
-pub(crate) const SAME_MOMENT: Duration = Duration::from_millis(50);
+const SAME_MOMENT: Duration = Duration::from_millis(50);
+/// Servers lost within this time may have one cause: entries notice a loss within
+/// 15 ms of each other. Longer, and two requests that crash servers would often be
+/// taken for a common cause.
+const LOST_TOGETHER: Duration = Duration::from_millis(25);
 /// Reports of one crash, told again or by several entries, differ by less.
 const SAME_REPORT: Duration = Duration::from_millis(60);
 /// Crashes kept of one content: those of a prompt that 17 engines read, any of
@@ -82,16 +86,40 @@
 }
 
 /// Tells whether two crashes may have one cause.
-pub(crate) fn is_same_moment(a: Instant, b: Instant) -> bool {
-    a.since(b).max(b.since(a)) < SAME_MOMENT
+fn is_same_moment(a: Instant, b: Instant) -> bool {
+    a.since(b).max(b.since(a)) < LOST_TOGETHER
 }
 
 /// Moments at which servers were lost under a content.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Moments {
-    pub all: u32,
-    /// Those at which a server's end is confirmed.
-    pub confirmed: u32,
+    /// Those at which no other server was lost.
+    pub alone: u32,
+    /// Those at which others were lost too.
+    pub shared: u32,
+    /// Those of the first at which a server's end is confirmed.
+    pub alone_confirmed: u32,
+    /// The same of the second.
+    pub shared_confirmed: u32,
+}
+
+impl Moments {
+    /// Returns how much speaks against the content, in halves of a moment. One at which
+    /// others were lost too counts half: a request and its returns are not caught by that
+    /// many losses, but two that crash servers often enough do so at one moment.
+    pub fn halves(self) -> u32 {
+        2 * self.alone + self.shared
+    }
+
+    /// Returns the same of what is confirmed.
+    pub fn confirmed_halves(self) -> u32 {
+        2 * self.alone_confirmed + self.shared_confirmed
+    }
+
+    /// Returns all moments.
+    pub fn count(self) -> u32 {
+        self.alone + self.shared
+    }
 }
 
 impl Suspect {
@@ -192,18 +220,22 @@
         let mut began: Option<Instant> = None;
         let mut is_confirmed = false;
         for crash in &self.crashes {
-            if crash.shared || crash.silent && !crash.confirmed {
+            if crash.silent && !crash.confirmed {
                 continue;
             }
+            let (all, confirmed) = match crash.shared {
+                true => (&mut moments.shared, &mut moments.shared_confirmed),
+                false => (&mut moments.alone, &mut moments.alone_confirmed),
+            };
             let same = began.is_some_and(|began| crash.at.since(began) < SAME_MOMENT);
             if !same {
                 began = Some(crash.at);
                 is_confirmed = false;
-                moments.all += 1;
+                *all += 1;
             }
             if crash.confirmed && !is_confirmed {
                 is_confirmed = true;
-                moments.confirmed += 1;
+                *confirmed += 1;
             }
         }
         moments
