--- a/crates/notchwalk_quarantine/src/quarantine/evidence.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/evidence.rs
@@ -49,7 +49,7 @@
     /// Compares which servers were lost at one moment with those that each content ran
     /// on. One that lacks some of them is not the cause: three losses of many servers
     /// at once turned prompts away that many engines read.
-    /// What another content explains, that is quarantined or was there at another moment
+    /// What another content explains, that is quarantined or was there at two other moments
     /// as well, was no common cause: two requests that crash servers often enough do so
     /// at one moment.
     pub(super) fn compare_losses(&mut self, at: Instant, now: Instant) {
@@ -58,7 +58,7 @@
             if suspect.crashes_at(at).next().is_none() {
                 continue;
             }
-            let is_cause = suspect.is_quarantined(now) || suspect.moments().count() > 1;
+            let is_cause = suspect.is_quarantined(now) || suspect.moments().count() > 2;
             for crash in suspect.crashes_at(at).filter(|crash| crash.confirmed) {
                 ended.insert(crash.server);
                 if is_cause {
