--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -188,6 +188,8 @@
 /// Tells the router how many entries share what is allowed to all, and which group this
 /// one belongs to.
 pub(crate) fn count_entries(shell: &Rc<Shell>) {
+    let servers = shell.router.borrow().fleet().largest_service();
+    shell.peers.borrow_mut().set_servers(servers);
     let group = shell.peers.borrow_mut().regroup(shell.now());
     shell.step(Event::Group(group));
     let sharing = shell.peers.borrow().sharing(shell.now());
--- a/crates/notchwalk_relay/src/peers.rs
+++ b/crates/notchwalk_relay/src/peers.rs
@@ -89,6 +89,8 @@
     next_number: u32,
     /// Whether the records of all entries were read.
     records_read: bool,
+    /// Servers of the largest service.
+    servers: usize,
     group: Group,
     /// The other entries of this one's group.
     near: HashSet<SocketAddr>,
@@ -128,6 +130,11 @@
         self.regroup(now);
     }
 
+    /// Sets how many servers the largest service has.
+    pub fn set_servers(&mut self, servers: usize) {
+        self.servers = servers;
+    }
+
     /// Finds the group of this entry and who else is in it, from the entries that are
     /// on record and were heard or found lately.
     pub fn regroup(&mut self, now: Instant) -> Group {
@@ -140,11 +147,11 @@
         order.sort();
         let entries = order.len();
         let place = order.iter().position(|(_, addr)| addr.is_none());
-        let group = Group::of_place(place.unwrap_or(0), entries);
+        let group = Group::of_place(place.unwrap_or(0), entries, self.servers);
         let (mut near, mut far) = (HashSet::new(), Vec::new());
         for (place, (_, addr)) in order.into_iter().enumerate() {
             match addr {
-                Some(addr) if Group::of_place(place, entries) == group => {
+                Some(addr) if Group::of_place(place, entries, self.servers) == group => {
                     near.insert(addr);
                 }
                 Some(addr) => far.push(addr),
--- a/crates/notchwalk_route/src/fleet.rs
+++ b/crates/notchwalk_route/src/fleet.rs
@@ -233,6 +233,11 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the servers of the largest service.
+    pub fn largest_service(&self) -> usize {
+        self.by_service.values().map(Vec::len).max().unwrap_or(0)
+    }
+
     /// Sets the group of this entry.
     pub fn set_group(&mut self, group: Group) {
         self.group = group;
--- a/crates/notchwalk_route/src/groups.rs
+++ b/crates/notchwalk_route/src/groups.rs
@@ -16,8 +16,12 @@
 const MOST_TOGETHER: usize = 64;
 /// Entries of a group at most, where there are several; each has more than half as many.
 const MOST_IN_GROUP: usize = 24;
-/// Servers of a service that a group has at least; with fewer, neighbouring groups share
-/// theirs. As many as read a long prompt together.
+/// Servers of the largest service that a group has at least. With 15 of 60 engines to
+/// each of four groups of 19 entries, days earned 0.06 and 0.09 less than with one group
+/// (two grown deployments, four paired plays each): long prompts are read by up to 17.
+const LEAST_SERVERS_A_GROUP: usize = 48;
+/// Servers of any service that a group has at least; with fewer, neighbouring groups
+/// share theirs.
 const LEAST_SERVERS: usize = 8;
 
 /// One of a number of groups, which is a power of two.
@@ -34,12 +38,15 @@
 }
 
 impl Group {
-    /// Returns the group of the entry at a place in the order of all entries.
-    pub fn of_place(place: usize, entries: usize) -> Self {
+    /// Returns the group of the entry at a place in the order of all entries, before
+    /// `servers` of the largest service.
+    pub fn of_place(place: usize, entries: usize, servers: usize) -> Self {
         let groups = match entries {
             0..=MOST_TOGETHER => 1,
             _ => entries.div_ceil(MOST_IN_GROUP).next_power_of_two(),
         };
+        let most = (servers / LEAST_SERVERS_A_GROUP).max(1);
+        let groups = groups.min(1 << most.ilog2());
         Self {
             index: place * groups / entries.max(1),
             count: groups,
