Memory set aside for requests not begun is given back when their server goes

Story: a request's server went off the record 0.8 s after an oversized prompt had reached it; no other server was free, so the request was kept for another try until its deadline, and what it had set aside at its servers was renewed all that time: 63,038 tokens stayed set aside 7,194 ms after its end (four requests so).

Cause: the end of a server cleared its work but left the reservations of requests that had not begun an answer there; only the request's own end gave them back.

Change: `servers_changed` gives back what requests not begun hold. The new test failed before the change and passes after it.

--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -201,7 +201,7 @@
     pub fn step(&mut self, now: Instant, event: Event, out: &mut Vec<Effect>) {
         match event {
             Event::Configured(site) => self.configure(&site, now),
-            Event::Servers(change) => self.servers_changed(change, now),
+            Event::Servers(change) => self.servers_changed(change, now, out),
             Event::Arrived { request, facts } => self.arrived(request, facts, now, out),
             Event::Started { request } => self.started(request, now),
             Event::AttemptEnded { request, end } => self.attempt_ended(request, end, now, out),
@@ -252,13 +252,14 @@
         self.services = services.map(|s| (s.name.clone(), s)).collect();
     }
 
-    fn servers_changed(&mut self, change: ServerChange, now: Instant) {
+    fn servers_changed(&mut self, change: ServerChange, now: Instant, out: &mut Vec<Effect>) {
         for (key, tag) in self.fleet.apply(change) {
             self.board.forget_server(key);
             if let Some(life) = self.fleet.ended_life(key) {
                 self.reservations.forget_at(life.addr);
             }
             self.quarantine.note_server_ended(tag, false, now);
+            self.give_back_unbegun(key, now, out);
         }
     }
 
--- a/crates/notchwalk_route/src/router/reserving.rs
+++ b/crates/notchwalk_route/src/router/reserving.rs
@@ -102,6 +102,27 @@
         });
     }
 
+    /// Gives the memory of requests back that had not begun to generate on a server that
+    /// went off the record. One that fell silent for good is not noticed otherwise while
+    /// no other engines are free: memory stayed set aside for 7 s after its request's end,
+    /// where 4 s are allowed. Where the server lives, it cuts the request, which goes on
+    /// elsewhere.
+    pub(super) fn give_back_unbegun(
+        &mut self,
+        server: ServerKey,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let requests = self.requests.iter();
+        let requests = requests.filter_map(|(key, request)| Some((key, request.as_ref()?)));
+        let unbegun = requests
+            .filter(|(_, request)| request.holds && !request.started && request.at == Some(server));
+        let unbegun: Vec<RequestKey> = unbegun.map(|(key, _)| key).collect();
+        for key in unbegun {
+            self.give_back(key, now, out);
+        }
+    }
+
     pub(super) fn give_back(&mut self, key: RequestKey, now: Instant, out: &mut Vec<Effect>) {
         for order in self.reservations.give_back(key, now) {
             out.push(Effect::Order(order));
--- a/crates/notchwalk_route/tests/decisions/reservations.rs
+++ b/crates/notchwalk_route/tests/decisions/reservations.rs
@@ -313,3 +313,41 @@
     rig.end(request, AttemptEnd::Broken);
     assert_eq!(given_back(&mut rig).len(), placed);
 }
+
+/// The engine that was to generate fell silent for good: its connections stayed open,
+/// and no other set of engines was free, so that the request was kept. Its memory on
+/// the other engines was renewed for seven seconds after its end. Evidence: the request
+/// reached the engine, which was gone 0.8 s later; the engine's record went, and the
+/// renewals went on until the caller's deadline.
+#[test]
+fn memory_is_given_back_when_the_engine_that_generates_goes_off_the_record() {
+    let mut rig = Rig::new();
+    let request = rig.arrive("/long/", OVERSIZED);
+    let placed = reserves(&mut rig).len();
+    granted(&mut rig, request, true);
+    let to = rig.only_send();
+    rig.pass(Duration::from_millis(800));
+    orders(&mut rig);
+    rig.step(Event::Servers(ServerChange::Gone(to.instance.clone())));
+    assert_eq!(given_back(&mut rig).len(), placed);
+    rig.pass(Duration::from_millis(1_600));
+    assert!(orders(&mut rig).iter().all(|order| order.tokens.is_none()));
+}
+
+/// Some engines go off the record and finish what they have: an answer that has begun
+/// needs its memory.
+#[test]
+fn an_answer_that_has_begun_keeps_its_memory_when_its_engine_leaves() {
+    let mut rig = Rig::new();
+    let request = rig.arrive("/long/", OVERSIZED);
+    let placed = reserves(&mut rig).len();
+    granted(&mut rig, request, true);
+    let to = rig.only_send();
+    rig.pass(Duration::from_millis(800));
+    rig.step(Event::Started { request });
+    orders(&mut rig);
+    rig.step(Event::Servers(ServerChange::Gone(to.instance.clone())));
+    assert!(given_back(&mut rig).is_empty());
+    rig.pass(Duration::from_millis(1_600));
+    assert_eq!(orders(&mut rig).len(), placed);
+}
