Sight: what servers say of themselves in their answers is logged, counted and shown

Cause: no log line or metric said that an answer's head spoke of its server, so that 'the word is not heard' and 'it is heard and lost again' could not be told apart. Change: the adapter reads the leaving header and the time to come back; NW4103 to NW4105, notchwalk_server_words_total, /state said_leaving and wants_nothing_ms. No decision reads any of it yet. Ruled out: nothing new. Conclusion: both hypotheses now predict different lines.

--- a/crates/notchwalk_core/src/log_event.rs
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -66,6 +66,9 @@
     MemorySwept = 4004, Info, "memory of ended requests was freed on an engine";
     ServerRegistered = 4101, Info, "a backend server is on record";
     ServerGone = 4102, Info, "a backend server is gone from the record";
+    ServerSaysLeaving = 4103, Info, "a backend server says in an answer that it leaves";
+    ServerWantsNothing = 4104, Info, "a backend server turned a request away and wants none for a while";
+    ServerWordFaulty = 4105, Warn, "a time that a backend server gave can't be taken as said";
     AttemptRetried = 5001, Info, "an attempt broke; the request goes on with another";
     RequestTimedOut = 5002, Info, "a request reached its deadline";
     RequestRefused = 5003, Debug, "a request was refused before it ran";
--- a/crates/notchwalk_relay/src/answer.rs
+++ b/crates/notchwalk_relay/src/answer.rs
@@ -1,6 +1,6 @@
 //! What the head of a backend server's answer says.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 /// What an answer is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,4 +26,21 @@
     pub word: AnswerWord,
     /// The server that is to blame, where it is another one.
     pub at_fault: Option<SocketAddr>,
+    /// The id of the server that answers, where it says it.
+    pub instance: Option<String>,
+    /// Whether the server says that it leaves.
+    pub leaving: bool,
+    /// For how long the server wants no requests.
+    pub wants_nothing_for: ComeBack,
+}
+
+/// For how long a server that turned a request away wants no others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ComeBack {
+    /// It doesn't say.
+    NotSaid,
+    /// For so long.
+    After(Duration),
+    /// What it says is no such time.
+    Faulty(String),
 }
--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -9,7 +9,11 @@
 use notchwalk_route::{Assignment, AttemptEnd, Event};
 
 use crate::{
-    front::Served, shell::Shell, stream_events::EventSplitter, AnswerWord, BackendRequest,
+    front::Served,
+    server_words::{self, Asked},
+    shell::Shell,
+    stream_events::EventSplitter,
+    AnswerWord, BackendRequest,
 };
 
 /// The largest answer that is read whole before it is passed on, in bytes.
@@ -208,7 +212,7 @@
 }
 
 async fn send_and_read_head(
-    shell: &Shell,
+    shell: &Rc<Shell>,
     served: &Served,
     last_event: Option<u64>,
     to: &Assignment,
@@ -250,7 +254,7 @@
 /// Reads the head of the answer to this request, passing over answers to
 /// others.
 async fn receive_own(
-    shell: &Shell,
+    shell: &Rc<Shell>,
     served: &Served,
     method: &Method,
     to: &Assignment,
@@ -263,6 +267,11 @@
         let facts = shell
             .dialect
             .backend_answer(id, answer.status, &answer.headers);
+        let asked = Asked {
+            server: Some(to.server),
+            addr: to.addr,
+        };
+        server_words::hear(shell, asked, &facts);
         if facts.word != AnswerWord::Foreign {
             break;
         }
--- a/crates/notchwalk_relay/src/engine_orders.rs
+++ b/crates/notchwalk_relay/src/engine_orders.rs
@@ -7,7 +7,10 @@
 use notchwalk_http::prelude::*;
 use notchwalk_route::{Event, FailedReservation, RequestKey, ReservationOrder};
 
-use crate::shell::Shell;
+use crate::{
+    server_words::{self, Asked},
+    shell::Shell,
+};
 
 /// How long an order may take. Engines answer within a few milliseconds; one
 /// that doesn't is taken to be lost.
@@ -15,7 +18,7 @@
 /// The largest answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
-async fn send(shell: &Shell, order: &ReservationOrder) -> Result<StatusCode, HttpError> {
+async fn send(shell: &Rc<Shell>, order: &ReservationOrder) -> Result<StatusCode, HttpError> {
     let (path, body) = shell.dialect.reservation_order(order);
     let json = http::HeaderValue::from_static("application/json");
     let req = OutgoingRequest::new(Method::POST, path)
@@ -24,7 +27,17 @@
     let sent = shell
         .client
         .send(order.addr, req, ORDER_TIMEOUT, MAX_ANSWER_BYTES);
-    Ok(sent.await?.status)
+    let answer = sent.await?;
+    let no_id = http::HeaderValue::from_static("");
+    let facts = shell
+        .dialect
+        .backend_answer(&no_id, answer.status, &answer.headers);
+    let asked = Asked {
+        server: None,
+        addr: order.addr,
+    };
+    server_words::hear(shell, asked, &facts);
+    Ok(answer.status)
 }
 
 /// Sets memory aside on several engines and tells the router whether all of it
--- a/crates/notchwalk_relay/src/lib.rs
+++ b/crates/notchwalk_relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod presence;
 mod quarantine;
 mod server_watch;
+mod server_words;
 mod settings;
 mod shell;
 mod signal;
@@ -31,7 +32,7 @@
 
 pub mod prelude;
 
-pub use answer::{AnswerFacts, AnswerWord};
+pub use answer::{AnswerFacts, AnswerWord, ComeBack};
 pub use daemon::{run, Signals, Surroundings};
 pub use dialect::{BackendRequest, CallerFacts, Dialect, DirectoryAnswer};
 pub use error::RelayError;
--- a/crates/notchwalk_relay/src/metrics.rs
+++ b/crates/notchwalk_relay/src/metrics.rs
@@ -34,6 +34,8 @@
     pub quarantines: IntCounter,
     /// Contents that are sent to no server for a while.
     pub quarantined: IntGauge,
+    /// What servers said of themselves in their answers.
+    pub server_words: IntCounterVec,
 }
 
 fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
@@ -133,6 +135,12 @@
                 "notchwalk_quarantined",
                 "Contents that are sent to no server for a while",
             ),
+            server_words: counter(
+                &registry,
+                "notchwalk_server_words_total",
+                "Answers in which servers say that they leave or want nothing",
+                &["word"],
+            ),
             servers: gauge(
                 &registry,
                 "notchwalk_backend_servers",
--- a/crates/notchwalk_relay/src/operator.rs
+++ b/crates/notchwalk_relay/src/operator.rs
@@ -62,6 +62,8 @@
                     "service": server.record.service,
                     "addr": server.record.addr,
                     "takes_work": server.takes_work(now),
+                    "said_leaving": server.said_leaving,
+                    "wants_nothing_ms": server.wants_nothing_until.since(now).as_millis() as u64,
                     "failure_rate": server.failure_rate,
                     "generating": load.writers,
                     "reading": load.readers,
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -11,8 +11,8 @@
 use slotmap::SecondaryMap;
 
 use crate::{
-    engine_orders, metrics::Metrics, peers::Peers, quarantine, signal::Signal, Dialect,
-    RelaySettings,
+    engine_orders, metrics::Metrics, peers::Peers, quarantine, server_words, signal::Signal,
+    Dialect, RelaySettings,
 };
 
 /// The shortest suspension that counts as one: the two clocks are not read at the
@@ -203,6 +203,7 @@
             Effect::Order(order) => {
                 monoio::spawn(engine_orders::send_once(self.clone(), order));
             }
+            Effect::Heard { server, word } => server_words::log_heard(self, server, word),
             Effect::Closed { server, pause } => self.log_closed(server, pause),
             Effect::Check { server, addr } => {
                 monoio::spawn(quarantine::check(self.clone(), server, addr));
--- a/crates/notchwalk_route/src/effect.rs
+++ b/crates/notchwalk_route/src/effect.rs
@@ -5,7 +5,7 @@
 use notchwalk_core::Instant;
 use notchwalk_quarantine::Finding;
 
-use crate::{RequestKey, ServerKey};
+use crate::{RequestKey, ServerKey, ServerWord};
 
 /// Another engine that reads a part of a prompt.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -147,6 +147,13 @@
     },
     /// Something became known of requests under which servers ended.
     Found(Finding),
+    /// Something that a server said of itself is new here.
+    Heard {
+        /// The server.
+        server: ServerKey,
+        /// What it said.
+        word: ServerWord,
+    },
     /// A server gets no work for a while.
     Closed {
         /// The server.
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -5,7 +5,8 @@
 use notchwalk_quarantine::{Fingerprint, News};
 
 use crate::{
-    Group, PeerWork, RequestFacts, RequestKey, ReservationOrder, ServerChange, SiteConfig,
+    Group, PeerWork, RequestFacts, RequestKey, ReservationOrder, ServerChange, ServerKey,
+    ServerWord, SiteConfig,
 };
 
 /// How sending a request to a server ended.
@@ -56,6 +57,13 @@
     Configured(SiteConfig),
     /// The register of servers changed.
     Servers(ServerChange),
+    /// A server said something of itself in the head of an answer.
+    ServerSaid {
+        /// The server.
+        server: ServerKey,
+        /// What it said.
+        word: ServerWord,
+    },
     /// A request arrived whole.
     Arrived {
         /// The request.
--- a/crates/notchwalk_route/src/fleet.rs
+++ b/crates/notchwalk_route/src/fleet.rs
@@ -10,7 +10,7 @@
 use notchwalk_core::Instant;
 use slotmap::{new_key_type, SlotMap};
 
-use crate::{shares::tag_of, Group};
+use crate::{shares::tag_of, Group, ServerWord};
 
 new_key_type! {
     /// A server's place in the fleet.
@@ -85,6 +85,10 @@
     pub closed_until: Instant,
     /// When it last answered a request as it should.
     heard_at: Instant,
+    /// Whether it said in an answer that it leaves.
+    pub said_leaving: bool,
+    /// Until when it wants no requests of this entry, as it said in an answer.
+    pub wants_nothing_until: Instant,
 }
 
 impl Server {
@@ -96,6 +100,8 @@
             failure_rate: 0.0,
             closed_until: Instant::ZERO,
             heard_at: Instant::ZERO,
+            said_leaving: false,
+            wants_nothing_until: Instant::ZERO,
         }
     }
 
@@ -278,6 +284,27 @@
         server.is_some_and(|server| server.heard_at > since)
     }
 
+    /// Returns the server with this id.
+    pub fn by_instance(&self, instance: &str) -> Option<ServerKey> {
+        self.by_instance.get(instance).copied()
+    }
+
+    /// Notes what a server said of itself; returns whether that is new here.
+    pub fn note_word(&mut self, key: ServerKey, word: ServerWord, now: Instant) -> bool {
+        let Some(server) = self.servers.get_mut(key) else {
+            return false;
+        };
+        match word {
+            ServerWord::Leaving => !std::mem::replace(&mut server.said_leaving, true),
+            ServerWord::WantsNothing(time) => {
+                let until = now.after(time);
+                let is_new = until > server.wants_nothing_until;
+                server.wants_nothing_until = server.wants_nothing_until.max(until);
+                is_new
+            }
+        }
+    }
+
     /// Notes that a server answered as it should.
     pub fn note_success(&mut self, key: ServerKey, now: Instant) {
         let Some(server) = self.servers.get_mut(key) else {
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -202,6 +202,11 @@
         match event {
             Event::Configured(site) => self.configure(&site, now),
             Event::Servers(change) => self.servers_changed(change, now, out),
+            Event::ServerSaid { server, word } => {
+                if self.fleet.note_word(server, word, now) {
+                    out.push(Effect::Heard { server, word });
+                }
+            }
             Event::Arrived { request, facts } => self.arrived(request, facts, now, out),
             Event::Started { request } => self.started(request, now),
             Event::AttemptEnded { request, end } => self.attempt_ended(request, end, now, out),
--- a/crates/notchwalk_route/tests/decisions/random_runs.rs
+++ b/crates/notchwalk_route/tests/decisions/random_runs.rs
@@ -104,6 +104,7 @@
                 }
                 Effect::Order(_)
                 | Effect::Closed { .. }
+                | Effect::Heard { .. }
                 | Effect::Check { .. }
                 | Effect::Found(_) => {}
             }
--- a/crates/notchwalk_standin/src/routed/world.rs
+++ b/crates/notchwalk_standin/src/routed/world.rs
@@ -338,6 +338,7 @@
             // Memory is given back when the request is dropped here.
             Effect::Order(_)
             | Effect::Closed { .. }
+            | Effect::Heard { .. }
             | Effect::DeliverFailure { .. }
             | Effect::Check { .. }
             | Effect::Found(_) => {}
