Failing tests: servers that say in their answers that they leave, or want nothing

Story: users saw requests at a server for twelve seconds after it had said that it leaves, while the store was away. Cause as far as known: nothing of an answer's head but its kind and its server at fault reaches the decisions. Reproduction: two real entries, five servers ready on record, two of them leaving by word: 31 and more requests each later than two seconds after it.

--- a/crates/notchwalk_route/tests/decisions/main.rs
+++ b/crates/notchwalk_route/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod reservations;
 mod retries;
 mod routes;
+mod server_words;
 mod shares;
 mod suspects;
 mod waiting;
