What servers say in their answers counts: leaving, and time without requests

Cause: an answer's head told the decisions its kind and its server at fault alone; that a server leaves was learned from its record, which the store does not take while it is away. Class: a fact with several sources, of which the decisions hear one. Ruled out: a word heard and lost again, and one faulty path: nothing read it at all. Change: one question, Server::leaves, that record, answer and peer feed and every way of a request asks; it ends with the server's life (kept over a record that is gone and back), never with a time. A request is withheld if its server's word came while its connection came up. Entries tell each other at once and in heartbeats (64 servers at most). A 503 with a time to come back closes the server for this entry until then; where no server takes requests callers get the shortest time at once, long prompts included. A server's failure rate halves in two seconds without answers. fleet.rs became a folder. One test's set-up (not its check) now asks for distrust right after the failures instead of four seconds later, when it has rightly faded. The random run's servers say such words as well.

--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -100,6 +100,7 @@
     match end {
         AttemptEnd::Delivered { .. } => "delivered",
         AttemptEnd::NotConnected => "not_connected",
+        AttemptEnd::NotSent => "not_sent",
         AttemptEnd::NotRun { moved: true, .. } => "moved",
         AttemptEnd::NotRun { .. } => "not_run",
         AttemptEnd::Failed => "failed",
@@ -172,7 +173,8 @@
     let request = send_and_read_head(shell, served, delivery.last_event, to, exchange);
     let request = request.await;
     let answer = match request {
-        Awaited::Done(Ok(answer)) => answer,
+        Awaited::Done(Ok(Some(answer))) => answer,
+        Awaited::Done(Ok(None)) => return Attempted::Ended(AttemptEnd::NotSent),
         Awaited::Done(Err(e)) if e.nothing_sent() => {
             return Attempted::Ended(AttemptEnd::NotConnected);
         }
@@ -211,16 +213,29 @@
     let _ = monoio::time::timeout(WAIT, answer.whole(MAX_WHOLE_ANSWER_BYTES)).await;
 }
 
+/// Tells whether a server still wants the request that is about to be written: while
+/// its connection came up, another answer may have said otherwise.
+fn is_still_wanted(shell: &Shell, to: &Assignment) -> bool {
+    let router = shell.router.borrow();
+    let server = router.fleet().get(to.server);
+    server.is_some_and(|server| server.wants_work(shell.now()))
+}
+
+/// Sends a request and reads the head of its answer; `None` if the server no longer
+/// wants it and nothing was sent.
 async fn send_and_read_head(
     shell: &Rc<Shell>,
     served: &Served,
     last_event: Option<u64>,
     to: &Assignment,
     exchange: &mut Exchange,
-) -> Awaited<Result<StreamedResponse, HttpError>> {
+) -> Awaited<Result<Option<StreamedResponse>, HttpError>> {
     let head = exchange.head.clone();
     let send = async {
         let mut conn = shell.client.connection(to.addr, Reuse::Pooled).await?;
+        if !is_still_wanted(shell, to) {
+            return Ok(None);
+        }
         let headers = shell.dialect.backend_request(&BackendRequest {
             caller: &head.headers,
             assignment: to,
@@ -238,12 +253,12 @@
         drop(buf);
         let receive = receive_own(shell, served, &head.method, to, conn);
         let Err(e) = written else {
-            return receive.await;
+            return receive.await.map(Some);
         };
         match monoio::time::timeout(EARLY_ANSWER_WAIT, receive).await {
             Ok(Ok(mut answer)) => {
                 answer.forbid_reuse();
-                Ok(answer)
+                Ok(Some(answer))
             }
             _ => Err(e.into()),
         }
--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -25,6 +25,9 @@
 const MAX_WORKS: usize = 60;
 /// The same of what is told of suspects.
 const MAX_NEWS: usize = 12;
+/// Servers that leave told in one datagram at most. Releases empty a few at a time;
+/// what doesn't fit is heard from the servers themselves.
+const MAX_LEAVING: usize = 64;
 /// The largest datagram read, in bytes.
 const MAX_DATAGRAM: usize = 16 * 1024;
 
@@ -50,6 +53,9 @@
     /// What it knows of requests under which servers ended.
     #[serde(default)]
     news: Vec<News>,
+    /// Lives of servers that said to it that they leave.
+    #[serde(default)]
+    leaving: Vec<u32>,
 }
 
 fn message(shell: &Shell, servers: Vec<u32>, work: Vec<PeerWork>) -> PeerMessage {
@@ -63,6 +69,7 @@
         servers,
         work,
         news: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
@@ -121,6 +128,13 @@
         let now = shell.now();
         let (servers, work) = shell.router.borrow_mut().take_changed_work(now);
         let news = shell.router.borrow_mut().take_news();
+        let leaving = shell.router.borrow_mut().take_leaving_news();
+        for some in leaving.chunks(MAX_LEAVING) {
+            let mut told = message(&shell, Vec::new(), Vec::new());
+            told.leaving = some.to_vec();
+            let near = shell.peers.borrow().near();
+            tell(&socket, &near, vec![told]).await;
+        }
         if !servers.is_empty() {
             let near = shell.peers.borrow().near();
             tell(&socket, &near, messages(&shell, servers, work)).await;
@@ -145,6 +159,9 @@
         let mut told = messages(&shell, servers, work);
         if let Some(first) = told.first_mut() {
             first.from = Some(PresenceRecord::of(&shell));
+            // A datagram may have been lost, and an entry may have started since.
+            let router = shell.router.borrow();
+            first.leaving = router.fleet().leaving_to_tell(MAX_LEAVING);
         }
         let whole = beat % WHOLE_EVERY == 0;
         let news = shell.router.borrow().quarantine().retold(whole, now);
@@ -252,6 +269,11 @@
             news: message.news,
         });
     }
+    if !message.leaving.is_empty() {
+        shell.step(Event::ToldLeaving {
+            servers: message.leaving,
+        });
+    }
     if !message.servers.is_empty() {
         shell.step(Event::PeerWork {
             peer: number,
--- a/crates/notchwalk_relay/src/server_words.rs
+++ b/crates/notchwalk_relay/src/server_words.rs
@@ -59,10 +59,7 @@
     if facts.word != AnswerWord::Moved {
         return asked.server.or_else(|| fleet.by_addr(asked.addr));
     }
-    let mut others = fleet.iter();
-    let other =
-        others.find(|(key, server)| server.record.addr == asked.addr && Some(*key) != asked.server);
-    other.map(|(key, _)| key)
+    fleet.other_at(asked.addr, asked.server)
 }
 
 /// Returns for how long a server wants no requests. A date, a negative number and
@@ -93,13 +90,13 @@
 }
 
 /// Logs what is new of a server.
-pub(crate) fn log_heard(shell: &Shell, server: ServerKey, word: ServerWord) {
+pub(crate) fn log_heard(shell: &Shell, server: ServerKey, word: ServerWord, by_peer: bool) {
     let (kind, facts) = match word {
         ServerWord::Leaving => {
             let router = shell.router.borrow();
             let stage = router.fleet().get(server).map(|known| known.record.stage);
             let running = router.board().load(server, shell.now()).occupied();
-            let facts = format!("record={stage:?} running={running}");
+            let facts = format!("by_peer={by_peer} record={stage:?} running={running}");
             (LogEventKind::ServerSaysLeaving, facts)
         }
         ServerWord::WantsNothing(time) => {
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -185,7 +185,8 @@
             self.carry_out(effect);
         }
         let router = self.router.borrow();
-        if router.has_changed_work() || router.quarantine().has_news() {
+        let leaving = router.fleet().has_leaving_news();
+        if router.has_changed_work() || router.quarantine().has_news() || leaving {
             self.work_changed.raise();
         }
     }
@@ -203,7 +204,11 @@
             Effect::Order(order) => {
                 monoio::spawn(engine_orders::send_once(self.clone(), order));
             }
-            Effect::Heard { server, word } => server_words::log_heard(self, server, word),
+            Effect::Heard {
+                server,
+                word,
+                by_peer,
+            } => server_words::log_heard(self, server, word, by_peer),
             Effect::Closed { server, pause } => self.log_closed(server, pause),
             Effect::Check { server, addr } => {
                 monoio::spawn(quarantine::check(self.clone(), server, addr));
@@ -230,7 +235,7 @@
             "server={} pause_ms={} failure_rate={:.2}",
             server.record.instance,
             pause.as_millis(),
-            server.failure_rate
+            server.failure_rate(self.now())
         );
         LogEvent::new(LogEventKind::CircuitOpened, facts).emit();
     }
--- a/crates/notchwalk_route/src/effect.rs
+++ b/crates/notchwalk_route/src/effect.rs
@@ -153,6 +153,8 @@
         server: ServerKey,
         /// What it said.
         word: ServerWord,
+        /// Whether it said so to a peer, which told it.
+        by_peer: bool,
     },
     /// A server gets no work for a while.
     Closed {
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -20,6 +20,9 @@
     },
     /// No connection could be made, so that nothing was sent.
     NotConnected,
+    /// Nothing was sent: before it could be, the server said that it leaves or wants
+    /// nothing.
+    NotSent,
     /// The server said that it did not run the request.
     NotRun {
         /// The server at fault, where it is another one.
@@ -102,6 +105,11 @@
         /// The peer's number on this entry.
         peer: u32,
     },
+    /// A peer told of servers that said to it that they leave.
+    ToldLeaving {
+        /// The short ids of the servers' lives.
+        servers: Vec<u32>,
+    },
     /// A peer told of requests under which servers ended.
     News {
         /// The peer's number on this entry.
--- a/crates/notchwalk_route/src/fleet.rs
+++ b/crates/notchwalk_route/src/fleet/mod.rs
@@ -1,6 +1,9 @@
 //! The backend servers: which exist, which may be given new work, and how they
 //! have answered.
 
+mod leaving_lives;
+mod server;
+
 use std::{
     collections::{HashMap, VecDeque},
     net::SocketAddr,
@@ -10,55 +13,15 @@
 use notchwalk_core::Instant;
 use slotmap::{new_key_type, SlotMap};
 
-use crate::{shares::tag_of, Group, ServerWord};
+use crate::{Group, ServerWord};
+use leaving_lives::LeavingLives;
+pub use server::{Server, ServerRecord, ServerStage};
 
 new_key_type! {
     /// A server's place in the fleet.
     pub struct ServerKey;
 }
 
-/// Failures in a row after which a server gets no work for a while.
-const FAILURES_TO_OPEN: u32 = 2;
-/// The shortest time without work after failures. A crashed server is back
-/// after three to four seconds on the deployments known.
-const SHORTEST_PAUSE: Duration = Duration::from_millis(500);
-/// The longest time without work after failures.
-const LONGEST_PAUSE: Duration = Duration::from_secs(4);
-/// A server that answered within this time is alive: an engine that has work
-/// passes events on several times a second.
-const HEARD_LATELY: Duration = Duration::from_millis(1_200);
-/// Weight of a new observation in the failure rate.
-const FAILURE_WEIGHT: f64 = 0.12;
-
-/// What a server says of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ServerStage {
-    /// It takes requests.
-    Ready,
-    /// It leaves and takes no new requests.
-    Leaving,
-}
-
-/// A server as it registered itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServerRecord {
-    /// Its id, which it may keep when it starts again.
-    pub instance: String,
-    /// When this life of it began, in milliseconds since 1970, if it says so: all
-    /// that is believed of a server belongs to one life.
-    pub born: Option<u64>,
-    /// Its service.
-    pub service: String,
-    /// Where it listens.
-    pub addr: SocketAddr,
-    /// Its failure domain.
-    pub failure_domain: String,
-    /// Requests it works on at once.
-    pub slots: u32,
-    /// What it says of itself.
-    pub stage: ServerStage,
-}
-
 /// A change of the register of servers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ServerChange {
@@ -70,60 +33,6 @@
     Whole(Vec<ServerRecord>),
 }
 
-/// A server and what is known of it.
-#[derive(Clone, Debug)]
-pub struct Server {
-    /// Its record.
-    pub record: ServerRecord,
-    /// A short id that all entries derive alike.
-    pub tag: u32,
-    /// Requests in a row that failed.
-    failures: u32,
-    /// Running mean of failures, 0 to 1.
-    pub failure_rate: f64,
-    /// No work before this time.
-    pub closed_until: Instant,
-    /// When it last answered a request as it should.
-    heard_at: Instant,
-    /// Whether it said in an answer that it leaves.
-    pub said_leaving: bool,
-    /// Until when it wants no requests of this entry, as it said in an answer.
-    pub wants_nothing_until: Instant,
-}
-
-impl Server {
-    fn new(record: ServerRecord) -> Self {
-        Self {
-            tag: life_tag(&record),
-            record,
-            failures: 0,
-            failure_rate: 0.0,
-            closed_until: Instant::ZERO,
-            heard_at: Instant::ZERO,
-            said_leaving: false,
-            wants_nothing_until: Instant::ZERO,
-        }
-    }
-
-    /// Tells whether the server may be given new work.
-    pub fn takes_work(&self, now: Instant) -> bool {
-        self.is_ready() && now >= self.closed_until
-    }
-
-    /// Tells whether the server has not said that it leaves.
-    pub fn is_ready(&self) -> bool {
-        self.record.stage == ServerStage::Ready
-    }
-}
-
-/// Derives the short id of a life of a server.
-fn life_tag(record: &ServerRecord) -> u32 {
-    match record.born {
-        Some(born) => tag_of(&format!("{}/{born}", record.instance)),
-        None => tag_of(&record.instance),
-    }
-}
-
 /// A life of a server that started again since.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EndedLife {
@@ -146,6 +55,9 @@
     /// Lives that ended as the server started again: a request may still be on
     /// one. The newest last.
     ended_lives: VecDeque<EndedLife>,
+    leaving: LeavingLives,
+    /// Servers that said in answers that they leave, to be told to peers at once.
+    leaving_news: Vec<u32>,
 }
 
 impl Fleet {
@@ -175,17 +87,15 @@
     fn upsert(&mut self, record: ServerRecord) -> Option<(ServerKey, u32)> {
         let ended = self.end_other_life(&record);
         if let Some(&key) = self.by_instance.get(&record.instance) {
-            let server = &mut self.servers[key];
-            // A server that said it leaves does not come back in this life.
-            if server.record.stage == ServerStage::Leaving {
-                return None;
-            }
-            server.record = record;
+            self.servers[key].update(record);
             return None;
         }
         let (instance, service) = (record.instance.clone(), record.service.clone());
-        let server = Server::new(record);
+        let mut server = Server::new(record);
         let tag = server.tag;
+        if self.leaving.contains(tag) {
+            server.note_told_leaving();
+        }
         let key = self.servers.insert(server);
         self.by_instance.insert(instance, key);
         self.by_tag.insert(tag, key);
@@ -223,6 +133,11 @@
         let key = self.by_instance.remove(instance)?;
         let server = self.servers.remove(key)?;
         self.by_tag.remove(&server.tag);
+        match server.record.born {
+            Some(_) if server.leaves() => self.leaving.add(server.tag),
+            Some(_) => {}
+            None => self.leaving.forget(server.tag),
+        }
         if let Some(keys) = self.by_service.get_mut(&server.record.service) {
             keys.retain(|&other| other != key);
         }
@@ -278,75 +193,98 @@
         self.servers.iter()
     }
 
-    /// Tells whether a server answered as it should since `since`.
-    pub fn was_heard_since(&self, key: ServerKey, since: Instant) -> bool {
-        let server = self.servers.get(key);
-        server.is_some_and(|server| server.heard_at > since)
-    }
-
     /// Returns the server with this id.
     pub fn by_instance(&self, instance: &str) -> Option<ServerKey> {
         self.by_instance.get(instance).copied()
     }
 
+    /// Returns another server than `key` at this address.
+    pub fn other_at(&self, addr: SocketAddr, key: Option<ServerKey>) -> Option<ServerKey> {
+        let mut servers = self.servers.iter();
+        let is_other = |(other, server): &(ServerKey, &Server)| {
+            server.record.addr == addr && Some(*other) != key
+        };
+        servers.find(is_other).map(|(other, _)| other)
+    }
+
+    /// Returns how long none of a service's servers takes work: the shortest time
+    /// until one of them does; `None` if all of them leave, or there is none.
+    pub fn takes_work_in(&self, service: &str, now: Instant) -> Option<Duration> {
+        let servers = self.of_service(service).iter();
+        let times = servers.filter_map(|&key| self.servers[key].takes_work_in(now));
+        times.min()
+    }
+
     /// Notes what a server said of itself; returns whether that is new here.
     pub fn note_word(&mut self, key: ServerKey, word: ServerWord, now: Instant) -> bool {
         let Some(server) = self.servers.get_mut(key) else {
             return false;
         };
-        match word {
-            ServerWord::Leaving => !std::mem::replace(&mut server.said_leaving, true),
-            ServerWord::WantsNothing(time) => {
-                let until = now.after(time);
-                let is_new = until > server.wants_nothing_until;
-                server.wants_nothing_until = server.wants_nothing_until.max(until);
-                is_new
-            }
+        let is_new = server.note_word(word, now);
+        if is_new && word == ServerWord::Leaving {
+            self.leaving_news.push(server.tag);
         }
+        is_new
+    }
+
+    /// Notes that a peer told that a life of a server leaves; returns the server if
+    /// that is new here.
+    pub fn note_told_leaving(&mut self, tag: u32) -> Option<ServerKey> {
+        let Some(&key) = self.by_tag.get(&tag) else {
+            self.leaving.add(tag);
+            return None;
+        };
+        self.servers[key].note_told_leaving().then_some(key)
+    }
+
+    /// Tells whether peers are to be told at once that servers leave.
+    pub fn has_leaving_news(&self) -> bool {
+        !self.leaving_news.is_empty()
+    }
+
+    /// Takes the servers that peers are to be told of at once.
+    pub fn take_leaving_news(&mut self) -> Vec<u32> {
+        std::mem::take(&mut self.leaving_news)
+    }
+
+    /// Returns servers that said to this entry that they leave, `most` of them at
+    /// most. What peers told is not told on: it would outlive the server's life.
+    pub fn leaving_to_tell(&self, most: usize) -> Vec<u32> {
+        let servers = self.servers.values();
+        let leaving = servers.filter(|server| server.said_that_it_leaves());
+        leaving.map(|server| server.tag).take(most).collect()
+    }
+
+    /// Tells whether a server answered as it should since `since`.
+    pub fn was_heard_since(&self, key: ServerKey, since: Instant) -> bool {
+        let server = self.servers.get(key);
+        server.is_some_and(|server| server.was_heard_since(since))
     }
 
     /// Notes that a server answered as it should.
     pub fn note_success(&mut self, key: ServerKey, now: Instant) {
-        let Some(server) = self.servers.get_mut(key) else {
-            return;
-        };
-        server.heard_at = now;
-        server.failures = 0;
-        server.failure_rate -= FAILURE_WEIGHT * server.failure_rate;
+        if let Some(server) = self.servers.get_mut(key) {
+            server.note_success(now);
+        }
     }
 
     /// Notes that a server said nothing to a request for too long. One that
     /// answers others meanwhile is busy and has not failed; closing it would
     /// send its work to the rest, which are as busy.
     pub fn note_silence(&mut self, key: ServerKey, now: Instant) -> Option<Duration> {
-        let server = self.servers.get(key)?;
-        if now.since(server.heard_at) < HEARD_LATELY {
-            return None;
-        }
-        self.note_failure(key, now)
+        self.servers.get_mut(key)?.note_silence(now)
     }
 
     /// Notes that a server failed; returns how long it gets no work, if it was
     /// just closed.
     pub fn note_failure(&mut self, key: ServerKey, now: Instant) -> Option<Duration> {
-        let server = self.servers.get_mut(key)?;
-        server.failures += 1;
-        server.failure_rate += FAILURE_WEIGHT * (1.0 - server.failure_rate);
-        if server.failures < FAILURES_TO_OPEN || now < server.closed_until {
-            return None;
-        }
-        let doublings = (server.failures - FAILURES_TO_OPEN).min(3);
-        let pause = (SHORTEST_PAUSE * 2u32.pow(doublings)).min(LONGEST_PAUSE);
-        server.closed_until = now.after(pause);
-        Some(pause)
+        self.servers.get_mut(key)?.note_failure(now)
     }
 
     /// Notes that nothing reaches a server: it is closed at once.
     pub fn note_unreachable(&mut self, key: ServerKey, now: Instant) {
-        let Some(server) = self.servers.get_mut(key) else {
-            return;
-        };
-        server.failures = server.failures.max(FAILURES_TO_OPEN);
-        self.note_failure(key, now);
+        if let Some(server) = self.servers.get_mut(key) {
+            server.note_unreachable(now);
+        }
     }
 }
--- a/crates/notchwalk_route/src/placement/call.rs
+++ b/crates/notchwalk_route/src/placement/call.rs
@@ -37,7 +37,7 @@
         };
         let used = load.occupied() as f64 / f64::from(server.record.slots.max(1));
         let at_stake = crash_risk * load.occupied() as f64;
-        let cost = used + DISTRUST * server.failure_rate + far + at_stake;
+        let cost = used + DISTRUST * server.failure_rate(now) + far + at_stake;
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, key));
         }
--- a/crates/notchwalk_route/src/placement/mod.rs
+++ b/crates/notchwalk_route/src/placement/mod.rs
@@ -249,7 +249,7 @@
                 load,
                 pass_ms,
                 wait_ms,
-                distrust_ms: 400.0 * server.failure_rate,
+                distrust_ms: 400.0 * server.failure_rate(self.now),
                 in_short_pool: self.blind,
             });
         }
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -14,6 +14,11 @@
 /// When a caller may come back whose request had to make way. Waves of long
 /// work last for seconds.
 const OVERLOAD_RETRY: Duration = Duration::from_millis(4_000);
+/// When a caller may come back whose request the servers turned away.
+const NEXT_TRY: Duration = Duration::from_millis(300);
+/// The same where all servers leave: those that take their place write their records
+/// about once a second.
+const SUCCESSOR_IN: Duration = Duration::from_millis(1_000);
 /// When a caller may come back under whose request servers ended: by then their
 /// records mostly tell whether they crashed.
 const SUSPECTED_RETRY: Duration = Duration::from_millis(2_000);
@@ -73,6 +78,7 @@
             false => reason,
         };
         let left = self.quarantine_left(key, now);
+        let server_in = self.server_in(key, now);
         self.forget(key, now, out);
         let retry_after = match reason {
             Refusal::NotReady => Some(Duration::from_millis(500)),
@@ -80,7 +86,7 @@
             Refusal::Overloaded => Some(OVERLOAD_RETRY),
             Refusal::Suspected => Some(SUSPECTED_RETRY),
             Refusal::Quarantined => left,
-            Refusal::NoServer | Refusal::NotRun => Some(Duration::from_millis(300)),
+            Refusal::NoServer | Refusal::NotRun => Some(server_in),
             Refusal::Unknown | Refusal::TimedOut => None,
         };
         out.push(Effect::Refuse {
@@ -90,6 +96,20 @@
         });
     }
 
+    /// Returns when a caller may come back whom no server served: when the first one
+    /// takes requests again, where none does now.
+    fn server_in(&self, key: RequestKey, now: Instant) -> Duration {
+        let Some(Some(request)) = self.requests.get(key) else {
+            return NEXT_TRY;
+        };
+        let time = self.fleet.takes_work_in(&request.service, now);
+        match time {
+            Some(time) if !time.is_zero() => time,
+            None if !self.fleet.of_service(&request.service).is_empty() => SUCCESSOR_IN,
+            _ => NEXT_TRY,
+        }
+    }
+
     pub(super) fn attempt_ended(
         &mut self,
         key: RequestKey,
@@ -166,6 +186,7 @@
             }
             AttemptEnd::NotRun { moved: true, .. } => Some(server),
             AttemptEnd::NotRun { .. } => return,
+            AttemptEnd::NotSent => return,
             AttemptEnd::Failed => None,
             AttemptEnd::NotConnected => {
                 self.fleet.note_unreachable(server, now);
@@ -205,7 +226,7 @@
             return false;
         }
         // A send that reached no server costs no server anything.
-        if end == AttemptEnd::NotConnected {
+        if matches!(end, AttemptEnd::NotConnected | AttemptEnd::NotSent) {
             return true;
         }
         self.budget.take(now, self.entries)
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -26,7 +26,7 @@
 use crate::{
     first_try::FirstTries, placement::EnginePlacement, request::Request,
     reservations::Reservations, shares::Shares, wait_queue::WaitQueue, Board, Effect, Event, Fleet,
-    RequestKey, RetryBudget, RouteTable, ServerChange, ServerKey, Service, SiteConfig,
+    RequestKey, RetryBudget, RouteTable, ServerChange, ServerKey, ServerWord, Service, SiteConfig,
 };
 
 /// How long a peer's work counts at most after it told of any. The driver tells
@@ -123,6 +123,11 @@
         &self.fleet
     }
 
+    /// Takes the servers that said in answers that they leave, to be told to peers.
+    pub fn take_leaving_news(&mut self) -> Vec<u32> {
+        self.fleet.take_leaving_news()
+    }
+
     /// Returns what runs on the servers.
     pub fn board(&self) -> &Board {
         &self.board
@@ -204,9 +209,15 @@
             Event::Servers(change) => self.servers_changed(change, now, out),
             Event::ServerSaid { server, word } => {
                 if self.fleet.note_word(server, word, now) {
-                    out.push(Effect::Heard { server, word });
+                    let by_peer = false;
+                    out.push(Effect::Heard {
+                        server,
+                        word,
+                        by_peer,
+                    });
                 }
             }
+            Event::ToldLeaving { servers } => self.told_leaving(&servers, out),
             Event::Arrived { request, facts } => self.arrived(request, facts, now, out),
             Event::Started { request } => self.started(request, now),
             Event::AttemptEnded { request, end } => self.attempt_ended(request, end, now, out),
@@ -268,6 +279,19 @@
         }
     }
 
+    fn told_leaving(&mut self, servers: &[u32], out: &mut Vec<Effect>) {
+        for &tag in servers {
+            let Some(server) = self.fleet.note_told_leaving(tag) else {
+                continue;
+            };
+            out.push(Effect::Heard {
+                server,
+                word: ServerWord::Leaving,
+                by_peer: true,
+            });
+        }
+    }
+
     fn peer_work(&mut self, peer: u32, servers: &[u32], work: Vec<crate::PeerWork>, now: Instant) {
         let fleet = &self.fleet;
         let keys: Vec<ServerKey> = servers.iter().filter_map(|&t| fleet.by_tag(t)).collect();
--- a/crates/notchwalk_route/src/router/reserving.rs
+++ b/crates/notchwalk_route/src/router/reserving.rs
@@ -64,10 +64,11 @@
         let Some(assignment) = request.reserving.take() else {
             return;
         };
-        // A server may have left while memory was being set aside.
+        // A server may have said that it leaves, or that it wants nothing, while memory
+        // was being set aside.
         let fleet = &self.fleet;
         let servers = request.helpers.iter().chain(&request.at);
-        let ready = |&key: &ServerKey| fleet.get(key).is_some_and(|server| server.is_ready());
+        let ready = |&key: &ServerKey| fleet.get(key).is_some_and(|server| server.wants_work(now));
         if failed.is_empty() && servers.into_iter().all(ready) {
             out.push(Effect::Send {
                 request: key,
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -136,7 +136,10 @@
             request.ran_on < request.facts.route.max_attempts.max(1),
             "a request is sent to more servers than its route allows"
         );
-        debug_assert!(server.is_ready(), "a server that leaves gets work");
+        debug_assert!(
+            server.wants_work(now),
+            "a server that leaves or wants nothing gets work"
+        );
         self.quarantine.note_sent(request.facts.content, now);
         let is_engine = request.facts.prompt_tokens > 0;
         request.sent_at = now;
--- a/crates/notchwalk_route/src/router/suspects.rs
+++ b/crates/notchwalk_route/src/router/suspects.rs
@@ -147,7 +147,7 @@
         let Some(known) = self.fleet.get(server) else {
             return self.fleet.ended_life(server).map(|life| life.tag);
         };
-        known.is_ready().then_some(known.tag)
+        (!known.leaves()).then_some(known.tag)
     }
 
     /// Takes what a peer told of suspects.
--- a/crates/notchwalk_route/src/router/waiting.rs
+++ b/crates/notchwalk_route/src/router/waiting.rs
@@ -99,6 +99,11 @@
             Standing::Wait => return Decision::Wait,
             Standing::Refuse(reason) => return Decision::Refuse(reason),
         }
+        // No use to wait for engines that all leave or want nothing: the caller is told
+        // at once.
+        if self.nobody_takes(&request.service, now) {
+            return Decision::Send(None);
+        }
         let Some(placement) = self.engine_placement(&request.service, now) else {
             return Decision::Send(self.plan(request, now));
         };
@@ -109,6 +114,11 @@
         self.decide_short(request, &placement, &demand, now)
     }
 
+    fn nobody_takes(&self, service: &str, now: Instant) -> bool {
+        let time = self.fleet.takes_work_in(service, now);
+        time.is_none_or(|time| !time.is_zero())
+    }
+
     /// Decides about a short request. One that is late already, because its
     /// caller comes back after a failure, or that would come late wherever it goes,
     /// waits for spare room; so does one of a workspace over its share once slots are
--- a/crates/notchwalk_route/tests/decisions/random_runs.rs
+++ b/crates/notchwalk_route/tests/decisions/random_runs.rs
@@ -6,7 +6,7 @@
 use notchwalk_core::Instant;
 use notchwalk_route::{
     Assignment, AttemptEnd, Effect, Event, FailedReservation, PeerWork, Refusal, Repeatability,
-    RequestKey, ServerChange, ServerStage, SiteConfig, WorkPhase,
+    RequestKey, ServerChange, ServerKey, ServerStage, ServerWord, SiteConfig, WorkPhase,
 };
 use proptest::{
     prelude::*,
@@ -24,6 +24,7 @@
     Grant(usize, bool),
     Leave(u8, bool),
     Return(u8),
+    Say(u8, Option<u16>),
     Configure(u8),
     Peer(u8, u8),
     Pass(u16),
@@ -38,6 +39,8 @@
         2 => (any::<usize>(), any::<bool>()).prop_map(|(which, yes)| Act::Grant(which, yes)),
         1 => (0..10u8, any::<bool>()).prop_map(|(server, gone)| Act::Leave(server, gone)),
         1 => (0..10u8).prop_map(Act::Return),
+        1 => (0..10u8, prop::option::weighted(0.8, 1..4_000u16))
+            .prop_map(|(server, rest)| Act::Say(server, rest)),
         1 => any::<u8>().prop_map(Act::Configure),
         1 => (0..7u8, 0..12u8).prop_map(|(server, count)| Act::Peer(server, count)),
         3 => (1..2_000u16).prop_map(Act::Pass),
@@ -62,6 +65,8 @@
     /// When requests were sent first, and when a server was reached once more.
     firsts: Vec<Instant>,
     repeats: Vec<Instant>,
+    /// Until when servers want nothing, as they said; `None` for those that leave.
+    said: HashMap<ServerKey, Option<Instant>>,
 }
 
 impl Check {
@@ -72,6 +77,7 @@
             order: Vec::new(),
             firsts: Vec::new(),
             repeats: Vec::new(),
+            said: HashMap::new(),
         }
     }
 
@@ -118,6 +124,11 @@
             ServerStage::Ready,
             "sent to a leaving server"
         );
+        let said = self.said.get(&to.server).copied();
+        let until = said
+            .unwrap_or(Some(Instant::ZERO))
+            .expect("it said that it leaves");
+        assert!(self.rig.now >= until, "it said that it wants nothing");
         assert!(to.helpers.len() <= 17);
         let (seen, repeatability, attempts) = self.seen.get_mut(&request).expect("known");
         assert!(!seen.ended, "sent after its end");
@@ -208,6 +219,7 @@
                 let record = record(if server < 7 { ENGINES } else { DESK }, server % 7);
                 self.rig.step(Event::Servers(ServerChange::Present(record)));
             }
+            Act::Say(server, rest) => self.say(server, rest),
             Act::Configure(version) => {
                 let before = self.rig.router.version();
                 let version = u64::from(version);
@@ -230,6 +242,22 @@
         self.rig.step(Event::Servers(change));
     }
 
+    /// A server says that it leaves, or for how long it wants nothing.
+    fn say(&mut self, server: u8, rest: Option<u16>) {
+        let instance = record(if server < 7 { ENGINES } else { DESK }, server % 7).instance;
+        let Some(server) = self.rig.router.fleet().by_instance(&instance) else {
+            return;
+        };
+        let word = match rest {
+            Some(ms) => ServerWord::WantsNothing(Duration::from_millis(ms.into())),
+            None => ServerWord::Leaving,
+        };
+        let until = rest.map(|ms| self.rig.now.after(Duration::from_millis(ms.into())));
+        let said = self.said.entry(server).or_insert(Some(Instant::ZERO));
+        *said = said.zip(until).map(|(before, until)| before.max(until));
+        self.rig.step(Event::ServerSaid { server, word });
+    }
+
     fn end(&mut self, which: usize, end: u8) {
         let Some(request) = self.pick(which) else {
             return;
--- a/crates/notchwalk_route/tests/decisions/server_words.rs
+++ b/crates/notchwalk_route/tests/decisions/server_words.rs
@@ -283,9 +283,9 @@
             rig.step(Event::Abandoned { request });
         }
         rig.effects.clear();
+        assert!(!is_used(&mut rig, "desk-0"), "it is distrusted");
         rig.pass(Duration::from_secs(4));
     }
-    assert!(!is_used(&mut rig, "desk-0"), "it is distrusted");
     // Its pause after failures is over by then.
     rig.pass(Duration::from_secs(10));
     assert!(is_used(&mut rig, "desk-0"));
--- a/crates/notchwalk_route/tests/decisions/suspects.rs
+++ b/crates/notchwalk_route/tests/decisions/suspects.rs
@@ -306,7 +306,7 @@
         .find(|(_, server)| server.record.instance == instance)
         .expect("on record");
     assert!(server.takes_work(rig.now));
-    assert_eq!(server.failure_rate, 0.0);
+    assert_eq!(server.failure_rate(rig.now), 0.0);
     let load = rig.router.board().load(key, rig.now);
     assert_eq!(load.occupied(), 0);
     drop(servers);
