A store that comes back from an older copy: the era is part of every version

Cause: versions compared across the store's return; what it gave out again looked old, and nothing read the era. Class: an order used outside the space in which it is one. Ruled out: feeds that fail meanwhile (what comes next is read whole and all is known). Change: StoreVersion { era, rev } in rows, pages, feeds and what peers say they know; TableCursor decides what an answer counts for; a new era has tables read whole, spread over 3 ms an entry. Entries write their own record and quarantines that are missing again, once (the first by name, then whoever finds it missing). Weighed on paper: a lower configuration version in a new era stays refused.

--- a/crates/notchwalk_core/src/log_event.rs
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -55,6 +55,8 @@
     ServerRecordFaulty = 2106, Warn, "a backend server's record can't be read";
     PresenceWritten = 2107, Info, "this entry is on record";
     QuestionGivenUp = 2108, Info, "a question for changes was given up: a peer knows of newer ones and no answer came";
+    StoreRestored = 2109, Warn, "the store came back from an older copy";
+    WrittenAgain = 2110, Info, "what an older copy of the store lacked was written again";
     PeerAlive = 3001, Info, "a peer daemon answers";
     PeerSuspect = 3002, Info, "a peer's heartbeat is late; others are asked";
     PeerDead = 3003, Warn, "a peer daemon is taken for dead";
--- a/crates/notchwalk_platform/src/lib.rs
+++ b/crates/notchwalk_platform/src/lib.rs
@@ -7,6 +7,7 @@
 mod http_client;
 mod rows;
 mod traits;
+mod version;
 
 pub mod prelude;
 
@@ -18,6 +19,7 @@
 pub use http_client::HttpPlatform;
 pub use rows::{FeedError, Row, RowPage, RowStore, RowWrite, WriteOutcome};
 pub use traits::{ObjectStore, Platform, PlatformFuture, TableStore, VmList, WeightStore};
+pub use version::{StoreVersion, TableCursor, Taken};
 
 /// A future that stays on its thread.
 pub type LocalFuture<'a, T> = std::pin::Pin<Box<dyn std::future::Future<Output = T> + 'a>>;
--- a/crates/notchwalk_platform/src/rows.rs
+++ b/crates/notchwalk_platform/src/rows.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
 
-use crate::{PlatformError, PlatformFuture};
+use crate::{PlatformError, PlatformFuture, StoreVersion};
 
 /// A row.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -14,8 +14,8 @@
     pub key: String,
     /// Its value; `None` says that the row was removed.
     pub value: Option<Bytes>,
-    /// The version of the row.
-    pub version: u64,
+    /// The version of the row, in the era of the answer that brought it.
+    pub version: StoreVersion,
 }
 
 /// Rows and the store's version when they were read.
@@ -24,7 +24,7 @@
     /// The rows.
     pub rows: Vec<Row>,
     /// The store's newest version.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Whether rows follow after the last one.
     pub more: bool,
     /// The store's clock in milliseconds, if it said so.
@@ -81,7 +81,7 @@
     fn changes(
         &self,
         table: &str,
-        after: u64,
+        after: StoreVersion,
         wait: Duration,
     ) -> crate::LocalFuture<'_, Result<RowPage, FeedError>>;
 
--- a/crates/notchwalk_relay/src/config_watch.rs
+++ b/crates/notchwalk_relay/src/config_watch.rs
@@ -21,7 +21,7 @@
         };
         let site = match self.shell.dialect.config(value) {
             Ok(site) => site,
-            Err(reason) => return refused(row.version, &reason),
+            Err(reason) => return refused(row.version.rev, &reason),
         };
         let in_force = self.shell.router.borrow().version();
         if site.version <= in_force {
--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -31,7 +31,7 @@
     server_watch::ServerReader,
     shell::{Shell, Stopping},
     table_watch::follow,
-    Dialect, RelayError, RelaySettings,
+    written_again, Dialect, RelayError, RelaySettings,
 };
 
 /// How often changes are told to peers, signals looked at and logs written.
@@ -223,6 +223,7 @@
         monoio::spawn(follow(shell.clone(), config));
         monoio::spawn(follow(shell.clone(), ServerReader::new(shell.clone())));
         monoio::spawn(presence::announce(shell.clone()));
+        monoio::spawn(written_again::write_again(shell.clone()));
         monoio::spawn(peer_link::hear(shell.clone(), self.socket.clone()));
         monoio::spawn(peer_link::tell_changes(shell.clone(), self.socket.clone()));
         monoio::spawn(peer_link::heartbeats(shell.clone(), self.socket.clone()));
--- a/crates/notchwalk_relay/src/lib.rs
+++ b/crates/notchwalk_relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod signal;
 mod stream_events;
 mod table_watch;
+mod written_again;
 
 pub mod prelude;
 
--- a/crates/notchwalk_relay/src/metrics.rs
+++ b/crates/notchwalk_relay/src/metrics.rs
@@ -20,6 +20,8 @@
     pub store_up: prometheus::IntGaugeVec,
     /// Questions to the store for changes, by table and how they ended.
     pub store_questions: IntCounterVec,
+    /// How often the store came back from an older copy.
+    pub store_era: IntGauge,
     /// The version of the configuration in force.
     pub config_version: IntGauge,
     /// Requests being served.
@@ -109,6 +111,11 @@
                 "Questions to the store for changes",
                 &["table", "end"],
             ),
+            store_era: gauge(
+                &registry,
+                "notchwalk_store_era",
+                "How often the store came back from an older copy",
+            ),
             config_version: gauge(
                 &registry,
                 "notchwalk_config_version",
--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -9,6 +9,7 @@
 
 use monoio::net::udp::UdpSocket;
 use notchwalk_core::{LogEvent, LogEventKind};
+use notchwalk_platform::StoreVersion;
 use notchwalk_quarantine::News;
 use notchwalk_route::{Event, PeerWork};
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
@@ -45,7 +46,7 @@
     /// The version of its configuration.
     config_version: u64,
     /// The newest change of the register of servers that it saw.
-    servers_changed: u64,
+    servers_changed: StoreVersion,
     /// The servers it tells about.
     servers: Vec<u32>,
     /// What it has there.
--- a/crates/notchwalk_relay/src/peers.rs
+++ b/crates/notchwalk_relay/src/peers.rs
@@ -8,6 +8,7 @@
 };
 
 use notchwalk_core::Instant;
+use notchwalk_platform::StoreVersion;
 use notchwalk_route::{entry_order, Group};
 
 use crate::presence::PresenceRecord;
@@ -50,7 +51,7 @@
     /// The version of its configuration.
     pub config_version: u64,
     /// The newest change of the register of servers that it saw.
-    pub servers_changed: u64,
+    pub servers_changed: StoreVersion,
 }
 
 /// What hearing a peer came to.
@@ -123,7 +124,7 @@
                 ready: false,
                 store_up: false,
                 config_version: 0,
-                servers_changed: 0,
+                servers_changed: StoreVersion::default(),
             },
         };
         self.by_addr.insert(record.peer, peer);
@@ -223,10 +224,10 @@
     }
 
     /// Returns the newest change of the register of servers that a peer saw.
-    pub fn newest_change_of_servers(&self) -> u64 {
+    pub fn newest_change_of_servers(&self) -> StoreVersion {
         let peers = self.by_addr.values();
         let versions = peers.map(|peer| peer.state.servers_changed);
-        versions.max().unwrap_or(0)
+        versions.max().unwrap_or_default()
     }
 
     /// Tells whether this entry should follow the store's changes itself: it is one
@@ -239,6 +240,14 @@
         before.count() < FEWEST_FOLLOWERS.max(self.group_size() / FOLLOWERS_ONE_IN)
     }
 
+    /// Returns how many entries live whose names come before this one's.
+    pub fn rank(&self, now: Instant) -> u32 {
+        let own = self.own.as_str();
+        let before = self.lively(now);
+        let before = before.filter(|peer| peer.record.name.as_str() < own);
+        before.count() as u32
+    }
+
     /// Returns the entries of this one's group.
     pub fn near(&self) -> Vec<SocketAddr> {
         self.near.iter().copied().collect()
--- a/crates/notchwalk_relay/src/presence.rs
+++ b/crates/notchwalk_relay/src/presence.rs
@@ -1,7 +1,7 @@
 //! The record by which entries find each other: a row in the platform's store
 //! that each writes when it starts.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use notchwalk_core::{LogEvent, LogEventKind};
@@ -42,15 +42,24 @@
 /// meanwhile: what is told by heartbeats makes two entries that start at once know
 /// each other as soon as one of them has found the other.
 pub(crate) async fn announce(shell: Rc<Shell>) {
-    let record = PresenceRecord::of(&shell);
+    // Not after the write: a store that is slow, or loses answers, held up a write
+    // for four seconds after all entries had lost power, and none knew the others.
+    monoio::spawn(find_entries(shell.clone()));
+    write_record(&shell).await;
+    // Of two entries that start at once, the one that writes last finds the other.
+    if let Err(e) = read_records(&shell).await {
+        log::debug!("the records of entries can't be read: {e}");
+    }
+}
+
+/// Writes this entry's record, as often as it takes.
+pub(crate) async fn write_record(shell: &Shell) {
+    let record = PresenceRecord::of(shell);
     let mut value = Vec::new();
     if let Err(e) = ciborium::into_writer(&record, &mut value) {
         log::error!("the entry's record can't be written: {e}");
         return;
     }
-    // Not after the write: a store that is slow, or loses answers, held up a write
-    // for four seconds after all entries had lost power, and none knew the others.
-    monoio::spawn(find_entries(shell.clone()));
     let write = RowWrite {
         table: TABLE.to_owned(),
         key: record.name.clone(),
@@ -64,10 +73,6 @@
     }
     let facts = format!("name={} boot={}", record.name, record.boot);
     LogEvent::new(LogEventKind::PresenceWritten, facts).emit();
-    // Of two entries that start at once, the one that writes last finds the other.
-    if let Err(e) = read_records(&shell).await {
-        log::debug!("the records of entries can't be read: {e}");
-    }
 }
 
 /// Takes this entry's record back, before it ends. One try: peers notice a
@@ -110,13 +115,30 @@
 }
 
 async fn read_records(shell: &Rc<Shell>) -> Result<(), PlatformError> {
+    for_each_row(shell, |row| learn(shell, row)).await
+}
+
+/// Returns the keys of all rows of the table.
+///
+/// # Errors
+///
+/// Fails while the store is down.
+pub(crate) async fn keys(shell: &Shell) -> Result<HashSet<String>, PlatformError> {
+    let mut keys = HashSet::new();
+    for_each_row(shell, |row| {
+        keys.insert(row.key.clone());
+    })
+    .await?;
+    Ok(keys)
+}
+
+async fn for_each_row(shell: &Shell, mut take: impl FnMut(&Row)) -> Result<(), PlatformError> {
     let mut from = String::new();
     loop {
         let page = shell.store.read(TABLE, &from).await?;
         shell.note_store_ms(&page);
-        for row in &page.rows {
-            learn(shell, row);
-        }
+        shell.note_store_version(page.version);
+        page.rows.iter().for_each(&mut take);
         let Some(last) = page.rows.last().filter(|_| page.more) else {
             return Ok(());
         };
--- a/crates/notchwalk_relay/src/quarantine.rs
+++ b/crates/notchwalk_relay/src/quarantine.rs
@@ -5,7 +5,7 @@
 //! of them lose power, and each request would cost three servers more. They stand
 //! in the table of the entries' records, which each entry reads at its start anyway.
 
-use std::{io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::HashSet, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use notchwalk_core::{LogEvent, LogEventKind};
@@ -141,6 +141,22 @@
     }
 }
 
+/// Keeps the quarantines in force that the store lacks; returns how many.
+pub(crate) async fn keep_missing(shell: &Rc<Shell>, kept: &HashSet<String>) -> usize {
+    let now = shell.now();
+    let missing: Vec<(Fingerprint, u32)> = {
+        let router = shell.router.borrow();
+        let suspects = router.quarantine().suspects(now).into_iter();
+        let quarantined = suspects.filter(|s| matches!(s.verdict, Verdict::Quarantined { .. }));
+        let missing = quarantined.filter(|s| !kept.contains(&key_of(s.content)));
+        missing.map(|s| (s.content, s.times)).collect()
+    };
+    for &(content, times) in &missing {
+        keep(shell.clone(), content, times).await;
+    }
+    missing.len()
+}
+
 /// Removes a quarantine from the store, as often as it takes.
 async fn remove(shell: Rc<Shell>, content: Fingerprint) {
     let mut backoff = Backoff::new(Duration::from_millis(200));
--- a/crates/notchwalk_relay/src/server_watch.rs
+++ b/crates/notchwalk_relay/src/server_watch.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use notchwalk_core::{Instant, LogEvent, LogEventKind};
-use notchwalk_platform::Row;
+use notchwalk_platform::{Row, StoreVersion};
 use notchwalk_route::{Event, ServerChange, ServerRecord};
 
 use crate::{
@@ -27,6 +27,9 @@
     missing: HashMap<String, Instant>,
     /// Until when a record that is missing may be one that lapsed.
     doubt_until: Instant,
+    /// Whether the table is read for the first time since the store came back from an
+    /// older copy: its records may be of lives that ended.
+    reads_copy: bool,
     known: HashMap<String, KnownServer>,
 }
 
@@ -34,7 +37,7 @@
 struct KnownServer {
     record: ServerRecord,
     /// The version of its row: an older one that comes later says nothing.
-    version: u64,
+    version: StoreVersion,
 }
 
 impl ServerReader {
@@ -43,6 +46,7 @@
             shell,
             missing: HashMap::new(),
             doubt_until: Instant::ZERO,
+            reads_copy: false,
             known: HashMap::new(),
         }
     }
@@ -67,7 +71,7 @@
         }
     }
 
-    fn present(&mut self, record: ServerRecord, version: u64) {
+    fn present(&mut self, record: ServerRecord, version: StoreVersion) {
         self.missing.remove(&record.instance);
         let known = self.known.get_mut(&record.instance);
         if let Some(known) = known.filter(|known| known.record == record) {
@@ -89,8 +93,18 @@
             version,
         };
         self.known.insert(record.instance.clone(), known);
-        self.shell
-            .step(Event::Servers(ServerChange::Present(record)));
+        let change = match self.reads_copy {
+            true => ServerChange::Copied(record),
+            false => ServerChange::Present(record),
+        };
+        self.shell.step(Event::Servers(change));
+    }
+
+    /// Tells whether a record of an older copy is of a life before the one known.
+    fn is_former_life(&self, record: &ServerRecord) -> bool {
+        let known = self.known.get(&record.instance);
+        let born = known.and_then(|known| known.record.born);
+        self.reads_copy && born > record.born
     }
 
     /// Closes the connections kept to a server that started again: they lead to a
@@ -172,11 +186,12 @@
             }
         }
         self.changed(rows);
+        self.reads_copy = false;
     }
 
     fn changed(&mut self, rows: Vec<Row>) {
         let versions = rows.iter().map(|row| row.version);
-        let newest = versions.max().unwrap_or(0);
+        let newest = versions.max().unwrap_or_default();
         let before = self.shell.servers_changed.get();
         self.shell.servers_changed.set(newest.max(before));
         for row in rows {
@@ -188,6 +203,8 @@
                 continue;
             }
             match self.record(&row) {
+                // Its server writes again what it is now.
+                Some(record) if self.is_former_life(&record) => self.lapsed(&row.key),
                 Some(record) => self.present(record, row.version),
                 // It names no server to use, whatever stood there before.
                 None => self.lapsed(&row.key),
@@ -195,8 +212,12 @@
         }
     }
 
-    fn current(&mut self, version: u64) {
+    fn current(&mut self, version: StoreVersion) {
         self.shell.servers_known.set(version);
+        // Peers learn of a new era by it, also where it brought no record.
+        let changed = self.shell.servers_changed.get();
+        let era = StoreVersion::new(version.era, 0);
+        self.shell.servers_changed.set(changed.max(era));
         self.take_missing_as_gone();
         self.shell.servers_current.set(self.shell.now());
         self.shell.metrics.servers.set(self.known.len() as i64);
@@ -208,4 +229,11 @@
         }
         self.doubt_until = self.shell.now().after(RETURN_TIME);
     }
+
+    /// A server whose record is younger than the copy writes it again, and has as long
+    /// for it as after an outage, however short the store was away.
+    fn restored(&mut self) {
+        self.doubt_until = self.shell.now().after(RETURN_TIME);
+        self.reads_copy = true;
+    }
 }
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -6,7 +6,7 @@
 use local_sync::mpsc::unbounded;
 use notchwalk_core::{Clock, Instant, LogEvent, LogEventKind};
 use notchwalk_http::Client;
-use notchwalk_platform::{RowPage, RowStore};
+use notchwalk_platform::{RowPage, RowStore, StoreVersion};
 use notchwalk_route::{ClientLimits, Effect, Event, RequestKey, Router};
 use slotmap::SecondaryMap;
 
@@ -53,13 +53,17 @@
     pub store_up: std::cell::Cell<bool>,
     /// The newest change of the register of servers that was seen; peers are
     /// told of it.
-    pub servers_changed: std::cell::Cell<u64>,
+    pub servers_changed: std::cell::Cell<StoreVersion>,
     /// The version of the store up to which the register is known here. Peers'
     /// newest change is compared with it: of a record that was removed before
     /// the whole register was read, no change is ever seen.
-    pub servers_known: std::cell::Cell<u64>,
+    pub servers_known: std::cell::Cell<StoreVersion>,
     /// When the register of servers was last known to be current.
     pub servers_current: std::cell::Cell<Instant>,
+    /// The newest era of the store that an answer told; `None` before the first.
+    store_era: std::cell::Cell<Option<u64>>,
+    /// How often a new era began since this process started.
+    store_restores: std::cell::Cell<u64>,
     /// The store's clock in milliseconds, and when it said so.
     store_clock: std::cell::Cell<Option<(Instant, u64)>>,
     /// How long the machine had been suspended in all when it was last looked at,
@@ -93,8 +97,10 @@
             limits: std::cell::Cell::default(),
             stopping: std::cell::Cell::default(),
             store_up: std::cell::Cell::new(false),
-            servers_changed: std::cell::Cell::new(0),
-            servers_known: std::cell::Cell::new(0),
+            servers_changed: std::cell::Cell::default(),
+            servers_known: std::cell::Cell::default(),
+            store_era: std::cell::Cell::default(),
+            store_restores: std::cell::Cell::new(0),
             servers_current: std::cell::Cell::new(Instant::ZERO),
             store_clock: std::cell::Cell::default(),
             suspended: std::cell::Cell::default(),
@@ -137,6 +143,32 @@
         self.clock.now()
     }
 
+    /// Returns the newest era of the store that was seen.
+    pub fn store_era(&self) -> u64 {
+        self.store_era.get().unwrap_or(0)
+    }
+
+    /// Returns how often the store came back from a copy since this process started.
+    pub fn store_restores(&self) -> u64 {
+        self.store_restores.get()
+    }
+
+    /// Notes the version of an answer of the store.
+    pub fn note_store_version(&self, version: StoreVersion) {
+        let former = self.store_era.get();
+        if former.is_some_and(|former| version.era <= former) {
+            return;
+        }
+        self.store_era.set(Some(version.era));
+        self.metrics.store_era.set(version.era as i64);
+        let Some(former) = former else {
+            return;
+        };
+        self.store_restores.set(self.store_restores.get() + 1);
+        let facts = format!("era={} former_era={former}", version.era);
+        LogEvent::new(LogEventKind::StoreRestored, facts).emit();
+    }
+
     /// Notes what the store's clock said.
     pub fn note_store_ms(&self, page: &RowPage) {
         if let Some(ms) = page.now_ms {
--- a/crates/notchwalk_relay/src/table_watch.rs
+++ b/crates/notchwalk_relay/src/table_watch.rs
@@ -3,7 +3,9 @@
 use std::{future::Future, rc::Rc, time::Duration};
 
 use notchwalk_core::{Instant, LogEvent, LogEventKind};
-use notchwalk_platform::{FeedError, Row, RowPage};
+use notchwalk_platform::{
+    FeedError, PlatformError, Row, RowPage, StoreVersion, TableCursor, Taken,
+};
 use rand::Rng;
 
 use crate::shell::Shell;
@@ -94,7 +96,11 @@
     }
 
     /// Hears that the table is known as it was at this version of the store.
-    fn current(&mut self, _version: u64) {}
+    fn current(&mut self, _version: StoreVersion) {}
+
+    /// Hears that the store came back from an older copy, before the whole of that is
+    /// handed over.
+    fn restored(&mut self) {}
 
     /// Hears that the store answers again after `away`.
     fn regained(&mut self, _away: Duration) {}
@@ -103,14 +109,14 @@
 /// A question that was put to the store.
 struct Asked {
     /// The version after which changes were asked for; `None` for the whole.
-    after: Option<u64>,
+    after: Option<StoreVersion>,
     at: Instant,
     /// Bytes received from the store until then.
     received_before: u64,
 }
 
 impl Asked {
-    fn now(shell: &Shell, after: Option<u64>) -> Self {
+    fn now(shell: &Shell, after: Option<StoreVersion>) -> Self {
         Self {
             after,
             at: shell.now(),
@@ -124,7 +130,7 @@
     rows: Vec<Row>,
     /// The version of the store at the first page: changes since then are read after
     /// the last one.
-    first_version: u64,
+    first_version: StoreVersion,
     /// When the latest page came.
     at: Instant,
 }
@@ -142,8 +148,10 @@
 struct Watch<R> {
     shell: Rc<Shell>,
     reader: R,
-    /// The version up to which changes were seen; `None` asks for the whole.
-    seen: Option<u64>,
+    /// How far the table is known.
+    cursor: TableCursor,
+    /// The era of the store in which the table was last read whole.
+    era: Option<u64>,
     lost_since: Option<Instant>,
     /// When the store was asked last.
     asked_at: Instant,
@@ -167,7 +175,7 @@
             let Some(page) = self.read_page(&from.unwrap_or_default()).await? else {
                 return Ok(false);
             };
-            self.note_answer();
+            self.note_answer(page.version);
             let now = self.shell.now();
             let read = self.partial.get_or_insert_with(|| PartialRead {
                 rows: Vec::new(),
@@ -175,21 +183,45 @@
                 at: now,
             });
             read.at = now;
+            let first = read.first_version;
             let is_last = !page.more || page.rows.is_empty();
             read.rows.extend(page.rows);
+            let taken = self.cursor.take_whole(first, page.version);
+            if taken != Taken::Rows {
+                self.partial = None;
+                return self.not_taken(taken).await;
+            }
             if is_last {
                 break;
             }
+            self.cursor.forget();
         }
         let Some(read) = self.partial.take() else {
             return Ok(false);
         };
-        // Pages read later may be newer; their changes are seen once more.
-        self.seen = Some(read.first_version);
+        let era = read.first_version.era;
+        if self.era.replace(era).is_some_and(|before| before < era) {
+            self.reader.restored();
+        }
         self.reader.whole(read.rows);
         Ok(true)
     }
 
+    /// Deals with an answer whose rows don't count. In a new era all entries read the
+    /// table whole: not all at once.
+    async fn not_taken(&mut self, taken: Taken) -> Result<bool, FeedError> {
+        /// For each entry that lives; 300 entries read in 0.9 s then.
+        const SPREAD: Duration = Duration::from_millis(3);
+        if taken == Taken::FormerEra {
+            let reason = "the answer is of a former era of the store".to_owned();
+            return Err(PlatformError::NoAnswer(reason).into());
+        }
+        let alive = self.shell.peers.borrow().alive(self.shell.now());
+        let spread = SPREAD * (alive + 1);
+        monoio::time::sleep(spread.mul_f64(rand::rng().random_range(0.0..1.0))).await;
+        Ok(false)
+    }
+
     /// Reads a page, unless a peer comes to be ahead meanwhile. A page that is
     /// asked for while one is ahead already gets all the time that it needs.
     async fn read_page(&self, from: &str) -> Result<Option<RowPage>, FeedError> {
@@ -214,8 +246,7 @@
     /// 59 entries on links of 20 Mbit/s never caught up. The whole table has the
     /// size of its present state, and its answer doesn't wait, so that the return
     /// of a store that was lost is noticed with it.
-    async fn read_changes(&mut self, after: u64) -> Result<bool, FeedError> {
-        self.seen = None;
+    async fn read_changes(&mut self, after: StoreVersion) -> Result<bool, FeedError> {
         let asked = Asked::now(&self.shell, Some(after));
         let (table, wait) = (self.reader.table(), self.reader.wait());
         let changes = self.shell.store.changes(table, after, wait);
@@ -224,8 +255,11 @@
             return Ok(false);
         };
         self.count("answered");
-        self.note_answer();
-        self.seen = Some(page.version.max(after));
+        self.note_answer(page.version);
+        let taken = self.cursor.take_changes(after, page.version);
+        if taken != Taken::Rows {
+            return self.not_taken(taken).await;
+        }
         if !page.rows.is_empty() {
             self.reader.changed(page.rows);
         }
@@ -244,7 +278,7 @@
         const LONGEST: Duration = Duration::from_secs(30);
         let since = self.shell.now();
         let peers = &self.shell.peers;
-        while self.seen.is_some() && !self.reader.is_behind() && !self.was_suspended() {
+        while self.cursor.seen().is_some() && !self.reader.is_behind() && !self.was_suspended() {
             let now = self.shell.now();
             let follows = peers.borrow().is_follower(now);
             if follows || self.reader.is_unsettled() || now.since(since) > LONGEST {
@@ -252,7 +286,7 @@
             }
             monoio::time::sleep(LOOK_EVERY).await;
         }
-        if self.seen.is_some() {
+        if self.cursor.seen().is_some() {
             monoio::time::sleep(GATHER).await;
         }
     }
@@ -267,27 +301,28 @@
         // What was seen before a suspension is old, and no peer may be heard yet that
         // says so.
         if self.was_suspended() {
-            self.seen = None;
+            self.cursor.forget();
             self.resumes = self.shell.resumes();
         }
         // Entries that are told of changes meet several at once.
         if self.reader.is_behind() && self.reader.has_one_row() {
-            self.seen = None;
+            self.cursor.forget();
         }
         self.asked_at = self.shell.now();
-        let answered = match self.seen {
+        let answered = match self.cursor.ask() {
             None => self.read_whole().await?,
             Some(after) => self.read_changes(after).await?,
         };
-        if answered {
-            self.reader.current(self.seen.unwrap_or(0));
+        if let Some(seen) = self.cursor.seen().filter(|_| answered) {
+            self.reader.current(seen);
         }
         Ok(())
     }
 
     /// Notes that the store answers, before the reader sees what it answered:
     /// what is missing after an outage may yet come back.
-    fn note_answer(&mut self) {
+    fn note_answer(&mut self, version: StoreVersion) {
+        self.shell.note_store_version(version);
         self.shell.store_up.set(true);
         let Some(since) = self.lost_since.take() else {
             return;
@@ -306,7 +341,7 @@
         let facts = format!(
             "table={} after={} waited_ms={} received_bytes={}",
             self.reader.table(),
-            asked.after.unwrap_or(0),
+            asked.after.unwrap_or_default().rev,
             self.shell.now().since(asked.at).as_millis(),
             self.shell.store.received_bytes() - asked.received_before
         );
@@ -388,7 +423,8 @@
     let mut watch = Watch {
         shell,
         reader,
-        seen: None,
+        cursor: TableCursor::default(),
+        era: None,
         lost_since: None,
         asked_at: Instant::ZERO,
         partial: None,
@@ -400,10 +436,8 @@
             Ok(()) => backoff.reset(),
             Err(FeedError::HistoryGone) => {
                 let table = watch.reader.table();
-                let after = watch.seen.unwrap_or(0);
-                let facts = format!("table={table} after={after}");
+                let facts = format!("table={table}");
                 LogEvent::new(LogEventKind::HistoryGone, facts).emit();
-                watch.seen = None;
             }
             Err(e) => {
                 watch.note_loss(&e);
--- a/crates/notchwalk_route/src/fleet/mod.rs
+++ b/crates/notchwalk_route/src/fleet/mod.rs
@@ -27,6 +27,8 @@
 pub enum ServerChange {
     /// A server registered or changed its record.
     Present(ServerRecord),
+    /// A record of an older copy of the register: it may be of a life that ended.
+    Copied(ServerRecord),
     /// The server with this instance id is gone.
     Gone(String),
     /// The whole register; servers that are not in it are gone.
@@ -64,7 +66,14 @@
     /// Applies a change; returns the servers that are gone, with their short ids.
     pub fn apply(&mut self, change: ServerChange) -> Vec<(ServerKey, u32)> {
         match change {
-            ServerChange::Present(record) => self.upsert(record).into_iter().collect(),
+            ServerChange::Present(record) => {
+                if record.born.is_none() {
+                    // Once its record was gone, it is another life.
+                    self.leaving.forget_ended(record.life_tag());
+                }
+                self.upsert(record).into_iter().collect()
+            }
+            ServerChange::Copied(record) => self.upsert(record).into_iter().collect(),
             ServerChange::Gone(instance) => self.remove(&instance).into_iter().collect(),
             ServerChange::Whole(records) => {
                 let mut gone = Vec::new();
@@ -133,10 +142,8 @@
         let key = self.by_instance.remove(instance)?;
         let server = self.servers.remove(key)?;
         self.by_tag.remove(&server.tag);
-        match server.record.born {
-            Some(_) if server.leaves() => self.leaving.add(server.tag),
-            Some(_) => {}
-            None => self.leaving.forget(server.tag),
+        if server.leaves() {
+            self.leaving.add_ended(server.tag);
         }
         if let Some(keys) = self.by_service.get_mut(&server.record.service) {
             keys.retain(|&other| other != key);
@@ -231,7 +238,7 @@
     /// that is new here.
     pub fn note_told_leaving(&mut self, tag: u32) -> Option<ServerKey> {
         let Some(&key) = self.by_tag.get(&tag) else {
-            self.leaving.add(tag);
+            self.leaving.add_told(tag);
             return None;
         };
         self.servers[key].note_told_leaving().then_some(key)
--- a/crates/notchwalk_route/src/fleet/server.rs
+++ b/crates/notchwalk_route/src/fleet/server.rs
@@ -24,6 +24,9 @@
 /// seconds, 3,000 calls).
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Failures this long ago are not in a row with a new one.
+const FAILURES_FORGOTTEN: Duration = Duration::from_secs(20);
+
 /// What a server says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerStage {
@@ -202,6 +205,13 @@
     }
 
     pub(super) fn note_failure(&mut self, now: Instant) -> Option<Duration> {
+        self.forget_old_failures(now);
+        self.count_failure(now)
+    }
+
+    /// Counts a failure; returns how long the server gets no work, if it was just
+    /// closed.
+    fn count_failure(&mut self, now: Instant) -> Option<Duration> {
         self.failures += 1;
         self.observe(1.0, now);
         if self.failures < FAILURES_TO_OPEN || now < self.closed_until {
@@ -214,8 +224,15 @@
     }
 
     pub(super) fn note_unreachable(&mut self, now: Instant) {
+        self.forget_old_failures(now);
         self.failures = self.failures.max(FAILURES_TO_OPEN);
-        self.note_failure(now);
+        self.count_failure(now);
+    }
+
+    fn forget_old_failures(&mut self, now: Instant) {
+        if now.since(self.failures_at) > FAILURES_FORGOTTEN {
+            self.failures = 0;
+        }
     }
 
     /// Takes an observation, 1 for a failure, into the failure rate.
--- a/crates/notchwalk_route/tests/decisions/server_words.rs
+++ b/crates/notchwalk_route/tests/decisions/server_words.rs
@@ -290,3 +290,28 @@
     rig.pass(Duration::from_secs(10));
     assert!(is_used(&mut rig, "desk-0"));
 }
+
+/// Failures of long ago are not in a row with a new one: one call that breaks then does
+/// not close the server.
+#[test]
+fn one_failure_long_after_others_does_not_close_a_server() {
+    let mut rig = Rig::new();
+    let failing = key(&rig, DESK, 0);
+    let closed = |rig: &mut Rig| {
+        let calls: Vec<_> = (0..30).map(|_| rig.arrive("/again/", 0)).collect();
+        let sends = rig.sends();
+        let broken = sends.iter().find(|(_, to)| to.server == failing);
+        let (broken, _) = broken.expect("it is used");
+        rig.end(*broken, AttemptEnd::Broken);
+        for request in calls {
+            rig.step(Event::Abandoned { request });
+        }
+        let effects = std::mem::take(&mut rig.effects);
+        let is_closed = |effect: &Effect| matches!(effect, Effect::Closed { .. });
+        effects.iter().any(is_closed)
+    };
+    assert!(!closed(&mut rig));
+    assert!(closed(&mut rig), "two in a row close it");
+    rig.pass(Duration::from_secs(60));
+    assert!(!closed(&mut rig));
+}
