What else was lost meanwhile speaks for a content

Cause: a loss was weighed by what went at the same moment only; idle servers lost in the same seconds are known when their records lapse, 3.5 s later. Class: evidence taken without its background rate. Ruled out: a longer window for one moment (two requests that crash servers in crowds would hide behind each other); waiting for records before each verdict (a content at fault that all forget when they lose power meanwhile costs three servers again). Change: each server that ended since 4 s before the first crash, that the content was not on and no content at fault explains, asks for half a moment more, two moments at most; between them the content is held 1.2 s and runs one at a time. An entry that started since asks for all of it. Ends of servers that left count for nothing. One older test had three lives end just before its case begins (set-up): it now waits 5 s; its check is unchanged.

--- a/crates/notchwalk_quarantine/src/quarantine/evidence.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/evidence.rs
@@ -27,6 +27,7 @@
         if now.since(crash.at) > REMEMBERED || self.is_explained(content, &crash, now) {
             return;
         }
+        self.knows_since.get_or_insert(now);
         let end = self.ends.get(&crash.server);
         crash.confirmed |= end.is_some_and(|&end| end.after(END_BEFORE_CRASH) >= crash.at);
         self.make_room(content, now);
--- a/crates/notchwalk_quarantine/src/quarantine/judging.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/judging.rs
@@ -15,6 +15,9 @@
 /// sent to no more of them. The users' bound is three; with two, requests that were
 /// twice beside one that crashes servers would be turned away with it.
 const HALVES_TO_QUARANTINE: u32 = 2 * 3;
+/// How long a content is held after each further run that a doubt allows: a good end of
+/// another run is known by then, and servers that end under it end one after another.
+pub(super) const RESTS_BETWEEN_FURTHER_RUNS: Duration = Duration::from_millis(1_200);
 /// The same once a content was quarantined before.
 const HALVES_AFTER_QUARANTINE: u32 = 2;
 /// How long the first quarantine lasts; each further one twice as long. Long
@@ -34,8 +37,9 @@
 /// How long after the last crash an entry that saw none of them itself declares a
 /// quarantine: those that did may be gone.
 const OTHERS_DECLARE: Duration = Duration::from_secs(2);
-/// How long the end of a server is remembered, for crashes that are told later.
-const ENDS_REMEMBERED: Duration = Duration::from_secs(8);
+/// How long the end of a server is remembered, for crashes that are told later, and
+/// as what speaks for contents that were on others lost meanwhile.
+const ENDS_REMEMBERED: Duration = Duration::from_secs(30);
 /// How often time is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// How likely a server's end is the work of one of its requests at all. Most ends
@@ -50,6 +54,7 @@
             return;
         }
         self.looked_at = now;
+        self.knows_since.get_or_insert(now);
         let ends = now.before(ENDS_REMEMBERED);
         self.ends.retain(|_, &mut at| at > ends);
         let settled = now.before(SETTLES);
@@ -81,7 +86,7 @@
                 true => DECLARED_AFTER,
                 false => OTHERS_DECLARE,
             };
-            let is_proved = suspect.moments().confirmed_halves() >= halves_allowed(suspect);
+            let is_proved = suspect.moments().confirmed_halves() >= self.halves_needed(suspect);
             is_proved && suspect.term.is_none() && now.since(suspect.last_crash()) >= wait
         };
         let suspects = self.suspects.iter();
--- a/crates/notchwalk_quarantine/src/quarantine/mod.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/mod.rs
@@ -3,9 +3,11 @@
 //! | file | what it holds |
 //! |---|---|
 //! | `evidence` | crashes: what confirms, explains and clears them |
+//! | `background` | what else was lost meanwhile, which speaks for a content |
 //! | `judging` | who is quarantined, for how long, and what is forgotten |
 //! | `telling` | what peers are told, and what they tell |
 
+mod background;
 mod evidence;
 mod judging;
 mod telling;
@@ -20,7 +22,7 @@
     suspect::{Crash, Runner, Suspect},
     EndReason, Finding, Fingerprint, SuspectView, Verdict,
 };
-use judging::{halves_allowed, risk};
+use judging::{halves_allowed, risk, RESTS_BETWEEN_FURTHER_RUNS};
 
 /// The suspects of one entry.
 #[derive(Debug, Default)]
@@ -33,6 +35,8 @@
     findings: Vec<Finding>,
     /// When time was last looked at.
     looked_at: Instant,
+    /// Since when this entry knows which servers end; `None` before it knows any.
+    knows_since: Option<Instant>,
 }
 
 impl Quarantine {
@@ -48,7 +52,9 @@
         if moments.count() == 0 {
             return Verdict::Free;
         }
-        if moments.halves() >= halves_allowed(suspect) {
+        let halves = moments.halves();
+        let rests = now.since(suspect.last_crash()) < RESTS_BETWEEN_FURTHER_RUNS;
+        if halves >= self.halves_needed(suspect) || (halves >= halves_allowed(suspect) && rests) {
             return Verdict::Held;
         }
         if suspect.is_running(now) && !self.recent.contains(content, now) {
--- a/crates/notchwalk_route/src/fleet/mod.rs
+++ b/crates/notchwalk_route/src/fleet/mod.rs
@@ -35,6 +35,17 @@
     Whole(Vec<ServerRecord>),
 }
 
+/// A life of a server that is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Gone {
+    /// Its place in the fleet, which is nobody's now.
+    pub key: ServerKey,
+    /// Its short id.
+    pub tag: u32,
+    /// Whether it was known to leave: then it was not lost.
+    pub left: bool,
+}
+
 /// A life of a server that started again since.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EndedLife {
@@ -63,8 +74,8 @@
 }
 
 impl Fleet {
-    /// Applies a change; returns the servers that are gone, with their short ids.
-    pub fn apply(&mut self, change: ServerChange) -> Vec<(ServerKey, u32)> {
+    /// Applies a change; returns the lives of servers that are over.
+    pub fn apply(&mut self, change: ServerChange) -> Vec<Gone> {
         match change {
             ServerChange::Present(record) => {
                 if record.born.is_none() {
@@ -93,7 +104,7 @@
     }
 
     /// Returns the life of the server that this record ends.
-    fn upsert(&mut self, record: ServerRecord) -> Option<(ServerKey, u32)> {
+    fn upsert(&mut self, record: ServerRecord) -> Option<Gone> {
         let ended = self.end_other_life(&record);
         if let Some(&key) = self.by_instance.get(&record.instance) {
             self.servers[key].update(record);
@@ -117,7 +128,7 @@
 
     /// Ends the life of a server that starts again under its id: work, distrust and
     /// connections of before are not those of the new one.
-    fn end_other_life(&mut self, record: &ServerRecord) -> Option<(ServerKey, u32)> {
+    fn end_other_life(&mut self, record: &ServerRecord) -> Option<Gone> {
         /// As many as can crash within the time that requests stay on them.
         const KEPT: usize = 64;
         let &key = self.by_instance.get(&record.instance)?;
@@ -138,7 +149,7 @@
         self.ended_lives.iter().find(|life| life.key == key)
     }
 
-    fn remove(&mut self, instance: &str) -> Option<(ServerKey, u32)> {
+    fn remove(&mut self, instance: &str) -> Option<Gone> {
         let key = self.by_instance.remove(instance)?;
         let server = self.servers.remove(key)?;
         self.by_tag.remove(&server.tag);
@@ -148,7 +159,11 @@
         if let Some(keys) = self.by_service.get_mut(&server.record.service) {
             keys.retain(|&other| other != key);
         }
-        Some((key, server.tag))
+        Some(Gone {
+            key,
+            tag: server.tag,
+            left: server.leaves(),
+        })
     }
 
     /// Returns a server that still exists.
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -269,13 +269,16 @@
     }
 
     fn servers_changed(&mut self, change: ServerChange, now: Instant, out: &mut Vec<Effect>) {
-        for (key, tag) in self.fleet.apply(change) {
-            self.board.forget_server(key);
-            if let Some(life) = self.fleet.ended_life(key) {
+        for gone in self.fleet.apply(change) {
+            self.board.forget_server(gone.key);
+            if let Some(life) = self.fleet.ended_life(gone.key) {
                 self.reservations.forget_at(life.addr);
             }
-            self.quarantine.note_server_ended(tag, false, now);
-            self.give_back_unbegun(key, now, out);
+            // The end of one that left speaks neither for nor against a request.
+            if !gone.left {
+                self.quarantine.note_server_ended(gone.tag, false, now);
+            }
+            self.give_back_unbegun(gone.key, now, out);
         }
     }
 
--- a/crates/notchwalk_route/tests/decisions/suspects.rs
+++ b/crates/notchwalk_route/tests/decisions/suspects.rs
@@ -258,6 +258,8 @@
     for number in 0..3 {
         rig.step(Event::Servers(ServerChange::Present(born(number, 1))));
     }
+    // Lives that ended just before would speak for the request.
+    rig.pass(Duration::from_secs(5));
     for round in 0..3 {
         let request = arrive(&mut rig, "/again/", 0, bad());
         let instance = rig.only_send().instance;
