--- a/crates/notchwalk_relay/src/server_watch.rs
+++ b/crates/notchwalk_relay/src/server_watch.rs
@@ -193,8 +193,7 @@
     fn changed(&mut self, rows: Vec<Row>) {
         let versions = rows.iter().map(|row| row.version);
         let newest = versions.max().unwrap_or_default();
-        let before = self.shell.servers_changed.get();
-        self.shell.servers_changed.set(newest.max(before));
+        self.shell.note_servers_changed(newest);
         for row in rows {
             if self.is_outdated(&row) {
                 continue;
@@ -216,9 +215,8 @@
     fn current(&mut self, version: StoreVersion) {
         self.shell.servers_known.set(version);
         // Peers learn of a new era by it, also where it brought no record.
-        let changed = self.shell.servers_changed.get();
-        let era = StoreVersion::new(version.era, 0);
-        self.shell.servers_changed.set(changed.max(era));
+        self.shell
+            .note_servers_changed(StoreVersion::new(version.era, 0));
         self.take_missing_as_gone();
         self.shell.servers_current.set(self.shell.now());
         self.shell.metrics.servers.set(self.known.len() as i64);
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -164,7 +164,14 @@
         self.store_restores.get()
     }
 
-    /// Notes the version of an answer of the store.
+    /// Notes up to which version the register of servers changed.
+    pub fn note_servers_changed(&self, version: StoreVersion) {
+        let before = self.servers_changed.get();
+        self.servers_changed.set(before.max(version));
+    }
+
+    /// Notes the version of an answer of the store; the first of a new era says that
+    /// the store came back from a copy.
     pub fn note_store_version(&self, version: StoreVersion) {
         let former = self.store_era.get();
         if former.is_some_and(|former| version.era <= former) {
@@ -176,11 +183,7 @@
             return;
         };
         self.store_restores.set(self.store_restores.get() + 1);
-        self.servers_changed.set(
-            self.servers_changed
-                .get()
-                .max(StoreVersion::new(version.era, 0)),
-        );
+        self.note_servers_changed(StoreVersion::new(version.era, 0));
         self.era_to_tell.set(true);
         self.work_changed.raise();
         let facts = format!("era={} former_era={former}", version.era);
