A server whose pause is over is tried by one request, and distrust of it ends

Cause: distrust faded with a half life only: at light load a tenth of it still outweighs any difference in use, and a server that served again after four seconds waited for some seven. Ended at once, one that hangs would get all that its rest left free for it. Hypothesis: a single request every 0.3 s until one ends well costs less than either. Change: the failure rate counts no more 4 s after the last observation; a server with two failures in a row gets one request each 0.3 s until a good end. Ruled out: a longer half life (the server waits longer), a shorter one (a server that fails four of ten requests is avoided less). Before: both new tests fail. After: they pass, 108 of the router.

--- a/crates/notchwalk_route/src/fleet/mod.rs
+++ b/crates/notchwalk_route/src/fleet/mod.rs
@@ -283,6 +283,13 @@
         server.is_some_and(|server| server.was_heard_since(since))
     }
 
+    /// Notes that a request is sent to a server.
+    pub fn note_sent(&mut self, key: ServerKey, now: Instant) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.note_sent(now);
+        }
+    }
+
     /// Notes that a server answered as it should.
     pub fn note_success(&mut self, key: ServerKey, now: Instant) {
         if let Some(server) = self.servers.get_mut(key) {
--- a/crates/notchwalk_route/src/fleet/server.rs
+++ b/crates/notchwalk_route/src/fleet/server.rs
@@ -23,6 +23,12 @@
 /// kept one of four servers without work for as long as it was looked at (nine
 /// seconds, 3,000 calls).
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Without observation for this long the rate counts no more, as long as the longest
+/// pause: what is left of it outweighs any difference in use at light load.
+const FAILURE_RATE_LASTS: Duration = LONGEST_PAUSE;
+/// How often a server that failed repeatedly gets a request after its pause, until one
+/// ends well: one that hangs costs one request at a time then.
+const TRIED_EVERY: Duration = Duration::from_millis(300);
 
 /// Failures this long ago are not in a row with a new one.
 const FAILURES_FORGOTTEN: Duration = Duration::from_secs(20);
@@ -91,6 +97,8 @@
     failures_at: Instant,
     /// No work before this time, for its failures.
     closed_until: Instant,
+    /// When it was last tried after it had failed repeatedly.
+    tried_at: Instant,
     /// When it last answered a request as it should.
     heard_at: Instant,
     /// Whether it leaves, whoever said so. It ends with this life, never with a time:
@@ -110,6 +118,7 @@
             mean_failures: 0.0,
             failures_at: Instant::ZERO,
             closed_until: Instant::ZERO,
+            tried_at: Instant::ZERO,
             heard_at: Instant::ZERO,
             leaving,
             wants_nothing_until: Instant::ZERO,
@@ -118,7 +127,20 @@
 
     /// Tells whether the server may be given new work.
     pub fn takes_work(&self, now: Instant) -> bool {
-        self.wants_work(now) && now >= self.closed_until
+        self.wants_work(now) && now >= self.closed_until && !self.is_being_tried(now)
+    }
+
+    /// Tells whether the server failed repeatedly and a request that shows whether it
+    /// is well was just sent.
+    fn is_being_tried(&self, now: Instant) -> bool {
+        self.failures >= FAILURES_TO_OPEN && now < self.tried_at.after(TRIED_EVERY)
+    }
+
+    /// Notes that a request is sent to the server.
+    pub(super) fn note_sent(&mut self, now: Instant) {
+        if self.failures >= FAILURES_TO_OPEN {
+            self.tried_at = now;
+        }
     }
 
     /// Tells whether the server stays and has not said that it wants no requests now.
@@ -139,6 +161,10 @@
     /// Returns how long the server takes no work, if it doesn't leave.
     pub fn takes_work_in(&self, now: Instant) -> Option<Duration> {
         let from = self.closed_until.max(self.wants_nothing_until);
+        let from = match self.is_being_tried(now) {
+            true => from.max(self.tried_at.after(TRIED_EVERY)),
+            false => from,
+        };
         (!self.leaves()).then(|| from.since(now))
     }
 
@@ -149,7 +175,11 @@
 
     /// Returns the mean of its failures, 0 to 1; it fades with answers and with time.
     pub fn failure_rate(&self, now: Instant) -> f64 {
-        let halvings = now.since(self.failures_at).as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
+        let age = now.since(self.failures_at);
+        if age >= FAILURE_RATE_LASTS {
+            return 0.0;
+        }
+        let halvings = age.as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
         self.mean_failures * 0.5f64.powf(halvings)
     }
 
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -184,6 +184,7 @@
             pause_silence: pause_silence(request),
         };
         self.board.add(plan.first.server, work);
+        self.fleet.note_sent(plan.first.server, now);
         let mut helpers = Vec::with_capacity(plan.helpers.len());
         for helper in &plan.helpers {
             let Some(server) = self.fleet.get(helper.server) else {
--- a/crates/notchwalk_route/tests/decisions/server_words.rs
+++ b/crates/notchwalk_route/tests/decisions/server_words.rs
@@ -315,3 +315,56 @@
     rig.pass(Duration::from_secs(60));
     assert!(!closed(&mut rig));
 }
+
+/// Fails a server's calls until it is closed.
+fn fail_until_closed(rig: &mut Rig, failing: ServerKey) {
+    for _ in 0..2 {
+        let calls: Vec<_> = (0..30).map(|_| rig.arrive("/again/", 0)).collect();
+        for (request, to) in rig.sends() {
+            if to.server == failing {
+                rig.end(request, AttemptEnd::Broken);
+            }
+        }
+        for request in calls {
+            rig.step(Event::Abandoned { request });
+        }
+    }
+    rig.effects.clear();
+}
+
+/// A server that served again after four seconds got none of 3,000 calls in the nine
+/// seconds after it had failed four: at light load three times a tenth of distrust
+/// outweighs any difference in use.
+#[test]
+fn a_server_that_failed_is_used_at_light_load_once_its_pause_is_over() {
+    let mut rig = Rig::new();
+    let failing = key(&rig, DESK, 0);
+    fail_until_closed(&mut rig, failing);
+    rig.pass(Duration::from_millis(4_100));
+    let calls: Vec<_> = (0..4).map(|_| rig.arrive("/again/", 0)).collect();
+    let used = rig.sends().iter().any(|(_, to)| to.server == failing);
+    assert!(used);
+    assert_eq!(calls.len(), 4);
+}
+
+/// One that hangs still must not get all that its rest left free for it: a single
+/// request tells whether it is well.
+#[test]
+fn a_server_whose_pause_is_over_gets_one_request_until_it_answers() {
+    let mut rig = Rig::new();
+    let failing = key(&rig, DESK, 0);
+    fail_until_closed(&mut rig, failing);
+    rig.pass(Duration::from_millis(4_100));
+    let _calls: Vec<_> = (0..30).map(|_| rig.arrive("/again/", 0)).collect();
+    let sends = rig.sends();
+    let there: Vec<_> = sends
+        .iter()
+        .filter(|(_, to)| to.server == failing)
+        .collect();
+    assert_eq!(there.len(), 1);
+    rig.end(there[0].0, AttemptEnd::Delivered { healthy: true });
+    let _calls: Vec<_> = (0..30).map(|_| rig.arrive("/again/", 0)).collect();
+    let sends = rig.sends();
+    let there = sends.iter().filter(|(_, to)| to.server == failing);
+    assert!(there.count() > 5, "it is well");
+}
