--- a/crates/notchwalk_relay/src/lib.rs
+++ b/crates/notchwalk_relay/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod answer;
 mod attempt;
+mod backoff;
 mod config_watch;
 mod daemon;
 mod dialect;
--- a/crates/notchwalk_relay/src/presence.rs
+++ b/crates/notchwalk_relay/src/presence.rs
@@ -8,7 +8,7 @@
 use notchwalk_platform::{PlatformError, Row, RowWrite};
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
-use crate::{peer_link, quarantine, shell::Shell, table_watch::Backoff};
+use crate::{backoff::Backoff, peer_link, quarantine, shell::Shell};
 
 /// The table that holds the records, and what else an entry reads at its start.
 pub(crate) const TABLE: &str = "entries";
--- a/crates/notchwalk_relay/src/table_watch.rs
+++ b/crates/notchwalk_relay/src/table_watch.rs
@@ -8,7 +8,7 @@
 };
 use rand::Rng;
 
-use crate::shell::Shell;
+use crate::{backoff::Backoff, shell::Shell};
 
 /// How long a question for changes waits. Connections fall silent without a sign,
 /// all at once, so that no peer knows better: then the loss is noticed when the
@@ -17,9 +17,6 @@
 /// served an older configuration for half a second on five of six days of such
 /// silences.
 pub(crate) const WAIT: Duration = Duration::from_millis(1_700);
-/// The longest pause between two tries.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-
 /// How long the first pages of a read that failed are kept: pauses between tries are
 /// shorter, and the changes since then are still to be had.
 const PARTIAL_KEPT: Duration = Duration::from_secs(3);
@@ -28,39 +25,6 @@
 /// of the time until a change is in force here.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
-/// Pauses that grow, with jitter, so that entries don't retry in step.
-pub(crate) struct Backoff {
-    first: Duration,
-    next: Duration,
-}
-
-impl Backoff {
-    /// Starts with pauses around `first`.
-    pub fn new(first: Duration) -> Self {
-        Self { first, next: first }
-    }
-
-    /// Starts over.
-    pub fn reset(&mut self) {
-        self.next = self.first;
-    }
-
-    /// Pauses.
-    pub async fn pause(&mut self) {
-        self.pause_after(Duration::ZERO).await;
-    }
-
-    /// Pauses after a call that took so long: the pause is counted from the
-    /// call's start, so that one which was not answered in time is not followed
-    /// by as long a pause in which the store's return goes unnoticed.
-    pub async fn pause_after(&mut self, call: Duration) {
-        let jitter = rand::rng().random_range(0.5..1.5);
-        let pause = self.next.mul_f64(jitter);
-        self.next = (self.next * 2).min(LONGEST_PAUSE);
-        monoio::time::sleep(pause.saturating_sub(call)).await;
-    }
-}
-
 /// What a watched table holds, handed to whoever needs it.
 pub(crate) trait TableReader {
     /// Names the table.
--- a/crates/notchwalk_relay/src/written_again.rs
+++ b/crates/notchwalk_relay/src/written_again.rs
@@ -7,7 +7,7 @@
 use notchwalk_core::{LogEvent, LogEventKind};
 use rand::Rng;
 
-use crate::{presence, quarantine, shell::Shell, table_watch::Backoff};
+use crate::{backoff::Backoff, presence, quarantine, shell::Shell};
 
 /// How often it is looked for a new era.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
