Suspected contents are kept to a few servers of their own

Three entries lost a stream each to the first crash, chose the same next server in the same millisecond, and once more. Cause: entries that know the same choose alike; what may be at fault and what was beside it go on together, so that no later crash tells them apart. Ruled out: chance (9 servers were as free); a rule that judges the smaller exposure (all three have the same). Change: a suspected content goes to a quarter of the servers, three at least, by a hash of content and server; prompts over one engine go where they can.

--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -151,6 +151,7 @@
             return self.forget(key, now, out);
         }
         if self.may_resend(key, end, now) {
+            self.scatter_suspect(key, now);
             return self.queue_or_send(key, now, out);
         }
         self.give_up(key, end, now, out);
--- a/crates/notchwalk_route/src/router/suspects.rs
+++ b/crates/notchwalk_route/src/router/suspects.rs
@@ -11,7 +11,7 @@
 use notchwalk_quarantine::{Fingerprint, News, Quarantine, Verdict};
 
 use super::Router;
-use crate::{request::Request, AttemptEnd, Effect, Refusal, RequestKey, ServerKey};
+use crate::{request::Request, shares::tag_of, AttemptEnd, Effect, Refusal, RequestKey, ServerKey};
 
 /// How long a request waits for another run of the same content, before it is
 /// refused: a short answer is there, or its server has crashed, by then.
@@ -150,6 +150,41 @@
         (!known.leaves()).then_some(known.tag)
     }
 
+    /// Keeps a request whose content is suspected to a few servers that are its
+    /// content's own. Entries that lose streams to one crash choose alike, in the same
+    /// moment: on two of eleven days with a request that crashes its servers, one or two
+    /// harmless ones went with it from server to server and were quarantined as well.
+    pub(super) fn scatter_suspect(&mut self, key: RequestKey, now: Instant) {
+        /// One in so many of the servers, and at least as many as leave a choice by load.
+        const ONE_IN: usize = 4;
+        const LEAST: usize = 3;
+        let Some(Some(request)) = self.requests.get(key) else {
+            return;
+        };
+        let content = request.facts.content;
+        let needs_many = self
+            .engine_placement(&request.service, now)
+            .is_some_and(|placement| placement.exceeds_engine(&self.demand(request, now)));
+        if needs_many || self.quarantine.verdict(content, now) == Verdict::Free {
+            return;
+        }
+        let servers = self.fleet.in_use(&request.service, now).iter();
+        let may_go = |key: &&ServerKey| {
+            let server = self.fleet.get(**key);
+            server.is_some_and(|server| server.takes_work(now)) && !request.tried.contains(key)
+        };
+        let mut servers: Vec<ServerKey> = servers.filter(may_go).copied().collect();
+        servers.sort_by_key(|&key| {
+            let tag = self.tag(key).unwrap_or_default();
+            tag_of(&format!("{content}/{tag}"))
+        });
+        let own = (servers.len() / ONE_IN).max(LEAST).min(servers.len());
+        let others = servers.split_off(own);
+        if let Some(Some(request)) = self.requests.get_mut(key) {
+            request.tried.extend(others);
+        }
+    }
+
     /// Takes what a peer told of suspects.
     pub(super) fn hear_news(&mut self, peer: u32, news: &[News], now: Instant) {
         self.quarantine.hear(peer, news, now);
--- a/crates/notchwalk_route/tests/decisions/suspects.rs
+++ b/crates/notchwalk_route/tests/decisions/suspects.rs
@@ -391,3 +391,37 @@
     let declared = |finding: &&Finding| matches!(finding, Finding::Quarantined(_));
     assert_eq!(found.filter(declared).count(), 1);
 }
+
+/// Callers of harmless questions were turned away for ten minutes beside the one that
+/// crashes its servers: three entries lost a stream each to one crash, chose the same
+/// next server in the same millisecond, and again after that one had crashed.
+///
+/// Evidence: all three contents were on the same three servers, and on no other.
+#[test]
+fn what_was_beside_a_crash_does_not_go_on_together() {
+    /// Entries, each with one request on the server that crashes.
+    const ENTRIES: usize = 6;
+    let mut rigs: Vec<Rig> = (0..ENTRIES)
+        .map(|number| Rig::named(&format!("entry-{number}"), 18))
+        .collect();
+    let mut requests = Vec::new();
+    for (number, rig) in rigs.iter_mut().enumerate() {
+        rig.content = Some(content(&format!("question {number}")));
+        requests.push(rig.arrive("/short/", 3_000));
+    }
+    let mut went: Vec<Vec<String>> = vec![Vec::new(); ENTRIES];
+    for _ in 0..2 {
+        for ((rig, went), &request) in rigs.iter_mut().zip(&mut went).zip(&requests) {
+            let to = rig.only_send();
+            went.push(to.instance);
+            rig.pass(Duration::from_millis(100));
+            rig.end(request, AttemptEnd::Broken);
+        }
+    }
+    let next: Vec<&String> = went.iter().map(|went| &went[1]).collect();
+    let most = next
+        .iter()
+        .map(|one| next.iter().filter(|other| *other == one).count());
+    let most = most.max().unwrap_or(0);
+    assert!(most <= 2, "{most} of {ENTRIES} go on together: {next:?}");
+}
