--- a/crates/notchwalk_quarantine/src/lib.rs
+++ b/crates/notchwalk_quarantine/src/lib.rs
@@ -16,7 +16,8 @@
 //!   server ended: its record is gone or of a new life, or it can't be reached;
 //! - servers lost at the same moment count as one, and half for who ran on some of them
 //!   only;
-//! - a crash that a quarantined request explains counts for nobody else.
+//! - a crash that a quarantined request explains counts for nobody else;
+//! - servers lost meanwhile without the content ask for up to two moments more.
 //!
 //! Limitations: two requests that were at all three of each other's crashes are both
 //! quarantined; one that crashes only some servers is cleared by each good end; a body
