Two requests at fault no longer speak for each other

Cause: each counted the servers of the other as lost by themselves, until the other had three moments. Change: others count from twice the servers lost under the content on (the newest loss aside, whose companions are known later), and not those under contents that were there at two moments.

--- a/crates/notchwalk_quarantine/src/quarantine/background.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/background.rs
@@ -15,6 +15,10 @@
 /// servers more among losses by themselves, five in all; the users' bound on sends
 /// after the third crash is three.
 const MOST_FURTHER_HALVES: u32 = 4;
+/// Servers lost without a content for each one lost under it, from which on chance may
+/// explain the latter. Fewer are the work of a second content at fault: two that came in
+/// crowds, each speaking for the other, cost 16 servers in place of 9.
+const OTHERS_FOR_ONE: usize = 2;
 /// How long before the first crash under a content other losses speak for it: records
 /// of servers that ran nothing lapse 3.5 s after their end.
 const SPEAK_BEFORE: Duration = Duration::from_secs(4);
@@ -38,16 +42,21 @@
         let explained = self.explained_servers();
         let is_on = |server: u32| suspect.crashes().iter().any(|c| c.server == server);
         let others = ended.filter(|(&server, _)| !is_on(server) && !explained.contains(&server));
-        u32::try_from(others.count()).map_or(MOST_FURTHER_HALVES, |n| n.min(MOST_FURTHER_HALVES))
+        let others = others.count();
+        // What else went with the newest loss is known seconds later.
+        let own = suspect.crashes().iter().filter(|c| c.confirmed).count();
+        if others < OTHERS_FOR_ONE * own.saturating_sub(1) {
+            return 0;
+        }
+        u32::try_from(others).map_or(MOST_FURTHER_HALVES, |n| n.min(MOST_FURTHER_HALVES))
     }
 
-    /// Returns the servers that ended under contents against which as much is known as
-    /// suffices where nothing speaks for them.
+    /// Returns the servers that ended under contents that were there at two moments or
+    /// more: they may be the work of these.
     fn explained_servers(&self) -> HashSet<u32> {
         let suspects = self.suspects.values();
-        let at_fault = suspects.filter(|suspect| {
-            suspect.term.is_some() || suspect.moments().halves() >= halves_allowed(suspect)
-        });
+        let at_fault =
+            suspects.filter(|suspect| suspect.term.is_some() || suspect.moments().count() > 1);
         let crashes = at_fault.flat_map(|suspect| suspect.crashes());
         crashes.map(|crash| crash.server).collect()
     }
--- a/crates/notchwalk_quarantine/tests/rules.rs
+++ b/crates/notchwalk_quarantine/tests/rules.rs
@@ -504,3 +504,18 @@
     later.pass(3_000);
     assert!(!later.is_quarantined(unlucky));
 }
+
+/// Two requests that crash servers, each at moments of its own: the servers of one don't
+/// speak for the other, or each costs two servers more.
+#[test]
+fn two_contents_at_fault_do_not_speak_for_each_other() {
+    let (mut entry, one, other) = (Entry::new(), content(1), content(2));
+    for round in 0..3 {
+        entry.crashes(one, round * 10);
+        entry.pass(300);
+        entry.crashes(other, round * 10 + 1);
+        entry.pass(300);
+    }
+    assert!(entry.is_quarantined(one), "{:?}", entry.verdict(one));
+    assert!(entry.is_quarantined(other), "{:?}", entry.verdict(other));
+}
