--- a/crates/notchwalk_core/src/log_event.rs
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -70,7 +70,9 @@
     ServerGone = 4102, Info, "a backend server is gone from the record";
     ServerSaysLeaving = 4103, Info, "a backend server says in an answer that it leaves";
     ServerWantsNothing = 4104, Info, "a backend server turned a request away and wants none for a while";
-    ServerWordFaulty = 4105, Warn, "a time that a backend server gave can't be taken as said";
+    ServerWordFaulty = 4105, Warn, "what a backend server says of itself can't be taken as said";
+    ServerLimited = 4106, Info, "a backend server names how many requests a second it takes from all entries";
+    ServerLimitEnded = 4107, Info, "a backend server names no limit any more";
     AttemptRetried = 5001, Info, "an attempt broke; the request goes on with another";
     RequestTimedOut = 5002, Info, "a request reached its deadline";
     RequestRefused = 5003, Debug, "a request was refused before it ran";
--- a/crates/notchwalk_relay/src/answer.rs
+++ b/crates/notchwalk_relay/src/answer.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use notchwalk_route::RateLimit;
+
 /// What an answer is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerWord {
@@ -32,6 +34,8 @@
     pub leaving: bool,
     /// For how long the server wants no requests.
     pub wants_nothing_for: ComeBack,
+    /// How many requests a second the server takes.
+    pub limit: SaidLimit,
 }
 
 /// For how long a server that turned a request away wants no others.
@@ -44,3 +48,19 @@
     /// What it says is no such time.
     Faulty(String),
 }
+
+/// How many requests a second a server takes from all entries together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SaidLimit {
+    /// It names none.
+    NotSaid,
+    /// So many.
+    Rate(RateLimit),
+    /// What it says is no such rate, or several of them.
+    Faulty {
+        /// What is wrong with it.
+        reason: String,
+        /// What is taken in its place; `None` changes nothing that is known.
+        taken: Option<RateLimit>,
+    },
+}
--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -249,9 +249,14 @@
         let length = Some(served.body.len());
         let mut buf = request_head(&head.method, path, host, &headers, length);
         buf.extend_from_slice(&served.body);
+        let asked = Asked {
+            server: Some(to.server),
+            addr: to.addr,
+            at: shell.now(),
+        };
         let written = conn.write_all(&buf).await;
         drop(buf);
-        let receive = receive_own(shell, served, &head.method, to, conn);
+        let receive = receive_own(shell, served, &head.method, asked, conn);
         let Err(e) = written else {
             return receive.await.map(Some);
         };
@@ -272,20 +277,18 @@
     shell: &Rc<Shell>,
     served: &Served,
     method: &Method,
-    to: &Assignment,
+    asked: Asked,
     conn: notchwalk_http::Connection,
 ) -> Result<StreamedResponse, HttpError> {
     let client = &shell.client;
-    let mut answer = client.receive(to.addr, conn, method, Reuse::Pooled).await?;
+    let mut answer = client
+        .receive(asked.addr, conn, method, Reuse::Pooled)
+        .await?;
     for _ in 0..MAX_FOREIGN_ANSWERS {
         let id = &served.caller.id;
         let facts = shell
             .dialect
             .backend_answer(id, answer.status, &answer.headers);
-        let asked = Asked {
-            server: Some(to.server),
-            addr: to.addr,
-        };
         server_words::hear(shell, asked, &facts);
         if facts.word != AnswerWord::Foreign {
             break;
--- a/crates/notchwalk_relay/src/engine_orders.rs
+++ b/crates/notchwalk_relay/src/engine_orders.rs
@@ -24,6 +24,7 @@
     let req = OutgoingRequest::new(Method::POST, path)
         .with_header(http::header::CONTENT_TYPE, json)
         .with_body(body);
+    let at = shell.now();
     let sent = shell
         .client
         .send(order.addr, req, ORDER_TIMEOUT, MAX_ANSWER_BYTES);
@@ -35,6 +36,7 @@
     let asked = Asked {
         server: None,
         addr: order.addr,
+        at,
     };
     server_words::hear(shell, asked, &facts);
     Ok(answer.status)
--- a/crates/notchwalk_relay/src/lib.rs
+++ b/crates/notchwalk_relay/src/lib.rs
@@ -34,7 +34,7 @@
 
 pub mod prelude;
 
-pub use answer::{AnswerFacts, AnswerWord, ComeBack};
+pub use answer::{AnswerFacts, AnswerWord, ComeBack, SaidLimit};
 pub use daemon::{run, Signals, Surroundings};
 pub use dialect::{BackendRequest, CallerFacts, Dialect, DirectoryAnswer};
 pub use error::RelayError;
--- a/crates/notchwalk_relay/src/metrics.rs
+++ b/crates/notchwalk_relay/src/metrics.rs
@@ -145,7 +145,7 @@
             server_words: counter(
                 &registry,
                 "notchwalk_server_words_total",
-                "Answers in which servers say that they leave or want nothing",
+                "Answers in which servers say that they leave, want nothing, or name a limit",
                 &["word"],
             ),
             servers: gauge(
--- a/crates/notchwalk_relay/src/operator.rs
+++ b/crates/notchwalk_relay/src/operator.rs
@@ -64,6 +64,7 @@
                     "takes_work": server.takes_work(now),
                     "said_leaving": server.leaves(),
                     "wants_nothing_ms": server.wants_nothing_for(now).as_millis() as u64,
+                    "limit_per_second": server.limit().map(|limit| limit.rate()),
                     "failure_rate": server.failure_rate(now),
                     "generating": load.writers,
                     "reading": load.readers,
--- a/crates/notchwalk_relay/src/server_words.rs
+++ b/crates/notchwalk_relay/src/server_words.rs
@@ -2,10 +2,10 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use notchwalk_core::{LogEvent, LogEventKind};
-use notchwalk_route::{Event, ServerKey, ServerWord};
+use notchwalk_core::{Instant, LogEvent, LogEventKind};
+use notchwalk_route::{Event, RateLimit, ServerKey, ServerWord};
 
-use crate::{shell::Shell, AnswerFacts, AnswerWord, ComeBack};
+use crate::{shell::Shell, AnswerFacts, AnswerWord, ComeBack, SaidLimit};
 
 /// The longest time without requests that is taken from a server: one that says more
 /// counts its time in another unit, and would be lost to this entry for as long as it
@@ -19,18 +19,21 @@
     pub server: Option<ServerKey>,
     /// The address that was asked.
     pub addr: SocketAddr,
+    /// When it was asked.
+    pub at: Instant,
 }
 
 /// Takes what a server says of itself from the head of any answer: to a request, to
 /// an order, also one that belongs to another request. Called as soon as the head is
 /// read, before anything of the answer is passed on.
 pub(crate) fn hear(shell: &Rc<Shell>, asked: Asked, facts: &AnswerFacts) {
-    if !facts.leaving && facts.wants_nothing_for == ComeBack::NotSaid {
-        return;
-    }
     let Some(server) = speaker(shell, asked, facts) else {
         return;
     };
+    if let Some(limit) = limit(shell, server, facts) {
+        let asked = asked.at;
+        say(shell, server, ServerWord::Limit { limit, asked });
+    }
     if facts.leaving {
         say(shell, server, ServerWord::Leaving);
     }
@@ -41,10 +44,13 @@
 
 fn say(shell: &Rc<Shell>, server: ServerKey, word: ServerWord) {
     let label = match word {
-        ServerWord::Leaving => "leaving",
-        ServerWord::WantsNothing(_) => "wants_nothing",
+        ServerWord::Leaving => Some("leaving"),
+        ServerWord::WantsNothing(_) => Some("wants_nothing"),
+        ServerWord::Limit { limit, .. } => limit.map(|_| "limit"),
     };
-    shell.metrics.server_words.with_label_values(&[label]).inc();
+    if let Some(label) = label {
+        shell.metrics.server_words.with_label_values(&[label]).inc();
+    }
     shell.step(Event::ServerSaid { server, word });
 }
 
@@ -62,6 +68,27 @@
     fleet.other_at(asked.addr, asked.server)
 }
 
+/// Returns the limit that an answer names, or that it names none where one was known;
+/// `None` if it says nothing of it. An answer that is not the server's own says nothing.
+fn limit(shell: &Shell, server: ServerKey, facts: &AnswerFacts) -> Option<Option<RateLimit>> {
+    match &facts.limit {
+        SaidLimit::Rate(rate) => Some(Some(*rate)),
+        SaidLimit::Faulty { reason, taken } => {
+            log_faulty_limit(shell, server, reason, *taken);
+            taken.map(Some)
+        }
+        SaidLimit::NotSaid => {
+            let is_own = matches!(
+                facts.word,
+                AnswerWord::Success | AnswerWord::Failure | AnswerWord::NotRun
+            );
+            let router = shell.router.borrow();
+            let known = router.fleet().get(server)?.limit();
+            (is_own && known.is_some()).then_some(None)
+        }
+    }
+}
+
 /// Returns for how long a server wants no requests. A date, a negative number and
 /// what is no number count as not said; more than [`LONGEST_REST`] as that.
 fn rest(shell: &Shell, server: ServerKey, said: &ComeBack) -> Option<Duration> {
@@ -89,6 +116,15 @@
     LogEvent::new(LogEventKind::ServerWordFaulty, facts).emit();
 }
 
+fn log_faulty_limit(shell: &Shell, server: ServerKey, reason: &str, taken: Option<RateLimit>) {
+    let taken = taken.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+    let facts = format!(
+        "server={} reason={reason:?} taken_per_second={taken}",
+        name(shell, server)
+    );
+    LogEvent::new(LogEventKind::ServerWordFaulty, facts).emit();
+}
+
 /// Logs what is new of a server.
 pub(crate) fn log_heard(shell: &Shell, server: ServerKey, word: ServerWord, by_peer: bool) {
     let (kind, facts) = match word {
@@ -103,6 +139,19 @@
             let facts = format!("for_ms={}", time.as_millis());
             (LogEventKind::ServerWantsNothing, facts)
         }
+        ServerWord::Limit { limit, asked } => {
+            let age = shell.now().since(asked).as_millis();
+            match limit {
+                Some(limit) => {
+                    let facts = format!("by_peer={by_peer} per_second={limit} asked_ms={age}");
+                    (LogEventKind::ServerLimited, facts)
+                }
+                None => {
+                    let facts = format!("by_peer={by_peer} asked_ms={age}");
+                    (LogEventKind::ServerLimitEnded, facts)
+                }
+            }
+        }
     };
     let facts = format!("server={} {facts}", name(shell, server));
     LogEvent::new(kind, facts).emit();
--- a/crates/notchwalk_route/src/fleet/server.rs
+++ b/crates/notchwalk_route/src/fleet/server.rs
@@ -4,7 +4,7 @@
 
 use notchwalk_core::Instant;
 
-use crate::{shares::tag_of, ServerWord};
+use crate::{shares::tag_of, RateLimit, ServerWord};
 
 /// Failures in a row after which a server gets no work for a while.
 const FAILURES_TO_OPEN: u32 = 2;
@@ -106,6 +106,9 @@
     leaving: Leaving,
     /// Until when it wants no requests of this entry, as it said in an answer.
     wants_nothing_until: Instant,
+    /// What it takes from all entries together, and when the request was sent whose
+    /// answer said so.
+    limit: Option<(RateLimit, Instant)>,
 }
 
 impl Server {
@@ -122,6 +125,7 @@
             heard_at: Instant::ZERO,
             leaving,
             wants_nothing_until: Instant::ZERO,
+            limit: None,
         }
     }
 
@@ -214,9 +218,21 @@
                 self.wants_nothing_until = self.wants_nothing_until.max(until);
                 is_new
             }
+            ServerWord::Limit { limit, asked } => self.note_limit(limit, asked),
         }
     }
 
+    fn note_limit(&mut self, limit: Option<RateLimit>, asked: Instant) -> bool {
+        let former = self.limit();
+        self.limit = limit.map(|limit| (limit, asked));
+        limit != former
+    }
+
+    /// Returns how many requests a second the server takes from all entries together.
+    pub fn limit(&self) -> Option<RateLimit> {
+        self.limit.map(|(limit, _)| limit)
+    }
+
     pub(super) fn was_heard_since(&self, since: Instant) -> bool {
         self.heard_at > since
     }
--- a/crates/notchwalk_route/src/lib.rs
+++ b/crates/notchwalk_route/src/lib.rs
@@ -52,7 +52,7 @@
 pub use retry_budget::RetryBudget;
 pub use router::{Router, RouterConfig};
 pub use routes::{host_name, RouteLookup, RouteTable};
-pub use server_word::ServerWord;
+pub use server_word::{RateLimit, ServerWord};
 pub use shares::WorkspaceTag;
 pub use site::{
     Backend, ClientLimits, EngineParameters, Repeatability, Route, Service, SiteConfig, Workspace,
