--- a/crates/notchwalk_relay/src/front/record.rs
+++ b/crates/notchwalk_relay/src/front/record.rs
@@ -25,6 +25,7 @@
             Self::Refused(Refusal::Draining) => "draining",
             Self::Refused(Refusal::NoServer) => "no_server",
             Self::Refused(Refusal::Overloaded) => "overloaded",
+            Self::Refused(Refusal::Limited) => "limited",
             Self::Refused(Refusal::NotRun) => "not_run",
             Self::Refused(Refusal::Unknown) => "unknown",
             Self::Refused(Refusal::TimedOut) => "timed_out",
--- a/crates/notchwalk_relay/src/operator.rs
+++ b/crates/notchwalk_relay/src/operator.rs
@@ -65,6 +65,7 @@
                     "said_leaving": server.leaves(),
                     "wants_nothing_ms": server.wants_nothing_for(now).as_millis() as u64,
                     "limit_per_second": server.limit().map(|limit| limit.rate()),
+                    "limit_allowance": server.allowance(now),
                     "failure_rate": server.failure_rate(now),
                     "generating": load.writers,
                     "reading": load.readers,
--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -11,7 +11,7 @@
 use notchwalk_core::{LogEvent, LogEventKind};
 use notchwalk_platform::StoreVersion;
 use notchwalk_quarantine::News;
-use notchwalk_route::{Event, PeerWork};
+use notchwalk_route::{Event, PeerWork, ToldLimit};
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 use crate::{
@@ -29,6 +29,8 @@
 /// Servers that leave told in one datagram at most. Releases empty a few at a time;
 /// what doesn't fit is heard from the servers themselves.
 const MAX_LEAVING: usize = 64;
+/// Servers that name limits told in one datagram at most, for the same reason.
+const MAX_LIMITS: usize = 48;
 /// The largest datagram read, in bytes.
 const MAX_DATAGRAM: usize = 16 * 1024;
 
@@ -57,6 +59,9 @@
     /// Lives of servers that said to it that they leave.
     #[serde(default)]
     leaving: Vec<u32>,
+    /// Servers that name limits, and what it sends to them.
+    #[serde(default)]
+    limits: Vec<ToldLimit>,
 }
 
 fn message(shell: &Shell, servers: Vec<u32>, work: Vec<PeerWork>) -> PeerMessage {
@@ -71,6 +76,7 @@
         work,
         news: Vec::new(),
         leaving: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
@@ -142,10 +148,13 @@
             let near = shell.peers.borrow().near();
             tell(&socket, &near, vec![told]).await;
         }
-        if !servers.is_empty() {
+        let limits = shell.router.borrow_mut().take_limit_news(now);
+        if !servers.is_empty() || !limits.is_empty() {
             let near = shell.peers.borrow().near();
-            tell(&socket, &near, messages(&shell, servers, work)).await;
+            let told = with_limits(&shell, messages(&shell, servers, work), limits);
+            tell(&socket, &near, told).await;
         }
+        greet(&shell, &socket).await;
         if !news.is_empty() {
             // Such a request may come to any entry.
             let all = shell.peers.borrow().all();
@@ -154,6 +163,47 @@
     }
 }
 
+/// Adds what is told of servers that name limits, to the first message if it fits.
+fn with_limits(
+    shell: &Shell,
+    mut messages: Vec<PeerMessage>,
+    mut limits: Vec<ToldLimit>,
+) -> Vec<PeerMessage> {
+    while limits.len() > MAX_LIMITS {
+        let mut told = message(shell, Vec::new(), Vec::new());
+        told.limits = limits.split_off(limits.len() - MAX_LIMITS);
+        messages.push(told);
+    }
+    if let Some(first) = messages.first_mut() {
+        first.limits = limits;
+    }
+    messages
+}
+
+/// Tells entries that just started what servers said of themselves, before their next
+/// heartbeat: they would send to those that leave, or more than a limit allows.
+async fn greet(shell: &Rc<Shell>, socket: &UdpSocket) {
+    let to_greet = shell.peers.borrow_mut().take_to_greet();
+    if to_greet.is_empty() {
+        return;
+    }
+    let told = heartbeat(shell, Vec::new(), Vec::new());
+    tell(socket, &to_greet, told).await;
+}
+
+/// Returns the messages that say that this entry lives, and what servers said to it.
+fn heartbeat(shell: &Shell, servers: Vec<u32>, work: Vec<PeerWork>) -> Vec<PeerMessage> {
+    let mut told = messages(shell, servers, work);
+    if let Some(first) = told.first_mut() {
+        first.from = Some(PresenceRecord::of(shell));
+        // A datagram may have been lost, and an entry may have started since.
+        let router = shell.router.borrow();
+        first.leaving = router.fleet().leaving_to_tell(MAX_LEAVING);
+        first.limits = router.fleet().limits_to_tell(MAX_LIMITS, shell.now());
+    }
+    told
+}
+
 /// Says for ever that this entry lives.
 pub(crate) async fn heartbeats(shell: Rc<Shell>, socket: Rc<UdpSocket>) {
     let mut beat = 0u32;
@@ -163,13 +213,7 @@
             0 => shell.router.borrow().all_own_work(now),
             _ => (Vec::new(), Vec::new()),
         };
-        let mut told = messages(&shell, servers, work);
-        if let Some(first) = told.first_mut() {
-            first.from = Some(PresenceRecord::of(&shell));
-            // A datagram may have been lost, and an entry may have started since.
-            let router = shell.router.borrow();
-            first.leaving = router.fleet().leaving_to_tell(MAX_LEAVING);
-        }
+        let told = heartbeat(&shell, servers, work);
         let whole = beat % WHOLE_EVERY == 0;
         let news = shell.router.borrow().quarantine().retold(whole, now);
         let to = shell.peers.borrow_mut().next_heartbeat_to();
@@ -219,6 +263,8 @@
     let sharing = shell.peers.borrow().sharing(shell.now());
     if let Some(count) = sharing {
         shell.step(Event::Entries { count });
+        let sharing = shell.peers.borrow().sharing_servers(shell.now());
+        shell.step(Event::Sharing(sharing));
     }
 }
 
@@ -263,6 +309,10 @@
         return;
     };
     let number = heard.number;
+    if heard.is_new {
+        shell.peers.borrow_mut().add_newcomer(from);
+        shell.work_changed.raise();
+    }
     if let Some(name) = heard.appeared {
         let facts = format!("entry={name} boot={boot}");
         LogEvent::new(LogEventKind::PeerAlive, facts).emit();
@@ -281,6 +331,13 @@
             servers: message.leaving,
         });
     }
+    if !message.limits.is_empty() {
+        shell.step(Event::ToldLimits {
+            peer: number,
+            name: heard.name,
+            limits: message.limits,
+        });
+    }
     if !message.servers.is_empty() {
         shell.step(Event::PeerWork {
             peer: number,
--- a/crates/notchwalk_relay/src/peers.rs
+++ b/crates/notchwalk_relay/src/peers.rs
@@ -9,7 +9,7 @@
 
 use notchwalk_core::Instant;
 use notchwalk_platform::StoreVersion;
-use notchwalk_route::{entry_order, Group};
+use notchwalk_route::{entry_order, Group, Sharing};
 
 use crate::presence::PresenceRecord;
 
@@ -58,6 +58,10 @@
 pub(crate) struct Heard {
     /// The peer's number on this entry.
     pub number: u32,
+    /// Its name.
+    pub name: String,
+    /// Whether it had not been heard, or started anew.
+    pub is_new: bool,
     /// Its name, if it had not been heard and shares servers with this entry.
     pub appeared: Option<String>,
     /// Whether it started anew, so that what it told before is void.
@@ -98,6 +102,8 @@
     /// All others, and whose turn it is.
     far: Vec<SocketAddr>,
     next_far: usize,
+    /// Entries to be told at once what is known here.
+    to_greet: Vec<SocketAddr>,
 }
 
 impl Peers {
@@ -211,9 +217,9 @@
         self.records_read.then(|| sharing.count() as u32 + 1)
     }
 
-    /// Notes that the records of all entries were read.
-    pub fn note_records_read(&mut self) {
-        self.records_read = true;
+    /// Notes that the records of all entries were read; returns whether that is new.
+    pub fn note_records_read(&mut self) -> bool {
+        !std::mem::replace(&mut self.records_read, true)
     }
 
     /// Returns the newest configuration that a peer has.
@@ -297,11 +303,37 @@
         let is_near = self.near.contains(&from);
         Some(Heard {
             number: peer.number,
+            name: peer.record.name.clone(),
+            is_new: appeared,
             appeared: (appeared && is_near).then(|| peer.record.name.clone()),
             started_anew,
         })
     }
 
+    /// Notes an entry that was heard for the first time.
+    pub fn add_newcomer(&mut self, addr: SocketAddr) {
+        self.to_greet.push(addr);
+    }
+
+    /// Has the entries of this one's group told that it is here.
+    pub fn greet_near(&mut self) {
+        self.to_greet.extend(&self.near);
+    }
+
+    /// Takes the entries that are to be told at once what is known here.
+    pub fn take_to_greet(&mut self) -> Vec<SocketAddr> {
+        std::mem::take(&mut self.to_greet)
+    }
+
+    /// Returns who shares what servers allow: the entries of this one's group that are
+    /// on record, and those of them that are heard. One that is not heard may send all
+    /// the same.
+    pub fn sharing_servers(&self, now: Instant) -> Sharing {
+        let near = |peer: &&Peer| self.near.contains(&peer.record.peer);
+        let heard = self.lively(now).filter(near).count() as u32 + 1;
+        Sharing::new(&self.own, self.group_size() as u32, heard)
+    }
+
     /// Takes the peers that fell silent since the last call.
     pub fn take_silent(&mut self, now: Instant) -> Vec<Silent> {
         let since = now.before(self.time_to_gone());
--- a/crates/notchwalk_relay/src/presence.rs
+++ b/crates/notchwalk_relay/src/presence.rs
@@ -102,8 +102,13 @@
         match read_records(&shell).await {
             Ok(()) => {
                 backoff.reset();
-                shell.peers.borrow_mut().note_records_read();
+                let is_first = shell.peers.borrow_mut().note_records_read();
                 peer_link::count_entries(&shell);
+                if is_first {
+                    // They answer with what servers said to them, before callers come.
+                    shell.peers.borrow_mut().greet_near();
+                    shell.work_changed.raise();
+                }
                 monoio::time::sleep(AGAIN_AFTER).await;
             }
             Err(e) => {
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -238,8 +238,9 @@
             self.carry_out(effect);
         }
         let router = self.router.borrow();
-        let leaving = router.fleet().has_leaving_news();
-        if router.has_changed_work() || router.quarantine().has_news() || leaving {
+        let fleet = router.fleet();
+        let said = fleet.has_leaving_news() || fleet.has_limit_news();
+        if router.has_changed_work() || router.quarantine().has_news() || said {
             self.work_changed.raise();
         }
     }
--- a/crates/notchwalk_route/src/effect.rs
+++ b/crates/notchwalk_route/src/effect.rs
@@ -70,6 +70,8 @@
     NoServer,
     /// Its objective and its deadline can't be met.
     Overloaded,
+    /// Its servers name limits, and what they allow is gone before its turn.
+    Limited,
     /// The servers did not run it and no further try is allowed.
     NotRun,
     /// It may have run; the outcome is unknown.
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Group, PeerWork, RequestFacts, RequestKey, ReservationOrder, ServerChange, ServerKey,
-    ServerWord, SiteConfig,
+    ServerWord, Sharing, SiteConfig, ToldLimit,
 };
 
 /// How sending a request to a server ended.
@@ -143,6 +143,17 @@
         /// The count.
         count: u32,
     },
+    /// Who shares what servers allow to all entries.
+    Sharing(Sharing),
+    /// A peer told of servers that name limits.
+    ToldLimits {
+        /// The peer's number on this entry.
+        peer: u32,
+        /// Its name.
+        name: String,
+        /// What it told.
+        limits: Vec<ToldLimit>,
+    },
     /// All orders to set memory aside for a request were answered, or failed.
     Reserved {
         /// The request.
--- a/crates/notchwalk_route/src/fleet/mod.rs
+++ b/crates/notchwalk_route/src/fleet/mod.rs
@@ -2,7 +2,10 @@
 //! have answered.
 
 mod leaving_lives;
+mod limit;
 mod server;
+mod shared_bucket;
+mod sharing;
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -16,6 +19,8 @@
 use crate::{Group, ServerWord};
 use leaving_lives::LeavingLives;
 pub use server::{Server, ServerRecord, ServerStage};
+use sharing::Limits;
+pub use sharing::{Availability, Sharing, ToldLimit, ToldLimitWord};
 
 new_key_type! {
     /// A server's place in the fleet.
@@ -71,20 +76,21 @@
     leaving: LeavingLives,
     /// Servers that said in answers that they leave, to be told to peers at once.
     leaving_news: Vec<u32>,
+    limits: Limits,
 }
 
 impl Fleet {
     /// Applies a change; returns the lives of servers that are over.
-    pub fn apply(&mut self, change: ServerChange) -> Vec<Gone> {
+    pub fn apply(&mut self, change: ServerChange, now: Instant) -> Vec<Gone> {
         match change {
             ServerChange::Present(record) => {
                 if record.born.is_none() {
                     // Once its record was gone, it is another life.
                     self.leaving.forget_ended(record.life_tag());
                 }
-                self.upsert(record).into_iter().collect()
+                self.upsert(record, now).into_iter().collect()
             }
-            ServerChange::Copied(record) => self.upsert(record).into_iter().collect(),
+            ServerChange::Copied(record) => self.upsert(record, now).into_iter().collect(),
             ServerChange::Gone(instance) => self.remove(&instance).into_iter().collect(),
             ServerChange::Whole(records) => {
                 let mut gone = Vec::new();
@@ -96,7 +102,7 @@
                     gone.extend(self.remove(&instance));
                 }
                 for record in records {
-                    gone.extend(self.upsert(record));
+                    gone.extend(self.upsert(record, now));
                 }
                 gone
             }
@@ -104,7 +110,7 @@
     }
 
     /// Returns the life of the server that this record ends.
-    fn upsert(&mut self, record: ServerRecord) -> Option<Gone> {
+    fn upsert(&mut self, record: ServerRecord, now: Instant) -> Option<Gone> {
         let ended = self.end_other_life(&record);
         if let Some(&key) = self.by_instance.get(&record.instance) {
             self.servers[key].update(record);
@@ -123,6 +129,7 @@
         keys.push(key);
         let servers = &self.servers;
         keys.sort_by_key(|&key| servers[key].tag);
+        self.restore_limit(key, now);
         ended
     }
 
@@ -156,6 +163,7 @@
         if server.leaves() {
             self.leaving.add_ended(server.tag);
         }
+        self.limits.keep(&server);
         if let Some(keys) = self.by_service.get_mut(&server.record.service) {
             keys.retain(|&other| other != key);
         }
@@ -182,8 +190,11 @@
     }
 
     /// Sets the group of this entry.
-    pub fn set_group(&mut self, group: Group) {
-        self.group = group;
+    pub fn set_group(&mut self, group: Group, now: Instant) {
+        if self.group != group {
+            self.group = group;
+            self.set_parts(now);
+        }
     }
 
     /// Returns the servers of a service that this entry uses: those of its group, or
@@ -229,16 +240,11 @@
         servers.find(is_other).map(|(other, _)| other)
     }
 
-    /// Returns how long none of a service's servers takes work: the shortest time
-    /// until one of them does; `None` if all of them leave, or there is none.
-    pub fn takes_work_in(&self, service: &str, now: Instant) -> Option<Duration> {
-        let servers = self.of_service(service).iter();
-        let times = servers.filter_map(|&key| self.servers[key].takes_work_in(now));
-        times.min()
-    }
-
     /// Notes what a server said of itself; returns whether that is new here.
     pub fn note_word(&mut self, key: ServerKey, word: ServerWord, now: Instant) -> bool {
+        if let ServerWord::Limit { limit, asked } = word {
+            return self.note_limit(key, limit, asked, now);
+        }
         let Some(server) = self.servers.get_mut(key) else {
             return false;
         };
@@ -285,6 +291,7 @@
 
     /// Notes that a request is sent to a server.
     pub fn note_sent(&mut self, key: ServerKey, now: Instant) {
+        self.note_message(key, now);
         if let Some(server) = self.servers.get_mut(key) {
             server.note_sent(now);
         }
--- a/crates/notchwalk_route/src/fleet/server.rs
+++ b/crates/notchwalk_route/src/fleet/server.rs
@@ -4,6 +4,7 @@
 
 use notchwalk_core::Instant;
 
+use super::limit::ServerLimit;
 use crate::{shares::tag_of, RateLimit, ServerWord};
 
 /// Failures in a row after which a server gets no work for a while.
@@ -106,9 +107,10 @@
     leaving: Leaving,
     /// Until when it wants no requests of this entry, as it said in an answer.
     wants_nothing_until: Instant,
-    /// What it takes from all entries together, and when the request was sent whose
-    /// answer said so.
-    limit: Option<(RateLimit, Instant)>,
+    /// What it takes from all entries together.
+    pub(super) limit: ServerLimit,
+    /// Requests, parts of them and orders that this entry has sent to it.
+    pub(super) sent: u32,
 }
 
 impl Server {
@@ -125,13 +127,14 @@
             heard_at: Instant::ZERO,
             leaving,
             wants_nothing_until: Instant::ZERO,
-            limit: None,
+            limit: ServerLimit::default(),
+            sent: 0,
         }
     }
 
     /// Tells whether the server may be given new work.
     pub fn takes_work(&self, now: Instant) -> bool {
-        self.wants_work(now) && now >= self.closed_until && !self.is_being_tried(now)
+        self.open_in(now) == Some(Duration::ZERO) && self.allowed_in(now) == Some(Duration::ZERO)
     }
 
     /// Tells whether the server failed repeatedly and a request that shows whether it
@@ -162,8 +165,9 @@
         self.leaving == Leaving::Said
     }
 
-    /// Returns how long the server takes no work, if it doesn't leave.
-    pub fn takes_work_in(&self, now: Instant) -> Option<Duration> {
+    /// Returns how long the server takes no work, whatever its limit, if it doesn't
+    /// leave.
+    pub(super) fn open_in(&self, now: Instant) -> Option<Duration> {
         let from = self.closed_until.max(self.wants_nothing_until);
         let from = match self.is_being_tried(now) {
             true => from.max(self.tried_at.after(TRIED_EVERY)),
@@ -172,6 +176,42 @@
         (!self.leaves()).then(|| from.since(now))
     }
 
+    /// Returns how long its limit allows this entry no request; `None` if it leaves the
+    /// server to other entries.
+    pub(super) fn allowed_in(&self, now: Instant) -> Option<Duration> {
+        let Some(limited) = self.limit.in_force() else {
+            return Some(Duration::ZERO);
+        };
+        limited.bucket.may_send_in(self.sent, now)
+    }
+
+    /// Counts messages that were sent to the server; below 0 those that were not sent
+    /// after all. Returns whether they count against a limit.
+    pub(super) fn count_sent(&mut self, messages: i32, now: Instant) -> bool {
+        self.sent = self.sent.wrapping_add_signed(messages);
+        let Some(limited) = self.limit.in_force_mut() else {
+            return false;
+        };
+        limited.bucket.take(messages, now);
+        true
+    }
+
+    /// Returns the requests that its limit allows to the entries heard here; `None`
+    /// without a limit.
+    pub fn allowance(&self, now: Instant) -> Option<f64> {
+        let limited = self.limit.in_force()?;
+        Some(limited.bucket.level(now))
+    }
+
+    /// Tells whether its limit is so low that a part of a prompt is better read
+    /// elsewhere.
+    pub(crate) fn is_scarce(&self) -> bool {
+        /// Requests a second: a long prompt has up to seventeen parts.
+        const ENOUGH_FOR_PARTS: f64 = 8.0;
+        self.limit()
+            .is_some_and(|limit| limit.rate() < ENOUGH_FOR_PARTS)
+    }
+
     /// Returns how long the server still wants no requests.
     pub fn wants_nothing_for(&self, now: Instant) -> Duration {
         self.wants_nothing_until.since(now)
@@ -218,19 +258,14 @@
                 self.wants_nothing_until = self.wants_nothing_until.max(until);
                 is_new
             }
-            ServerWord::Limit { limit, asked } => self.note_limit(limit, asked),
+            // Fleet::note_limit takes it: others share it.
+            ServerWord::Limit { .. } => false,
         }
     }
 
-    fn note_limit(&mut self, limit: Option<RateLimit>, asked: Instant) -> bool {
-        let former = self.limit();
-        self.limit = limit.map(|limit| (limit, asked));
-        limit != former
-    }
-
     /// Returns how many requests a second the server takes from all entries together.
     pub fn limit(&self) -> Option<RateLimit> {
-        self.limit.map(|(limit, _)| limit)
+        self.limit.in_force().map(|limited| limited.limit)
     }
 
     pub(super) fn was_heard_since(&self, since: Instant) -> bool {
--- a/crates/notchwalk_route/src/groups.rs
+++ b/crates/notchwalk_route/src/groups.rs
@@ -65,13 +65,27 @@
 
     /// Returns the group's part of servers in an order that all entries share.
     pub fn part<T>(self, servers: &[T]) -> &[T] {
-        let (mut index, mut count) = (self.index, self.count);
-        while count > 1 && servers.len() / count < LEAST_SERVERS {
-            (index, count) = (index / 2, count / 2);
-        }
+        let Self { index, count } = self.merged(servers.len());
         let border = |index: usize| servers.len() * index / count;
         &servers[border(index)..border(index + 1)]
     }
+
+    /// Returns how many groups share a part of so many servers.
+    pub fn sharing(self, servers: usize) -> usize {
+        self.count / self.merged(servers).count
+    }
+
+    /// Returns this group with its neighbours, as many as it takes for enough servers.
+    fn merged(self, servers: usize) -> Self {
+        let Self {
+            mut index,
+            mut count,
+        } = self;
+        while count > 1 && servers / count < LEAST_SERVERS {
+            (index, count) = (index / 2, count / 2);
+        }
+        Self { index, count }
+    }
 }
 
 /// Returns what orders entries by, so that those of one failure domain, whose names
@@ -82,7 +96,7 @@
 
 /// Spreads a short id over all bits: names that differ in their last letters have ids
 /// that differ in few (the finalizer of MurmurHash3).
-fn mixed(mut id: u32) -> u32 {
+pub(crate) fn mixed(mut id: u32) -> u32 {
     id = (id ^ (id >> 16)).wrapping_mul(0x85eb_ca6b);
     id = (id ^ (id >> 13)).wrapping_mul(0xc2b2_ae35);
     id ^ (id >> 16)
--- a/crates/notchwalk_route/src/lib.rs
+++ b/crates/notchwalk_route/src/lib.rs
@@ -46,7 +46,10 @@
 pub use effect::{Assignment, Effect, Grounds, Helper, Refusal, ReservationOrder};
 pub use engine_cost::EngineCost;
 pub use event::{AttemptEnd, Event, FailedReservation};
-pub use fleet::{Fleet, Server, ServerChange, ServerKey, ServerRecord, ServerStage};
+pub use fleet::{
+    Availability, Fleet, Server, ServerChange, ServerKey, ServerRecord, ServerStage, Sharing,
+    ToldLimit, ToldLimitWord,
+};
 pub use groups::{entry_order, Group};
 pub use request::{RequestFacts, RequestKey};
 pub use retry_budget::RetryBudget;
--- a/crates/notchwalk_route/src/placement/mod.rs
+++ b/crates/notchwalk_route/src/placement/mod.rs
@@ -144,6 +144,8 @@
     /// Added to the loss for a server that often fails.
     distrust_ms: f64,
     in_short_pool: bool,
+    /// Whether its limit leaves no requests for parts.
+    is_scarce: bool,
 }
 
 impl View {
@@ -153,7 +155,7 @@
         /// Enough that an engine never waits for its next part, little enough
         /// that few are delayed. Measured: see docs/BENCHES.md.
         const QUEUED_MS: f64 = 150.0;
-        self.load.own_long_reads == 0 && self.load.reading_ms <= QUEUED_MS
+        !self.is_scarce && self.load.own_long_reads == 0 && self.load.reading_ms <= QUEUED_MS
     }
 }
 
@@ -251,6 +253,7 @@
                 wait_ms,
                 distrust_ms: 400.0 * server.failure_rate(self.now),
                 in_short_pool: self.blind,
+                is_scarce: server.is_scarce(),
             });
         }
         if self.blind {
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -6,7 +6,7 @@
 use notchwalk_core::Instant;
 
 use super::{Router, LEAST_TIME_LEFT};
-use crate::{AttemptEnd, Effect, Refusal, RequestKey, ServerKey, WorkPhase};
+use crate::{AttemptEnd, Availability, Effect, Refusal, RequestKey, ServerKey, WorkPhase};
 
 /// Sends of one request at most, refused ones included, as a multiple of the
 /// servers it may run on.
@@ -86,7 +86,7 @@
             Refusal::Overloaded => Some(OVERLOAD_RETRY),
             Refusal::Suspected => Some(SUSPECTED_RETRY),
             Refusal::Quarantined => left,
-            Refusal::NoServer | Refusal::NotRun => Some(server_in),
+            Refusal::NoServer | Refusal::NotRun | Refusal::Limited => Some(server_in),
             Refusal::Unknown | Refusal::TimedOut => None,
         };
         out.push(Effect::Refuse {
@@ -98,15 +98,17 @@
 
     /// Returns when a caller may come back whom no server served: when the first one
     /// takes requests again, where none does now.
-    fn server_in(&self, key: RequestKey, now: Instant) -> Duration {
+    fn server_in(&mut self, key: RequestKey, now: Instant) -> Duration {
         let Some(Some(request)) = self.requests.get(key) else {
             return NEXT_TRY;
         };
-        let time = self.fleet.takes_work_in(&request.service, now);
-        match time {
-            Some(time) if !time.is_zero() => time,
-            None if !self.fleet.of_service(&request.service).is_empty() => SUCCESSOR_IN,
-            _ => NEXT_TRY,
+        let service = request.service.clone();
+        match self.fleet.availability(&service, &[], now) {
+            Availability::Now => NEXT_TRY,
+            Availability::WithinLimits(first) => self.limited_retry(&service, first, now),
+            Availability::Later(time) => time,
+            Availability::Never if self.fleet.of_service(&service).is_empty() => NEXT_TRY,
+            Availability::Never => SUCCESSOR_IN,
         }
     }
 
@@ -144,6 +146,9 @@
         ) {
             request.ran_on += 1;
         }
+        if matches!(end, AttemptEnd::NotConnected | AttemptEnd::NotSent) {
+            self.take_back_sends(key, now);
+        }
         self.judge_server(server, end, now, out);
         self.give_back(key, now, out);
         self.lift(key);
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -7,9 +7,11 @@
 //! | `waiting` | whether a request goes now, waits or is refused |
 //! | `reserving` | memory set aside for a request |
 //! | `ending` | what follows when sending it ended |
+//! | `limits` | requests for servers that name limits |
 //! | `suspects` | what that says of its content; which contents go to no server |
 
 mod ending;
+mod limits;
 mod reserving;
 mod sending;
 mod suspects;
@@ -27,6 +29,7 @@
     first_try::FirstTries, placement::EnginePlacement, request::Request,
     reservations::Reservations, shares::Shares, wait_queue::WaitQueue, Board, Effect, Event, Fleet,
     RequestKey, RetryBudget, RouteTable, ServerChange, ServerKey, ServerWord, Service, SiteConfig,
+    ToldLimit,
 };
 
 /// How long a peer's work counts at most after it told of any. The driver tells
@@ -123,6 +126,11 @@
         &self.fleet
     }
 
+    /// Takes what peers are to be told at once of servers that name limits.
+    pub fn take_limit_news(&mut self, now: Instant) -> Vec<ToldLimit> {
+        self.fleet.take_limit_news(now)
+    }
+
     /// Takes the servers that said in answers that they leave, to be told to peers.
     pub fn take_leaving_news(&mut self) -> Vec<u32> {
         self.fleet.take_leaving_news()
@@ -229,6 +237,7 @@
             } => self.peer_work(peer, &servers, work, now),
             Event::PeerGone { peer } => {
                 self.board.forget_peer(peer);
+                self.fleet.forget_sends_of(peer);
                 self.quarantine.forget_peer(peer);
             }
             Event::News { peer, news } => self.hear_news(peer, &news, now),
@@ -243,8 +252,12 @@
             Event::Release { content } => {
                 self.quarantine.release(content, now);
             }
-            Event::Group(group) => self.fleet.set_group(group),
+            Event::Group(group) => self.fleet.set_group(group, now),
             Event::Entries { count } => self.entries = Some(count),
+            Event::Sharing(sharing) => self.fleet.set_sharing(sharing, now),
+            Event::ToldLimits { peer, name, limits } => {
+                self.told_limits(peer, &name, &limits, now, out);
+            }
             Event::Reserved { request, failed } => self.reserved(request, &failed, now, out),
             Event::Unanswered(order) => self.reservations.note_unanswered(&order, now),
             Event::Tick => self.tick(now, out),
@@ -269,7 +282,7 @@
     }
 
     fn servers_changed(&mut self, change: ServerChange, now: Instant, out: &mut Vec<Effect>) {
-        for gone in self.fleet.apply(change) {
+        for gone in self.fleet.apply(change, now) {
             self.board.forget_server(gone.key);
             if let Some(life) = self.fleet.ended_life(gone.key) {
                 self.reservations.forget_at(life.addr);
@@ -307,8 +320,9 @@
         self.board.forget_silent_peers(now.before(PEER_SILENCE));
         self.quarantine.pass_time(now);
         self.check_servers(now, out);
+        self.fleet.forget_ended_limits(now);
         for order in self.reservations.due(now) {
-            out.push(Effect::Order(order));
+            self.order(order, now, out);
         }
         self.send_waiting(now, out);
     }
--- a/crates/notchwalk_route/src/router/reserving.rs
+++ b/crates/notchwalk_route/src/router/reserving.rs
@@ -40,6 +40,9 @@
             });
         }
         self.reservations.hold(key, &orders, now);
+        for order in &orders {
+            self.count_order(order, now);
+        }
         if let Some(Some(request)) = self.requests.get_mut(key) {
             request.reserving = Some(assignment);
             request.holds = true;
@@ -77,6 +80,9 @@
             return;
         }
         // No server saw the request; another set of engines may do.
+        for &server in request.helpers.iter().chain(&request.at) {
+            self.fleet.note_unsent(server, now);
+        }
         request.sends -= 1;
         request.tried.retain(|server| Some(*server) != request.at);
         for engine in failed {
@@ -126,7 +132,20 @@
 
     pub(super) fn give_back(&mut self, key: RequestKey, now: Instant, out: &mut Vec<Effect>) {
         for order in self.reservations.give_back(key, now) {
-            out.push(Effect::Order(order));
+            self.order(order, now, out);
+        }
+    }
+
+    /// Has an order sent. One that gives memory back goes whatever the engine's limit,
+    /// as a renewal does: what others wait for costs more.
+    pub(super) fn order(&mut self, order: ReservationOrder, now: Instant, out: &mut Vec<Effect>) {
+        self.count_order(&order, now);
+        out.push(Effect::Order(order));
+    }
+
+    fn count_order(&mut self, order: &ReservationOrder, now: Instant) {
+        if let Some(engine) = self.fleet.by_addr(order.addr) {
+            self.fleet.note_message(engine, now);
         }
     }
 }
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -42,6 +42,10 @@
         if self.draining_from.is_some_and(|from| now >= from) {
             return self.refuse(key, Refusal::Draining, now, out);
         }
+        let service = self.requests.get(key).and_then(Option::as_ref);
+        if let Some(request) = service {
+            self.fleet.note_asked_for(&request.service, now);
+        }
         self.queue_or_send(key, now, out);
     }
 
@@ -203,6 +207,7 @@
                 ..work
             };
             self.board.add(helper.server, part);
+            self.fleet.note_message(helper.server, now);
         }
         Some(Assignment {
             helpers,
--- a/crates/notchwalk_route/src/router/suspects.rs
+++ b/crates/notchwalk_route/src/router/suspects.rs
@@ -213,6 +213,9 @@
         if request.at.is_some() {
             self.quarantine.note_idle(request.facts.content);
         }
+        if request.reserving.is_some() {
+            self.take_back_sends(key, now);
+        }
         self.forget(key, now, out);
     }
 
--- a/crates/notchwalk_route/src/router/waiting.rs
+++ b/crates/notchwalk_route/src/router/waiting.rs
@@ -10,12 +10,12 @@
 
 use notchwalk_core::Instant;
 
-use super::{suspects::Standing, Router};
+use super::{limits::Ahead, suspects::Standing, Router};
 use crate::{
     placement::{Demand, EnginePlacement, Plan},
     request::Request,
     wait_queue::Waiting,
-    Effect, Grounds, Refusal, RequestKey,
+    Availability, Effect, Grounds, Refusal, RequestKey,
 };
 
 /// Part of its worth that others may lose for a prompt that is read late; a late
@@ -66,12 +66,13 @@
             return;
         }
         self.sum_up_shares(now);
+        let mut ahead = Ahead::default();
         for key in self.waiting.in_order(&self.shares) {
             let Some(Some(request)) = self.requests.get(key) else {
                 self.waiting.remove(key);
                 continue;
             };
-            match self.decide(request, now) {
+            match self.decide(request, &mut ahead, now) {
                 Decision::Wait => {}
                 Decision::Refuse(reason) => self.refuse(key, reason, now, out),
                 Decision::Send(plan) => {
@@ -93,7 +94,7 @@
         self.shares = self.board.shares(&self.fleet, now);
     }
 
-    fn decide(&self, request: &Request, now: Instant) -> Decision {
+    fn decide(&self, request: &Request, ahead: &mut Ahead, now: Instant) -> Decision {
         match self.standing(request, now) {
             Standing::Clear => {}
             Standing::Wait => return Decision::Wait,
@@ -101,8 +102,18 @@
         }
         // No use to wait for engines that all leave or want nothing: the caller is told
         // at once.
-        if self.nobody_takes(&request.service, now) {
-            return Decision::Send(None);
+        match self
+            .fleet
+            .availability(&request.service, &request.tried, now)
+        {
+            Availability::Now => {}
+            Availability::WithinLimits(first) => {
+                return match self.may_wait_for_limits(request, first, ahead, now) {
+                    true => Decision::Wait,
+                    false => Decision::Refuse(Refusal::Limited),
+                };
+            }
+            Availability::Later(_) | Availability::Never => return Decision::Send(None),
         }
         let Some(placement) = self.engine_placement(&request.service, now) else {
             return Decision::Send(self.plan(request, now));
@@ -114,11 +125,6 @@
         self.decide_short(request, &placement, &demand, now)
     }
 
-    fn nobody_takes(&self, service: &str, now: Instant) -> bool {
-        let time = self.fleet.takes_work_in(service, now);
-        time.is_none_or(|time| !time.is_zero())
-    }
-
     /// Decides about a short request. One that is late already, because its
     /// caller comes back after a failure, or that would come late wherever it goes,
     /// waits for spare room; so does one of a workspace over its share once slots are
@@ -249,7 +255,8 @@
 
     /// Tells whether a request would be sent to another server at once.
     pub(super) fn has_way(&self, request: &Request, now: Instant) -> bool {
-        matches!(self.decide(request, now), Decision::Send(Some(_)))
+        let decision = self.decide(request, &mut Ahead::default(), now);
+        matches!(decision, Decision::Send(Some(_)))
     }
 
     /// Returns a way in time at the cost of others, if the request stands for
--- a/crates/notchwalk_standin/src/bench/mod.rs
+++ b/crates/notchwalk_standin/src/bench/mod.rs
@@ -7,6 +7,7 @@
 mod ideal;
 mod leaving;
 mod lengths;
+mod limits;
 mod memory;
 mod once;
 mod orders;
@@ -117,6 +118,12 @@
         about: "long randomised runs in virtual time, with faults; violations of what must hold",
         run: soak::run,
     },
+    Bench {
+        name: "limits",
+        about:
+            "the rate at servers that name limits, and the worst four seconds, up to 300 entries",
+        run: limits::run,
+    },
     Bench {
         name: "steps",
         about: "events a second through the reducer, with 10 and 37,000 workspaces",
--- a/crates/notchwalk_standin/src/routed/mod.rs
+++ b/crates/notchwalk_standin/src/routed/mod.rs
@@ -6,6 +6,7 @@
 //! |---|---|
 //! | `bound` | what no policy can pass |
 //! | `engine` | one engine: passes, parts, memory |
+//! | `limits` | servers that name limits, shared by many routers under faults |
 //! | `policy` | who decides on which knowledge, and the site |
 //! | `traffic` | kinds of requests, waves, arrivals |
 //! | `world` | routers, engines and what arrivals come to |
@@ -13,6 +14,7 @@
 
 pub mod bound;
 pub mod engine;
+pub mod limits;
 pub mod policy;
 pub mod report;
 pub mod traffic;
