--- a/crates/notchwalk_route/src/request.rs
+++ b/crates/notchwalk_route/src/request.rs
@@ -117,11 +117,29 @@
         if !route.streaming || self.started {
             return self.facts.deadline;
         }
+        let patience = self.stream_patience();
+        self.facts.deadline.min(self.facts.arrived.after(patience))
+    }
+
+    /// Returns how long its caller bears a stream on which nothing comes.
+    fn stream_patience(&self) -> Duration {
+        let route = &self.facts.route;
         let pause = route.pause_objective.unwrap_or_default();
-        let patience = LEAST_PATIENCE
+        LEAST_PATIENCE
             .max(route.objective * PATIENCE_IN_OBJECTIVES)
-            .max(pause * PATIENCE_IN_PAUSES);
-        self.facts.deadline.min(self.facts.arrived.after(patience))
+            .max(pause * PATIENCE_IN_PAUSES)
+    }
+
+    /// Returns when its caller gives up, of a stream under way the pause since its last
+    /// event.
+    pub fn gives_up_at(&self) -> Instant {
+        match self.started {
+            true => self
+                .facts
+                .deadline
+                .min(self.waits_since.after(self.stream_patience())),
+            false => self.patience_end(),
+        }
     }
 
     /// Returns the time left to its deadline.
--- a/crates/notchwalk_route/src/router/limits.rs
+++ b/crates/notchwalk_route/src/router/limits.rs
@@ -9,10 +9,10 @@
 use super::Router;
 use crate::{request::Request, Effect, RequestKey, ToldLimit};
 
-/// Part of its caller's patience within which a request that came back is expected to be
-/// sent, for it to wait: it was told to come back, and goes on waiting where one that asks
-/// for the first time would be told.
-const WAITS_AGAIN_SHARE: f64 = 0.5;
+/// Part of its caller's patience within which a late request is expected to be sent, for
+/// it to wait: one that came back was told to, one whose server failed would be lost. The
+/// rest is left for its answer.
+const LATE_WAIT_SHARE: f64 = 0.75;
 /// By how much more than predicted callers are told to come back at most, as a part of it:
 /// those that were refused together come back apart.
 const RETRY_SPREAD: f64 = 0.25;
@@ -76,8 +76,8 @@
     /// Tells whether a request may wait for what the limits of its servers allow: the
     /// first send in `first`, one after the other from then on.
     ///
-    /// One whose turn comes too late for its objective is told at once when to come back;
-    /// it would wait for nothing, and those behind it as well.
+    /// One whose turn comes too late for its objective is told at once when to come back:
+    /// it has lost nothing yet, and would make those behind it late as well.
     pub(super) fn may_wait_for_limits(
         &self,
         request: &Request,
@@ -88,8 +88,9 @@
         let before = ahead.count(&request.service);
         let turn = self.limited_turn(&request.service, first, before, now);
         let came_back = request.first_tried < request.facts.arrived;
-        let allowed = match came_back || now >= request.objective_at() {
-            true => request.patience_end().since(now).mul_f64(WAITS_AGAIN_SHARE),
+        let is_late = came_back || request.sends > 0 || now >= request.objective_at();
+        let allowed = match is_late {
+            true => request.gives_up_at().since(now).mul_f64(LATE_WAIT_SHARE),
             false => request.objective_at().since(now),
         };
         let waits = turn + self.least_time(request, now) < allowed;
--- a/crates/notchwalk_route/tests/decisions/common.rs
+++ b/crates/notchwalk_route/tests/decisions/common.rs
@@ -7,7 +7,7 @@
 use notchwalk_route::{
     Assignment, AttemptEnd, Backend, Effect, EngineParameters, Event, Refusal, Repeatability,
     RequestFacts, RequestKey, Route, RouteLookup, Router, RouterConfig, ServerChange, ServerRecord,
-    ServerStage, Service, SiteConfig, Workspace, WorkspaceTag,
+    ServerStage, Service, Sharing, SiteConfig, Workspace, WorkspaceTag,
 };
 
 pub const ENGINES: &str = "engines";
@@ -148,6 +148,7 @@
             arrivals: 0,
         };
         rig.step(Event::Entries { count: 1 });
+        rig.step(Event::Sharing(Sharing::new(name, 1, 1)));
         rig.step(Event::Configured(site()));
         let engines = (0..engines).map(|number| record(ENGINES, number));
         let desks = (0..3).map(|number| record(DESK, number));
--- a/crates/notchwalk_route/tests/decisions/main.rs
+++ b/crates/notchwalk_route/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod engine_cost;
 mod groups;
 mod leaving;
+mod limits;
 mod placement;
 mod random_runs;
 mod reservations;
