--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -225,6 +225,8 @@
         let news = shell.router.borrow().quarantine().retold(whole, now);
         let to = shell.peers.borrow_mut().next_heartbeat_to();
         tell(&socket, &to, with_news(&shell, told, &news)).await;
+        shell.peers.borrow_mut().greet_again();
+        greet(&shell, &socket).await;
         beat = beat.wrapping_add(1);
         watch_peers(&shell);
         let pause = shell.peers.borrow().heartbeat();
--- a/crates/notchwalk_relay/src/peers.rs
+++ b/crates/notchwalk_relay/src/peers.rs
@@ -41,6 +41,10 @@
 /// over all groups within seconds, for a bounded number of datagrams.
 const OTHERS_A_BEAT: usize = 8;
 
+/// How often an entry that was heard for the first time is greeted after the first time,
+/// once a heartbeat.
+const GREETED_AGAIN: u32 = 2;
+
 /// What a message says of its sender's state.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PeerState {
@@ -104,6 +108,9 @@
     next_far: usize,
     /// Entries to be told at once what is known here.
     to_greet: Vec<SocketAddr>,
+    /// Entries that were heard for the first time lately, and how often they are still
+    /// to be greeted.
+    newcomers: Vec<(SocketAddr, u32)>,
 }
 
 impl Peers {
@@ -313,6 +320,18 @@
     /// Notes an entry that was heard for the first time.
     pub fn add_newcomer(&mut self, addr: SocketAddr) {
         self.to_greet.push(addr);
+        self.newcomers.push((addr, GREETED_AGAIN));
+    }
+
+    /// Has entries that were heard for the first time lately greeted once more: a
+    /// datagram may have been lost.
+    pub fn greet_again(&mut self) {
+        self.to_greet
+            .extend(self.newcomers.iter().map(|(addr, _)| *addr));
+        self.newcomers.retain_mut(|(_, left)| {
+            *left -= 1;
+            *left > 0
+        });
     }
 
     /// Has the entries of this one's group told that it is here.
