--- a/crates/notchwalk_route/tests/decisions/limits.rs
+++ b/crates/notchwalk_route/tests/decisions/limits.rs
@@ -7,7 +7,7 @@
     ServerRecord, ServerWord, Sharing, Told, ToldLimit,
 };
 
-use crate::common::{record, Rig, DESK, ENGINES};
+use crate::common::{content, record, Rig, DESK, ENGINES};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -404,6 +404,23 @@
     }
 }
 
+/// What crashes its servers is told so, whatever they would allow.
+#[test]
+fn a_limit_beside_a_quarantine() {
+    let mut rig = Rig::new();
+    say_all(&mut rig, DESK, 3, 1.0);
+    let content = content("crashes");
+    let (left, times) = (60 * SECOND, 1);
+    rig.step(Event::Restored {
+        content,
+        left,
+        times,
+    });
+    rig.content = Some(content);
+    rig.arrive("/again/", 0);
+    assert_eq!(rig.refusals(), [Refusal::Quarantined]);
+}
+
 /// A server that failed is tried by one request; a limit allows that one too.
 #[test]
 fn a_failed_server_with_a_limit_is_tried_within_it() {
--- a/crates/notchwalk_standin/src/bench/limits.rs
+++ b/crates/notchwalk_standin/src/bench/limits.rs
@@ -25,11 +25,19 @@
     1.5 * limit * WINDOW.as_secs_f64() + 5.0
 }
 
-fn measure(entries: usize, limit: f64, demand: Demand, options: &BenchOptions) -> Value {
+fn measure(
+    entries: usize,
+    limit: f64,
+    demand: Demand,
+    silent: bool,
+    options: &BenchOptions,
+) -> Value {
     let mut plan = LimitsPlan::new(entries, vec![limit; SERVERS], demand);
+    plan.silent = silent;
     plan.seed = options.seed;
     plan.lasts = Duration::from_secs((options.seconds * 3).max(30));
     let end = BEGIN.after(plan.lasts);
+    let entry_seconds = plan.lasts.as_secs_f64() * entries as f64;
     let outcome = LimitsWorld::new(plan).run();
     let since: Instant = BEGIN.after(KNOWN_AFTER);
     let rates = (0..SERVERS).map(|server| outcome.rate(server, since, end) / limit);
@@ -40,6 +48,8 @@
         "entries": entries,
         "limit": limit,
         "demand": format!("{demand:?}"),
+        "equal_shares": silent,
+        "messages_an_entry_s": rounded(outcome.messages as f64 / entry_seconds, 1),
         "rate_over_limit": rounded(rates.iter().sum::<f64>() / SERVERS as f64, 2),
         "worst_4s_over_allowed": rounded(worst, 2),
         "served": outcome.served,
@@ -57,9 +67,11 @@
         }
         for demand in [Demand::Even, Demand::One] {
             for limit in LIMITS {
-                let run = measure(entries, limit, demand, options);
+                let run = measure(entries, limit, demand, false, options);
                 println!("{run}");
                 runs.push(run);
+                let baseline = measure(entries, limit, demand, true, options);
+                println!("{baseline}");
             }
         }
     }
--- a/crates/notchwalk_standin/src/routed/limits.rs
+++ b/crates/notchwalk_standin/src/routed/limits.rs
@@ -69,6 +69,8 @@
     pub asked_per_s: f64,
     /// Part of the messages between entries that get lost.
     pub lost: f64,
+    /// Whether entries tell each other nothing at all: each has its equal share then.
+    pub silent: bool,
     /// What happens to which entry, and when.
     pub troubles: Vec<(Duration, usize, Trouble)>,
     /// When servers name no limit any more.
@@ -90,6 +92,7 @@
             demand,
             asked_per_s: (3.0 * allowed).max(20.0),
             lost: 0.0,
+            silent: false,
             troubles: Vec::new(),
             ends_at: None,
             lasts: Duration::from_secs(24),
@@ -452,6 +455,9 @@
     }
 
     fn tell(&mut self, from: usize, to: Option<usize>, limits: Vec<ToldLimit>, beat: bool) {
+        if self.plan.silent {
+            return;
+        }
         let all = 0..self.plan.entries;
         let targets: Vec<usize> = match to {
             Some(to) => vec![to],
