--- a/crates/notchwalk_quarantine/src/quarantine/evidence.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/evidence.rs
@@ -4,12 +4,14 @@
 
 use notchwalk_core::Instant;
 
-use super::{judging::REMEMBERED, Quarantine};
+use super::Quarantine;
 use crate::{
     suspect::{Crash, Runner, Suspect},
     EndReason, Finding, Fingerprint,
 };
 
+/// How long a crash is remembered.
+pub(super) const REMEMBERED: Duration = Duration::from_secs(600);
 /// How much sooner than the crash under a request its server's end may be seen.
 const END_BEFORE_CRASH: Duration = Duration::from_millis(100);
 /// By how much entries' times of one thing differ, as datagrams take.
--- a/crates/notchwalk_quarantine/src/quarantine/judging.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/judging.rs
@@ -4,7 +4,10 @@
 
 use notchwalk_core::Instant;
 
-use super::{evidence::is_same, Quarantine};
+use super::{
+    evidence::{is_same, REMEMBERED},
+    Quarantine,
+};
 use crate::{
     news::{age_ms, told_ms, News},
     suspect::{Moments, Suspect, Term},
@@ -26,8 +29,6 @@
 /// was turned away wrongly, or whose cause was mended, comes through the same hour.
 const FIRST_QUARANTINE: Duration = Duration::from_secs(600);
 pub(super) const LONGEST_QUARANTINE: Duration = Duration::from_secs(3_600);
-/// How long a crash is remembered.
-pub(super) const REMEMBERED: Duration = Duration::from_secs(600);
 /// How long a crash may stay without confirmation. Records of servers that ended
 /// are gone after three heartbeats of silence, 3.5 s on the deployments known.
 const SETTLES: Duration = Duration::from_secs(6);
