--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -9,7 +9,7 @@
 use notchwalk_route::{Assignment, AttemptEnd, Event};
 
 use crate::{
-    front::Served,
+    served::Served,
     server_words::{self, Asked},
     shell::Shell,
     stream_events::EventSplitter,
--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -24,6 +24,7 @@
 use crate::{
     config_watch::ConfigReader,
     directory::Directory,
+    effects::Effects,
     front::Front,
     log_sink,
     operator::Operator,
@@ -183,7 +184,15 @@
         });
         let client = Client::new().with_connect_timeout(CONNECT_TIMEOUT);
         let (dialect, store) = (around.dialect, around.store);
-        let shell = Shell::new(settings, boot, router, dialect, store, client);
+        let shell = Shell::new(
+            settings,
+            boot,
+            router,
+            dialect,
+            store,
+            client,
+            Box::new(Effects),
+        );
         let shell = Rc::new(shell.with_clock(around.clock));
         let limits = ServerLimits {
             connections: shell.settings.max_descriptors / 2,
--- a/crates/notchwalk_relay/src/front/accept.rs
+++ b/crates/notchwalk_relay/src/front/accept.rs
@@ -9,8 +9,8 @@
 use notchwalk_quarantine::{Content, Fingerprint, Fingerprinting};
 use notchwalk_route::{host_name, RequestFacts, RequestKey, RouteLookup, WorkspaceTag};
 
-use super::{Front, Served};
-use crate::CallerFacts;
+use super::Front;
+use crate::{served::Served, CallerFacts};
 
 /// Time that a caller waits if it says nothing.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(10);
--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -6,17 +6,15 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use http::{header, HeaderMap, HeaderValue, StatusCode};
-use notchwalk_core::{Instant, LogEvent, LogEventKind};
+use notchwalk_core::{LogEvent, LogEventKind};
 use notchwalk_http::prelude::*;
-use notchwalk_quarantine::Fingerprint;
-use notchwalk_route::{Assignment, AttemptEnd, Effect, Event, Refusal, RequestKey};
+use notchwalk_route::{Assignment, AttemptEnd, Effect, Event, Refusal};
 
 use crate::{
     attempt::{self, Attempted, Delivery},
+    served::Served,
     shell::{Inbox, Shell, Stopping},
-    CallerFacts,
 };
 use accept::Rejection;
 use record::Outcome;
@@ -26,35 +24,6 @@
     shell: Rc<Shell>,
 }
 
-/// A request while it is served.
-pub(crate) struct Served {
-    /// Its key in the router.
-    pub key: RequestKey,
-    /// What its head says.
-    pub caller: CallerFacts,
-    /// Identifies its content, alike for all its tries.
-    pub content: Fingerprint,
-    /// The workspace of its key.
-    pub workspace: Option<Rc<str>>,
-    /// Its route's name, for logs and metrics.
-    pub route: Rc<str>,
-    /// When its first byte came.
-    pub arrived: Instant,
-    /// When nobody waits any more.
-    pub deadline: Instant,
-    /// Its body.
-    pub body: Bytes,
-    /// Whether its answer is a stream.
-    pub streaming: bool,
-}
-
-impl Served {
-    /// Returns the request's id as text, for logs.
-    pub fn id(&self) -> &str {
-        self.caller.id.to_str().unwrap_or("unreadable")
-    }
-}
-
 impl Front {
     pub fn new(shell: Rc<Shell>) -> Self {
         Self { shell }
--- a/crates/notchwalk_relay/src/front/record.rs
+++ b/crates/notchwalk_relay/src/front/record.rs
@@ -3,8 +3,8 @@
 use notchwalk_core::{LogEvent, LogEventKind};
 use notchwalk_route::{Assignment, Refusal};
 
-use super::{Front, Served};
-use crate::attempt::Delivery;
+use super::Front;
+use crate::{attempt::Delivery, served::Served};
 
 /// How a request ended, for logs and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     peers::PeerState,
-    presence::PresenceRecord,
+    presence_record::PresenceRecord,
     shell::{Shell, Stopping},
 };
 
@@ -200,7 +200,7 @@
 ) -> Vec<PeerMessage> {
     let mut told = messages(shell, servers, work);
     if let Some(first) = told.first_mut() {
-        first.from = Some(PresenceRecord::of(shell));
+        first.from = Some(shell.presence_record());
         // A datagram may have been lost, and an entry may have started since.
         let router = shell.router.borrow();
         first.leaving = router.fleet().leaving_to_tell(MAX_LEAVING);
@@ -238,7 +238,7 @@
 pub(crate) async fn tell_stopping(shell: &Shell, socket: &UdpSocket) {
     debug_assert!(shell.stopping.get() != Stopping::No);
     let mut told = message(shell, Vec::new(), Vec::new());
-    told.from = Some(PresenceRecord::of(shell));
+    told.from = Some(shell.presence_record());
     let all = shell.peers.borrow().all();
     tell(socket, &all, vec![told]).await;
 }
--- a/crates/notchwalk_relay/src/peers.rs
+++ b/crates/notchwalk_relay/src/peers.rs
@@ -11,7 +11,7 @@
 use notchwalk_platform::StoreVersion;
 use notchwalk_route::{entry_order, Group, Sharing};
 
-use crate::presence::PresenceRecord;
+use crate::presence_record::PresenceRecord;
 
 /// How often an entry says that it lives, among up to [`FEW_ENTRIES`].
 const HEARTBEAT: Duration = Duration::from_millis(250);
--- a/crates/notchwalk_relay/src/presence.rs
+++ b/crates/notchwalk_relay/src/presence.rs
@@ -1,42 +1,19 @@
 //! The record by which entries find each other: a row in the platform's store
 //! that each writes when it starts.
 
-use std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::HashSet, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use notchwalk_core::{LogEvent, LogEventKind};
 use notchwalk_platform::{PlatformError, Row, RowWrite};
-use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
-use crate::{backoff::Backoff, peer_link, quarantine, shell::Shell};
-
-/// The table that holds the records, and what else an entry reads at its start.
-pub(crate) const TABLE: &str = "entries";
-
-/// What an entry says of itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
-pub(crate) struct PresenceRecord {
-    /// The VM's name.
-    pub name: String,
-    /// Rises with each start on that VM.
-    pub boot: u64,
-    /// Where peers reach it.
-    pub peer: SocketAddr,
-    /// Where callers reach it.
-    pub caller: SocketAddr,
-}
-
-impl PresenceRecord {
-    /// Returns this entry's own record.
-    pub fn of(shell: &Shell) -> Self {
-        Self {
-            name: shell.settings.name.clone(),
-            boot: shell.boot,
-            peer: shell.settings.peer,
-            caller: shell.settings.caller,
-        }
-    }
-}
+use crate::{
+    backoff::Backoff,
+    peer_link,
+    presence_record::{PresenceRecord, TABLE},
+    quarantine,
+    shell::Shell,
+};
 
 /// Writes this entry's record, as often as it takes, and finds the others
 /// meanwhile: what is told by heartbeats makes two entries that start at once know
@@ -54,7 +31,7 @@
 
 /// Writes this entry's record, as often as it takes.
 pub(crate) async fn write_record(shell: &Shell) {
-    let record = PresenceRecord::of(shell);
+    let record = shell.presence_record();
     let mut value = Vec::new();
     if let Err(e) = ciborium::into_writer(&record, &mut value) {
         log::error!("the entry's record can't be written: {e}");
--- a/crates/notchwalk_relay/src/quarantine.rs
+++ b/crates/notchwalk_relay/src/quarantine.rs
@@ -15,7 +15,7 @@
 use notchwalk_route::{Event, Fleet};
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
-use crate::{backoff::Backoff, presence::TABLE, shell::Shell};
+use crate::{backoff::Backoff, presence_record::TABLE, shell::Shell};
 
 /// What keys of quarantines begin with; names of entries hold no slash.
 const KEY_PREFIX: &str = "quarantine/";
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -11,8 +11,8 @@
 use slotmap::SecondaryMap;
 
 use crate::{
-    engine_orders, metrics::Metrics, peers::Peers, quarantine, server_words, signal::Signal,
-    Dialect, RelaySettings,
+    metrics::Metrics, peers::Peers, presence_record::PresenceRecord, signal::Signal, Dialect,
+    RelaySettings,
 };
 
 /// The shortest suspension that counts as one: the two clocks are not read at the
@@ -22,6 +22,12 @@
 /// suspended, deadlines don't.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
+/// Carries out the effects that are not for the task of one request.
+pub(crate) trait EffectDriver {
+    /// Carries one out, or has a task do so.
+    fn carry_out(&self, shell: &Rc<Shell>, effect: Effect);
+}
+
 /// Receives the effects that concern one request.
 pub(crate) type Inbox = unbounded::Rx<Effect>;
 
@@ -75,6 +81,7 @@
     /// Raised when peers are to be told of this entry's work, or of suspects.
     pub work_changed: Signal,
     inboxes: RefCell<SecondaryMap<RequestKey, unbounded::Tx<Effect>>>,
+    effects: Box<dyn EffectDriver>,
 }
 
 impl Shell {
@@ -85,6 +92,7 @@
         dialect: Rc<dyn Dialect>,
         store: Rc<dyn RowStore>,
         client: Client,
+        effects: Box<dyn EffectDriver>,
     ) -> Self {
         Self {
             peers: RefCell::new(Peers::new(&settings.name)),
@@ -110,6 +118,7 @@
             resumes: std::cell::Cell::new(0),
             work_changed: Signal::default(),
             inboxes: RefCell::default(),
+            effects,
         }
     }
 
@@ -141,6 +150,16 @@
         LogEvent::new(LogEventKind::MachineResumed, facts).emit();
     }
 
+    /// Returns this entry's own record.
+    pub fn presence_record(&self) -> PresenceRecord {
+        PresenceRecord {
+            name: self.settings.name.clone(),
+            boot: self.boot,
+            peer: self.settings.peer,
+            caller: self.settings.caller,
+        }
+    }
+
     /// Returns the present time.
     pub fn now(&self) -> Instant {
         self.clock.now()
@@ -252,23 +271,7 @@
                 self.deliver(request, effect);
                 self.inboxes.borrow_mut().remove(request);
             }
-            Effect::Reserve { request, orders } => {
-                monoio::spawn(engine_orders::reserve(self.clone(), request, orders));
-            }
-            Effect::Order(order) => {
-                monoio::spawn(engine_orders::send_once(self.clone(), order));
-            }
-            Effect::Heard {
-                server,
-                word,
-                by_peer,
-            } => server_words::log_heard(self, server, word, by_peer),
-            Effect::LimitUsedUp { server } => server_words::log_used_up(self, server),
-            Effect::Closed { server, pause } => self.log_closed(server, pause),
-            Effect::Check { server, addr } => {
-                monoio::spawn(quarantine::check(self.clone(), server, addr));
-            }
-            Effect::Found(finding) => quarantine::found(self, finding),
+            effect => self.effects.carry_out(self, effect),
         }
     }
 
@@ -281,20 +284,6 @@
         let _ = tx.send(effect);
     }
 
-    fn log_closed(&self, server: notchwalk_route::ServerKey, pause: Duration) {
-        let router = self.router.borrow();
-        let Some(server) = router.fleet().get(server) else {
-            return;
-        };
-        let facts = format!(
-            "server={} pause_ms={} failure_rate={:.2}",
-            server.record.instance,
-            pause.as_millis(),
-            server.failure_rate(self.now())
-        );
-        LogEvent::new(LogEventKind::CircuitOpened, facts).emit();
-    }
-
     /// Forgets a request whose answer ended.
     pub fn close_request(&self, request: RequestKey) {
         self.inboxes.borrow_mut().remove(request);
