--- a/crates/notchwalkd/src/bundle_watch.rs
+++ b/crates/notchwalkd/src/bundle_watch.rs
@@ -4,27 +4,17 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use notchwalk_bundle::{Bundle, BundleError, Manifest, Part};
+use notchwalk_bundle::{Bundle, BundleError};
 use notchwalk_core::{LogEvent, LogEventKind, VmId};
 use notchwalk_decide::Event;
 use notchwalk_platform::{fetch_bundle, fetch_head, SubmitError};
 use notchwalk_wire::PeerMessage;
-use serde::{Deserialize, Serialize};
 
-use crate::shell::Shell;
+use crate::{bundle_texts::BundleTexts, shell::Shell};
 
 /// How often the head row is read.
 const READ_EVERY: Duration = Duration::from_millis(400);
 
-/// A bundle's manifest and the texts of its parts.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct BundleTexts {
-    /// The manifest.
-    pub manifest: Manifest,
-    /// The parts.
-    pub parts: Vec<Part>,
-}
-
 /// Reads the head for ever.
 pub async fn watch(shell: Rc<Shell>) {
     let mut down = false;
--- a/crates/notchwalkd/src/claim_writer.rs
+++ b/crates/notchwalkd/src/claim_writer.rs
@@ -2,17 +2,15 @@
 //! close together share one transaction, since the table takes only several
 //! hundred writes a second.
 
-use std::{
-    cell::{Cell, RefCell},
-    rc::Rc,
-    time::Duration,
-};
+use std::{rc::Rc, time::Duration};
 
 use notchwalk_decide::{ClaimAnswer, ClaimRow, Event, RequestKey};
 use notchwalk_wire::{Condition, Row, TableOp, TableRead, TableTransaction};
-use serde::{Deserialize, Serialize};
 
-use crate::shell::Shell;
+use crate::{
+    claims::{ClaimValue, StoredOutcome, Then, Write},
+    shell::Shell,
+};
 
 /// How long writes are gathered.
 const GATHER: Duration = Duration::from_millis(4);
@@ -21,163 +19,107 @@
 /// Tries to store an outcome.
 const STORE_TRIES: u32 = 12;
 
-/// The value of a claim's row.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimValue {
-    /// The token of the owner.
-    pub token: String,
-    /// The digest of the call.
-    pub fingerprint: String,
-    /// The outcome, once it is known.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub outcome: Option<StoredOutcome>,
+fn ttl(shell: &Shell) -> Option<u64> {
+    Some(shell.bundle().map_or(86_400, |b| b.policy.outcome_ttl_s))
 }
 
-/// A stored answer of a plain service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StoredOutcome {
-    /// The HTTP status.
-    pub status: u16,
-    /// The content type.
-    pub content_type: String,
-    /// The body; `None` if it was too large to store.
-    pub body: Option<Vec<u8>>,
+/// Writes a claim if there is none.
+pub fn insert(
+    shell: &Rc<Shell>,
+    request: RequestKey,
+    key: String,
+    token: String,
+    fingerprint: String,
+) {
+    let value = ClaimValue {
+        token,
+        fingerprint,
+        outcome: None,
+    };
+    let op = TableOp {
+        key,
+        condition: Condition::Absent,
+        value: Some(value.text()),
+        ttl_s: ttl(shell),
+    };
+    push(
+        shell,
+        Write {
+            op,
+            then: Then::Claim(request),
+        },
+    );
 }
 
-impl ClaimValue {
-    fn text(&self) -> String {
-        serde_json::to_string(self).unwrap_or_default()
+/// Adds a write to those that share the next transaction.
+fn push(shell: &Rc<Shell>, write: Write) {
+    shell.claims.waiting.borrow_mut().push(write);
+    if !shell.claims.gathering.replace(true) {
+        notchwalk_http::spawn(flush(shell.clone()));
     }
 }
 
-/// What follows a write.
-enum Then {
-    /// The reducer hears of its claim.
-    Claim(RequestKey),
-    /// An outcome is stored; on failure it is tried again so often.
-    Stored {
-        /// Tries left.
-        tries: u32,
-    },
-}
-
-struct Write {
-    op: TableOp,
-    then: Then,
-}
-
-/// Claims and outcomes on their way to the table.
-#[derive(Default)]
-pub struct ClaimWriter {
-    waiting: RefCell<Vec<Write>>,
-    gathering: Cell<bool>,
+/// Stores the outcome of a call, with several tries while the table is
+/// down.
+pub fn store(
+    shell: &Rc<Shell>,
+    key: String,
+    token: String,
+    fingerprint: String,
+    outcome: StoredOutcome,
+) {
+    let mut value = ClaimValue {
+        token,
+        fingerprint,
+        outcome: None,
+    };
+    let claimed = value.text();
+    value.outcome = Some(outcome);
+    let op = TableOp {
+        key,
+        condition: Condition::Value(claimed),
+        value: Some(value.text()),
+        ttl_s: ttl(shell),
+    };
+    let then = Then::Stored { tries: STORE_TRIES };
+    push(shell, Write { op, then });
 }
 
-fn ttl(shell: &Shell) -> Option<u64> {
-    Some(shell.bundle().map_or(86_400, |b| b.policy.outcome_ttl_s))
+/// Reads a claim.
+pub fn read(shell: &Rc<Shell>, request: RequestKey, key: String) {
+    let shell = shell.clone();
+    notchwalk_http::spawn(async move {
+        let read = shell.platform.read(TableRead { keys: vec![key] }).await;
+        let answer = match read {
+            Ok(answer) => answer_of(answer.rows.into_iter().next().flatten()),
+            Err(_) => ClaimAnswer::NoAnswer,
+        };
+        shell.step(Event::Claim { request, answer });
+    });
 }
 
-impl ClaimWriter {
-    /// Writes a claim if there is none.
-    pub fn insert(
-        &self,
-        shell: &Rc<Shell>,
-        request: RequestKey,
-        key: String,
-        token: String,
-        fingerprint: String,
-    ) {
+/// Deletes a claim whose call was not sent.
+pub fn release(shell: &Rc<Shell>, key: String, token: String, fingerprint: String) {
+    let shell = shell.clone();
+    notchwalk_http::spawn(async move {
         let value = ClaimValue {
             token,
             fingerprint,
             outcome: None,
         };
         let op = TableOp {
-            key,
-            condition: Condition::Absent,
-            value: Some(value.text()),
-            ttl_s: ttl(shell),
+            key: key.clone(),
+            condition: Condition::Value(value.text()),
+            value: None,
+            ttl_s: None,
         };
-        self.push(
-            shell,
-            Write {
-                op,
-                then: Then::Claim(request),
-            },
-        );
-    }
-
-    /// Adds a write to those that share the next transaction.
-    fn push(&self, shell: &Rc<Shell>, write: Write) {
-        self.waiting.borrow_mut().push(write);
-        if !self.gathering.replace(true) {
-            notchwalk_http::spawn(flush(shell.clone()));
-        }
-    }
-
-    /// Stores the outcome of a call, with several tries while the table is
-    /// down.
-    pub fn store(
-        &self,
-        shell: &Rc<Shell>,
-        key: String,
-        token: String,
-        fingerprint: String,
-        outcome: StoredOutcome,
-    ) {
-        let mut value = ClaimValue {
-            token,
-            fingerprint,
-            outcome: None,
+        let tx = TableTransaction {
+            ops: vec![op],
+            all_or_none: false,
         };
-        let claimed = value.text();
-        value.outcome = Some(outcome);
-        let op = TableOp {
-            key,
-            condition: Condition::Value(claimed),
-            value: Some(value.text()),
-            ttl_s: ttl(shell),
-        };
-        let then = Then::Stored { tries: STORE_TRIES };
-        self.push(shell, Write { op, then });
-    }
-
-    /// Reads a claim.
-    pub fn read(&self, shell: &Rc<Shell>, request: RequestKey, key: String) {
-        let shell = shell.clone();
-        notchwalk_http::spawn(async move {
-            let read = shell.platform.read(TableRead { keys: vec![key] }).await;
-            let answer = match read {
-                Ok(answer) => answer_of(answer.rows.into_iter().next().flatten()),
-                Err(_) => ClaimAnswer::NoAnswer,
-            };
-            shell.step(Event::Claim { request, answer });
-        });
-    }
-
-    /// Deletes a claim whose call was not sent.
-    pub fn release(&self, shell: &Rc<Shell>, key: String, token: String, fingerprint: String) {
-        let shell = shell.clone();
-        notchwalk_http::spawn(async move {
-            let value = ClaimValue {
-                token,
-                fingerprint,
-                outcome: None,
-            };
-            let op = TableOp {
-                key: key.clone(),
-                condition: Condition::Value(value.text()),
-                value: None,
-                ttl_s: None,
-            };
-            let tx = TableTransaction {
-                ops: vec![op],
-                all_or_none: false,
-            };
-            let confirmed = shell.platform.transact(tx).await.is_ok();
-            shell.step(Event::ClaimReleased { key, confirmed });
-        });
-    }
+        let confirmed = shell.platform.transact(tx).await.is_ok();
+        shell.step(Event::ClaimReleased { key, confirmed });
+    });
 }
 
 async fn flush(shell: Rc<Shell>) {
@@ -226,7 +168,7 @@
         return;
     };
     monoio::time::sleep(PAUSE * 2u32.pow((STORE_TRIES - tries).min(8))).await;
-    shell.claims.push(&shell, write);
+    push(&shell, write);
 }
 
 fn answer_of(row: Option<Row>) -> ClaimAnswer {
--- a/crates/notchwalkd/src/completions.rs
+++ b/crates/notchwalkd/src/completions.rs
@@ -14,9 +14,9 @@
     answer_template::{usage_of, Template},
     api_error::ApiFailure,
     auth::Caller,
-    caller_api::RequestOptions,
     channel::{caller_channel, CallerEvent, CallerRx},
     completion_request::{self, Dialect, Wanted},
+    request_options::RequestOptions,
     shell::{GeneratePayload, Shell},
 };
 
--- a/crates/notchwalkd/src/daemon.rs
+++ b/crates/notchwalkd/src/daemon.rs
@@ -18,8 +18,8 @@
 use notchwalk_platform::HttpPlatform;
 
 use crate::{
-    bundle_watch, caller_api::CallerApi, error::DaemonError, operator_api::OperatorApi, peer_link,
-    settings::DaemonSettings, shell::Shell, vm_watch,
+    bundle_watch, caller_api::CallerApi, effects::Effects, error::DaemonError,
+    operator_api::OperatorApi, peer_link, settings::DaemonSettings, shell::Shell, vm_watch,
 };
 
 /// How often the reducer hears that time passed.
@@ -116,7 +116,7 @@
         connections: settings.max_connections,
         ..ServerLimits::default()
     };
-    let shell = Shell::new(settings, boot_number(), client, platform);
+    let shell = Shell::new(settings, boot_number(), client, platform, Box::new(Effects));
     let listener = |std| TcpListener::from_std(std).map_err(DaemonError::Runtime);
     let serve_on = |std, service: Rc<dyn Service>| -> Result<(), DaemonError> {
         notchwalk_http::spawn(serve(listener(std)?, limits, service));
--- /dev/null
+++ b/crates/notchwalkd/src/effects.rs
@@ -0,0 +1,80 @@
+//! Which driver carries out which effect.
+
+use std::rc::Rc;
+
+use notchwalk_decide::Effect;
+
+use crate::{
+    channel::CallerEvent,
+    claim_writer, engine_driver, order_driver,
+    shell::{EffectDriver, Shell},
+};
+
+/// All drivers of effects. A new effect gets its line here.
+pub struct Effects;
+
+impl EffectDriver for Effects {
+    fn carry_out(&self, shell: &Rc<Shell>, effect: Effect) {
+        match effect {
+            Effect::Dispatch(dispatch) => {
+                let payload = shell.payload(dispatch.request);
+                match payload {
+                    Some(payload) => shell.spawn_attempt(
+                        dispatch.request,
+                        engine_driver::generate(shell.clone(), dispatch, payload),
+                    ),
+                    None => shell.tell(dispatch.request, CallerEvent::Send(dispatch)),
+                }
+            }
+            Effect::Segment(order) => {
+                if order.from == 0 {
+                    shell.forget_tickets(order.request);
+                }
+                if let Some(payload) = shell.payload(order.request) {
+                    let task = engine_driver::compute_segment(shell.clone(), order, payload);
+                    shell.spawn_attempt(order.request, task);
+                }
+            }
+            Effect::Cancel { server, id, up_to } => {
+                notchwalk_http::spawn(engine_driver::cancel(shell.clone(), server, id, up_to));
+            }
+            Effect::AskHoldings(server) => {
+                notchwalk_http::spawn(engine_driver::ask_holdings(shell.clone(), server));
+            }
+            Effect::ClaimInsert {
+                request,
+                key,
+                token,
+                fingerprint,
+            } => claim_writer::insert(shell, request, key, token, fingerprint),
+            Effect::ClaimRead { request, key } => claim_writer::read(shell, request, key),
+            Effect::ClaimRelease {
+                key,
+                token,
+                fingerprint,
+            } => claim_writer::release(shell, key, token, fingerprint),
+            Effect::LeaseRead => {
+                notchwalk_http::spawn(order_driver::read_lease(shell.clone()));
+            }
+            Effect::LeaseWrite { expected, row } => {
+                notchwalk_http::spawn(order_driver::write_lease(shell.clone(), expected, row));
+            }
+            Effect::Order {
+                server,
+                fence,
+                wanted,
+            } => {
+                notchwalk_http::spawn(order_driver::give(shell.clone(), server, fence, wanted));
+            }
+            // The shell has them, which keeps open requests.
+            Effect::Admitted { .. }
+            | Effect::Refuse { .. }
+            | Effect::Deliver { .. }
+            | Effect::Finish { .. }
+            | Effect::FinishStored { .. }
+            | Effect::Peer { .. }
+            | Effect::Log(_)
+            | Effect::Stop => {}
+        }
+    }
+}
--- a/crates/notchwalkd/src/metrics.rs
+++ b/crates/notchwalkd/src/metrics.rs
@@ -1,9 +1,8 @@
 //! Metrics in Prometheus' text format.
 
+use notchwalk_decide::Node;
 use prometheus::{Encoder, Gauge, IntGauge, Registry, TextEncoder};
 
-use crate::shell::Shell;
-
 /// The gauges of one daemon, set when they are asked for.
 pub struct Metrics {
     registry: Registry,
@@ -93,41 +92,48 @@
     }
 
     /// Returns the text of all metrics.
-    pub fn text(&self, shell: &Shell) -> String {
-        shell.with_node(|node| {
-            let c = node.counters();
-            let counts = [
-                c.arrived,
-                c.refused,
-                c.completed,
-                c.failed,
-                c.attempts,
-                c.retries,
-                c.frames_dropped,
-                c.tokens,
-                c.top_ups,
-                c.cancels,
-                c.long_denied,
-                c.long_granted,
-            ];
-            for ((_, gauge), count) in self.counters.iter().zip(counts) {
-                gauge.set(count as i64);
-            }
-            self.open_requests.set(node.open_requests() as i64);
-            self.queued_requests.set(node.queued_requests() as i64);
-            self.open_cancels.set(node.open_cancels() as i64);
-            self.bundle_version.set(node.bundle_version() as i64);
-            self.ready.set(i64::from(node.is_ready()));
-            self.retry_budget.set(node.retry_budget());
-        });
-        self.bundle_bytes.set(shell.bundle_bytes.get() as i64);
-        self.peer_bytes.set(shell.links.sent_bytes() as i64);
+    pub fn text(&self, node: &Node, sent: Traffic) -> String {
+        let c = node.counters();
+        let counts = [
+            c.arrived,
+            c.refused,
+            c.completed,
+            c.failed,
+            c.attempts,
+            c.retries,
+            c.frames_dropped,
+            c.tokens,
+            c.top_ups,
+            c.cancels,
+            c.long_denied,
+            c.long_granted,
+        ];
+        for ((_, gauge), count) in self.counters.iter().zip(counts) {
+            gauge.set(count as i64);
+        }
+        self.open_requests.set(node.open_requests() as i64);
+        self.queued_requests.set(node.queued_requests() as i64);
+        self.open_cancels.set(node.open_cancels() as i64);
+        self.bundle_version.set(node.bundle_version() as i64);
+        self.ready.set(i64::from(node.is_ready()));
+        self.retry_budget.set(node.retry_budget());
+        self.bundle_bytes.set(sent.bundle_bytes as i64);
+        self.peer_bytes.set(sent.peer_bytes as i64);
         let mut buf = Vec::new();
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
         String::from_utf8(buf).unwrap_or_default()
     }
 }
 
+/// Bytes that a daemon moved besides answers, since its start.
+#[derive(Clone, Copy, Debug)]
+pub struct Traffic {
+    /// Sent to other daemons.
+    pub peer_bytes: u64,
+    /// Fetched for bundles.
+    pub bundle_bytes: u64,
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Self::new()
--- a/crates/notchwalkd/src/operator_api.rs
+++ b/crates/notchwalkd/src/operator_api.rs
@@ -35,7 +35,7 @@
                 exchange.respond_text(status, text).await;
             }
             (&Method::GET, "/metrics") => {
-                let text = self.shell.metrics.text(&self.shell);
+                let text = self.shell.metrics_text();
                 exchange.respond_text(StatusCode::OK, &text).await;
             }
             (&Method::GET, "/dump") => {
--- a/crates/notchwalkd/src/peer_link.rs
+++ b/crates/notchwalkd/src/peer_link.rs
@@ -2,16 +2,9 @@
 //! `peer_proof`). Each daemon sends on the links it opened and listens on
 //! those the others opened.
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::Cell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use futures_util::{SinkExt, StreamExt};
-use local_sync::mpsc::unbounded;
 use monoio::{
     io::IntoPollIo,
     net::{tcp::stream_poll::TcpStreamPoll, TcpListener, TcpStream},
@@ -28,12 +21,11 @@
 
 use crate::{
     bundle_watch,
+    peer_links::Outbox,
     peer_proof::{self, Challenge, Hello, Proof, PROOF_BYTES},
     shell::Shell,
 };
 
-/// Messages that wait for a peer at the most; later ones are dropped.
-const MAX_WAITING: usize = 64;
 /// The largest message; a bundle offered to a peer is the largest.
 const MAX_MESSAGE: usize = 32 << 20;
 /// How long connecting and proving may take.
@@ -47,80 +39,14 @@
 
 type Socket = WebSocketStream<TcpStreamPoll>;
 
-struct Link {
-    addr: SocketAddr,
-    tx: unbounded::Tx<PeerMessage>,
-    waiting: Rc<Cell<usize>>,
-}
-
-/// The receiving end of a link's messages.
-struct Outbox {
-    rx: unbounded::Rx<PeerMessage>,
-    waiting: Rc<Cell<usize>>,
-}
-
-impl Outbox {
-    async fn next(&mut self) -> Option<PeerMessage> {
-        let message = self.rx.recv().await?;
-        self.waiting.set(self.waiting.get() - 1);
-        Some(message)
-    }
-
-    /// Drops what waited while there was no link; tells whether the link is
-    /// to end.
-    fn clear(&mut self) -> bool {
-        loop {
-            match self.rx.try_recv() {
-                Ok(_) => self.waiting.set(self.waiting.get() - 1),
-                Err(local_sync::mpsc::TryRecvError::Disconnected) => return true,
-                Err(_) => return false,
-            }
-        }
-    }
-}
-
-/// The links this daemon opened.
-#[derive(Default)]
-pub struct PeerLinks {
-    links: RefCell<HashMap<VmId, Link>>,
-    sent_bytes: Rc<Cell<u64>>,
-}
-
-impl PeerLinks {
-    /// Sends a message, unless too many wait already.
-    pub fn send(&self, to: VmId, message: PeerMessage) {
-        let links = self.links.borrow();
-        let Some(link) = links.get(&to) else {
-            return;
-        };
-        if link.waiting.get() < MAX_WAITING && link.tx.send(message).is_ok() {
-            link.waiting.set(link.waiting.get() + 1);
-        }
-    }
-
-    /// Returns the bytes sent to peers since the start.
-    pub fn sent_bytes(&self) -> u64 {
-        self.sent_bytes.get()
-    }
-}
-
 /// Opens links to new peers and drops those to peers that are no longer
 /// listed.
 pub fn keep_links(shell: &Rc<Shell>, peers: HashMap<VmId, SocketAddr>) {
-    let mut links = shell.links.links.borrow_mut();
-    links.retain(|vm, link| peers.get(vm) == Some(&link.addr));
+    shell.links.retain(&peers);
     for (vm, addr) in peers {
-        if links.contains_key(&vm) {
-            continue;
+        if let Some(outbox) = shell.links.open(vm, addr) {
+            notchwalk_http::spawn(keep_link(shell.clone(), addr, outbox));
         }
-        let (tx, rx) = unbounded::channel();
-        let waiting = Rc::new(Cell::new(0));
-        let outbox = Outbox {
-            rx,
-            waiting: waiting.clone(),
-        };
-        links.insert(vm, Link { addr, tx, waiting });
-        notchwalk_http::spawn(keep_link(shell.clone(), addr, outbox));
     }
 }
 
@@ -198,8 +124,7 @@
     while let Some(message) = outbox.next().await {
         let sealed = peer_proof::seal(&session, n, &to_cbor(&message));
         n += 1;
-        let sent = &shell.links.sent_bytes;
-        sent.set(sent.get() + sealed.len() as u64);
+        shell.links.note_sent(sealed.len() as u64);
         let sending = socket.send(Message::Binary(sealed.into()));
         if !matches!(
             monoio::time::timeout(SEND_WITHIN, sending).await,
--- a/crates/notchwalkd/src/service_proxy.rs
+++ b/crates/notchwalkd/src/service_proxy.rs
@@ -17,9 +17,10 @@
 use crate::{
     api_error::ApiFailure,
     auth::Caller,
-    caller_api::RequestOptions,
     channel::{caller_channel, CallerEvent, CallerRx},
-    claim_writer::{self, StoredOutcome},
+    claim_writer,
+    claims::StoredOutcome,
+    request_options::RequestOptions,
     shell::Shell,
 };
 
@@ -458,8 +459,7 @@
             body: (body.len() <= MAX_STORED_BODY).then_some(body),
         };
         let token = self.id.to_string();
-        let claims = &self.shell.claims;
-        claims.store(self.shell, key, token, fingerprint, outcome);
+        claim_writer::store(self.shell, key, token, fingerprint, outcome);
     }
 }
 
--- a/crates/notchwalkd/src/shell.rs
+++ b/crates/notchwalkd/src/shell.rs
@@ -10,7 +10,7 @@
 
 use futures_util::future::{AbortHandle, Abortable};
 use notchwalk_bundle::Bundle;
-use notchwalk_core::{Attempt, BootNumber, Clock, Instant, RequestId, ServerId, VmId};
+use notchwalk_core::{BootNumber, Clock, Instant, RequestId, ServerId, VmId};
 use notchwalk_decide::{
     Arrival, CallerKey, Effect, Event, Failure, Node, NodeConfig, NodeDump, RequestKey,
 };
@@ -19,13 +19,11 @@
 use notchwalk_wire::{EngineFrame, Prompt};
 
 use crate::{
-    bundle_watch::BundleTexts,
+    bundle_texts::BundleTexts,
     channel::{CallerEvent, CallerTx},
-    claim_writer::ClaimWriter,
-    engine_driver,
-    metrics::Metrics,
-    order_driver,
-    peer_link::PeerLinks,
+    claims::WaitingClaims,
+    metrics::{Metrics, Traffic},
+    peer_links::PeerLinks,
     settings::DaemonSettings,
 };
 
@@ -62,6 +60,12 @@
     reason: Option<String>,
 }
 
+/// Carries out the effects that reach beyond the daemon.
+pub trait EffectDriver {
+    /// Carries one out, or has a task do so.
+    fn carry_out(&self, shell: &Rc<Shell>, effect: Effect);
+}
+
 /// One running daemon.
 pub struct Shell {
     /// The settings.
@@ -79,7 +83,7 @@
     /// Links to the other daemons.
     pub links: PeerLinks,
     /// Claims on their way to the table.
-    pub claims: ClaimWriter,
+    pub claims: WaitingClaims,
     /// The bundle in force with its texts.
     pub bundle_texts: RefCell<Option<BundleTexts>>,
     /// Bytes fetched for bundles since the start.
@@ -93,6 +97,7 @@
     servers: RefCell<HashMap<ServerId, SocketAddr>>,
     next_caller: Cell<u64>,
     stopped: Cell<bool>,
+    effects: Box<dyn EffectDriver>,
 }
 
 impl Shell {
@@ -102,6 +107,7 @@
         boot: BootNumber,
         client: Client,
         platform: Rc<dyn Platform>,
+        effects: Box<dyn EffectDriver>,
     ) -> Rc<Self> {
         let mut cfg = NodeConfig::new(
             settings.vm,
@@ -121,7 +127,7 @@
             platform,
             metrics: Metrics::new(),
             links: PeerLinks::default(),
-            claims: ClaimWriter::default(),
+            claims: WaitingClaims::default(),
             bundle_texts: RefCell::default(),
             bundle_bytes: Cell::new(0),
             open: RefCell::default(),
@@ -132,6 +138,7 @@
             servers: RefCell::default(),
             next_caller: Cell::new(1),
             stopped: Cell::new(false),
+            effects,
         })
     }
 
@@ -140,6 +147,15 @@
         self.clock.now()
     }
 
+    /// Returns the text of all metrics.
+    pub fn metrics_text(&self) -> String {
+        let sent = Traffic {
+            peer_bytes: self.links.sent_bytes(),
+            bundle_bytes: self.bundle_bytes.get(),
+        };
+        self.metrics.text(&self.node.borrow(), sent)
+    }
+
     /// Lets a closure look at the reducer.
     pub fn with_node<T>(&self, f: impl FnOnce(&mut Node) -> T) -> T {
         f(&mut self.node.borrow_mut())
@@ -257,25 +273,6 @@
                 self.admitted.set(Some((request, id)));
             }
             Effect::Refuse { failure, .. } => *self.refused.borrow_mut() = Some(failure),
-            Effect::Dispatch(dispatch) => {
-                let payload = self.payload(dispatch.request);
-                match payload {
-                    Some(payload) => self.spawn_attempt(
-                        dispatch.request,
-                        engine_driver::generate(self.clone(), dispatch, payload),
-                    ),
-                    None => self.tell(dispatch.request, CallerEvent::Send(dispatch)),
-                }
-            }
-            Effect::Segment(order) => {
-                if order.from == 0 {
-                    self.forget_tickets(order.request);
-                }
-                if let Some(payload) = self.payload(order.request) {
-                    let task = engine_driver::compute_segment(self.clone(), order, payload);
-                    self.spawn_attempt(order.request, task);
-                }
-            }
             Effect::Deliver { request, skip } => {
                 let mut tokens = std::mem::take(&mut *self.frame_at_hand.borrow_mut());
                 tokens.drain(..skip as usize);
@@ -288,38 +285,10 @@
             Effect::FinishStored { request, key } => {
                 self.close(request, CallerEvent::Stored(key));
             }
-            Effect::Cancel { server, id, up_to } => self.spawn_cancel(server, id, up_to),
-            Effect::AskHoldings(server) => {
-                notchwalk_http::spawn(engine_driver::ask_holdings(self.clone(), server));
-            }
-            Effect::ClaimInsert {
-                request,
-                key,
-                token,
-                fingerprint,
-            } => self.claims.insert(self, request, key, token, fingerprint),
-            Effect::ClaimRead { request, key } => self.claims.read(self, request, key),
-            Effect::ClaimRelease {
-                key,
-                token,
-                fingerprint,
-            } => self.claims.release(self, key, token, fingerprint),
-            Effect::LeaseRead => {
-                notchwalk_http::spawn(order_driver::read_lease(self.clone()));
-            }
-            Effect::LeaseWrite { expected, row } => {
-                notchwalk_http::spawn(order_driver::write_lease(self.clone(), expected, row));
-            }
-            Effect::Order {
-                server,
-                fence,
-                wanted,
-            } => {
-                notchwalk_http::spawn(order_driver::give(self.clone(), server, fence, wanted));
-            }
             Effect::Peer { to, message } => self.links.send(to, *message),
             Effect::Log(event) => event.emit(),
             Effect::Stop => self.stopped.set(true),
+            effect => self.effects.carry_out(self, effect),
         }
     }
 
@@ -334,17 +303,20 @@
         self.open.borrow().get(&request)?.reason.clone()
     }
 
-    fn payload(&self, request: RequestKey) -> Option<Rc<GeneratePayload>> {
+    /// Returns what is sent to engines for a request; `None` for a call.
+    pub fn payload(&self, request: RequestKey) -> Option<Rc<GeneratePayload>> {
         self.open.borrow().get(&request)?.payload.clone()
     }
 
-    fn forget_tickets(&self, request: RequestKey) {
+    /// Forgets the tickets of a request whose prompt begins anew.
+    pub fn forget_tickets(&self, request: RequestKey) {
         if let Some(open) = self.open.borrow_mut().get_mut(&request) {
             open.tickets.clear();
         }
     }
 
-    fn tell(&self, request: RequestKey, event: CallerEvent) {
+    /// Tells the task of a request's caller something.
+    pub fn tell(&self, request: RequestKey, event: CallerEvent) {
         if let Some(open) = self.open.borrow().get(&request) {
             open.tx.send(event);
         }
@@ -363,7 +335,7 @@
     }
 
     /// Runs an attempt's task in place of the one before.
-    fn spawn_attempt(
+    pub fn spawn_attempt(
         &self,
         request: RequestKey,
         task: impl std::future::Future<Output = ()> + 'static,
@@ -381,10 +353,6 @@
         });
     }
 
-    fn spawn_cancel(self: &Rc<Self>, server: ServerId, id: RequestId, up_to: Attempt) {
-        notchwalk_http::spawn(engine_driver::cancel(self.clone(), server, id, up_to));
-    }
-
     /// Returns the VM this daemon runs on.
     pub fn vm(&self) -> VmId {
         self.settings.vm
