--- a/crates/notchwalk_cli/src/error.rs
+++ b/crates/notchwalk_cli/src/error.rs
@@ -5,9 +5,9 @@
 use derive_more::{Display, Error, From};
 use notchwalk_bundle::BundleError;
 use notchwalk_core::Findings;
+use notchwalk_daemon::DaemonError;
 use notchwalk_http::HttpError;
 use notchwalk_platform::{PlatformError, SubmitError};
-use notchwalkd::DaemonError;
 
 /// A failed command.
 #[derive(Debug, Display, Error, From)]
--- a/crates/notchwalk_relay/src/backoff.rs
+++ b/crates/notchwalk_daemon/src/backoff.rs
@@ -8,7 +8,7 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
 /// Pauses that grow, with jitter, so that entries don't retry in step.
-pub(crate) struct Backoff {
+pub struct Backoff {
     first: Duration,
     next: Duration,
 }
--- a/crates/notchwalk_relay/src/log_sink.rs
+++ b/crates/notchwalk_daemon/src/log_sink.rs
@@ -59,7 +59,7 @@
 }
 
 /// Writes what waits, as far as standard output takes it now.
-pub(crate) fn flush() {
+pub fn flush() {
     let mut waiting = waiting().lock().unwrap_or_else(PoisonError::into_inner);
     if waiting.dropped > 0 && waiting.bytes.len() < MAX_WAITING_BYTES / 2 {
         let line = format!(
--- a/crates/notchwalk_relay/src/signal.rs
+++ b/crates/notchwalk_daemon/src/wake.rs
@@ -1,4 +1,4 @@
-//! A signal from one task to another of the same thread.
+//! One task wakes another of the same thread.
 
 use std::{cell::Cell, task::Poll};
 
@@ -6,19 +6,19 @@
 
 /// Wakes one waiting task; several raises before it runs count as one.
 #[derive(Default)]
-pub(crate) struct Signal {
+pub struct Wake {
     raised: Cell<bool>,
     waker: AtomicWaker,
 }
 
-impl Signal {
+impl Wake {
     /// Wakes the task that waits, or the next one that does.
     pub fn raise(&self) {
         self.raised.set(true);
         self.waker.wake();
     }
 
-    /// Waits until the signal is raised.
+    /// Waits until it is raised.
     pub async fn wait(&self) {
         std::future::poll_fn(|cx| {
             self.waker.register(cx.waker());
--- /dev/null
+++ b/crates/notchwalk_daemon/tests/parts.rs
@@ -0,0 +1,121 @@
+//! The parts that any daemon has, without sockets where there is a decision.
+
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use notchwalk_core::{Clock, TimeSource};
+use notchwalk_daemon::{bind, settings, MetricSet, SuspensionWatch};
+
+/// The clocks of a machine that is suspended by hand.
+#[derive(Clone, Default)]
+struct Machine {
+    running: Arc<Mutex<Duration>>,
+    suspended: Arc<Mutex<Duration>>,
+}
+
+impl Machine {
+    fn run(&self, time: Duration) {
+        *self.running.lock().expect("no panic") += time;
+    }
+
+    fn suspend(&self, time: Duration) {
+        *self.suspended.lock().expect("no panic") += time;
+    }
+}
+
+impl TimeSource for Machine {
+    fn elapsed(&self) -> Duration {
+        self.running() + *self.suspended.lock().expect("no panic")
+    }
+
+    fn running(&self) -> Duration {
+        *self.running.lock().expect("no panic")
+    }
+}
+
+#[test]
+fn a_suspension_is_noticed_once() {
+    let machine = Machine::default();
+    let clock = Clock::with_source(Arc::new(machine.clone()));
+    let watch = SuspensionWatch::new(&clock);
+    machine.run(Duration::from_secs(60));
+    assert!(!watch.notice(&clock), "time passes");
+    machine.suspend(Duration::from_millis(100));
+    assert!(
+        !watch.notice(&clock),
+        "too short to tell from two clocks read apart"
+    );
+    machine.suspend(Duration::from_secs(5));
+    assert!(watch.notice(&clock));
+    assert!(!watch.notice(&clock));
+    assert_eq!(watch.resumes(), 1);
+}
+
+#[test]
+fn a_chosen_port_is_written_back_and_a_taken_one_refused() {
+    let mut addr: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let listener = bind(&mut addr).expect("a free port");
+    assert_eq!(listener.local_addr().expect("it is bound"), addr);
+    let mut taken = addr;
+    let refused = bind(&mut taken).expect_err("the port is taken");
+    assert!(refused.to_string().contains(&addr.to_string()), "{refused}");
+}
+
+#[test]
+fn all_findings_of_a_settings_file_are_told_with_their_places() {
+    let read = |ini: &notchwalk_bundle::IniFile| {
+        let section = ini.section("daemon");
+        let port = section.required::<u16>("port");
+        let name = section.required::<String>("name");
+        Some((port?, name?))
+    };
+    let good = settings::parse("a.ini", "[daemon]\nport = 80\nname = x\n", read);
+    assert_eq!(good.expect("no findings"), (80, "x".to_owned()));
+    let found = settings::parse("a.ini", "[daemon]\nport = many\nsurprise = 1\n", read);
+    let text = found.expect_err("three findings").to_string();
+    for part in ["a.ini", "port", "name", "surprise"] {
+        assert!(text.contains(part), "{part}: {text}");
+    }
+    let missing = settings::load(std::path::Path::new("no/such/file.ini"), read);
+    assert!(missing.is_err());
+}
+
+#[test]
+fn parts_register_what_they_add() {
+    let set = MetricSet::new();
+    set.counter("a_total", "counted").inc();
+    set.counters("b_total", "by kind", &["kind"])
+        .with_label_values(&["x"])
+        .inc_by(2);
+    set.fraction("c", "a share").set(0.5);
+    let text = set.text();
+    for line in ["a_total 1", "b_total{kind=\"x\"} 2", "c 0.5"] {
+        assert!(text.contains(line), "{line}: {text}");
+    }
+}
+
+#[test]
+#[should_panic(expected = "registered once")]
+fn a_name_that_stands_twice_is_a_bug() {
+    let set = MetricSet::new();
+    set.gauge("a", "first");
+    set.gauge("a", "second");
+}
+
+#[test]
+fn a_raise_before_the_wait_is_not_lost() {
+    let wake = notchwalk_daemon::Wake::default();
+    let waited = Cell::new(false);
+    wake.raise();
+    let run = async {
+        wake.wait().await;
+        waited.set(true);
+        Ok(())
+    };
+    notchwalk_daemon::block_on(run).expect("a runtime");
+    assert!(waited.get());
+}
--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -1,38 +1,25 @@
 //! Starts, runs and ends the process.
 
-use std::{
-    net::{SocketAddr, TcpListener as StdListener},
-    path::PathBuf,
-    rc::Rc,
-    sync::{
-        atomic::{AtomicBool, Ordering},
-        Arc,
-    },
-    time::{Duration, SystemTime},
-};
+use std::{net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
 
-use monoio::{
-    net::{udp::UdpSocket, TcpListener},
-    LegacyDriver, RuntimeBuilder,
-};
+use monoio::net::{udp::UdpSocket, TcpListener};
 use notchwalk_core::{Clock, LogEvent, LogEventKind};
+use notchwalk_daemon::{bind, block_on, boot_number, log_sink, DaemonError, Signals};
 use notchwalk_http::{serve, Client, ServerLimits, Service};
 use notchwalk_platform::RowStore;
 use notchwalk_route::{Event, Router, RouterConfig};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 use crate::{
     config_watch::ConfigReader,
     directory::Directory,
     effects::Effects,
     front::Front,
-    log_sink,
     operator::Operator,
     peer_link, presence,
     server_watch::ServerReader,
     shell::{Shell, Stopping},
     table_watch::follow,
-    written_again, Dialect, RelayError, RelaySettings,
+    written_again, Dialect, RelaySettings,
 };
 
 /// How often changes are told to peers, signals looked at and logs written.
@@ -49,33 +36,6 @@
 /// callers that were sent here find it.
 const STAYS_FOR: Duration = Duration::from_millis(3_200);
 
-/// What stops or changes the process from outside.
-#[derive(Clone, Debug, Default)]
-pub struct Signals {
-    /// Asks for a drain and the end.
-    pub stop: Arc<AtomicBool>,
-    /// Says that the settings file changed.
-    pub reload: Arc<AtomicBool>,
-}
-
-impl Signals {
-    /// Has SIGTERM and SIGINT stop the process and SIGHUP reload its settings.
-    ///
-    /// # Errors
-    ///
-    /// Fails if a handler can't be set up.
-    pub fn from_process() -> Result<Self, RelayError> {
-        let signals = Self::default();
-        for signal in [SIGTERM, SIGINT] {
-            let registered = signal_hook::flag::register(signal, signals.stop.clone());
-            registered.map_err(RelayError::Runtime)?;
-        }
-        let registered = signal_hook::flag::register(SIGHUP, signals.reload.clone());
-        registered.map_err(RelayError::Runtime)?;
-        Ok(signals)
-    }
-}
-
 /// What the outside world is to a daemon.
 pub struct Surroundings {
     /// The settings file, read again on a reload.
@@ -101,10 +61,8 @@
     settings: RelaySettings,
     surroundings: impl FnOnce(&RelaySettings) -> Surroundings,
     bound: impl FnOnce(&RelaySettings),
-) -> Result<(), RelayError> {
-    let builder = RuntimeBuilder::<LegacyDriver>::new().enable_timer();
-    let mut runtime = builder.build().map_err(RelayError::Runtime)?;
-    runtime.block_on(async {
+) -> Result<(), DaemonError> {
+    block_on(async {
         let surroundings = surroundings(&settings);
         let signals = surroundings.signals.clone();
         let daemon = Daemon::start(settings, surroundings)?;
@@ -123,24 +81,15 @@
     peer: UdpSocket,
 }
 
-fn listen(addr: &mut SocketAddr) -> Result<TcpListener, RelayError> {
-    let failed = |source| RelayError::Listen {
-        addr: *addr,
-        source,
-    };
-    let listener = StdListener::bind(*addr).map_err(failed)?;
-    listener.set_nonblocking(true).map_err(failed)?;
-    let bound = listener.local_addr().map_err(failed)?;
-    let listener = TcpListener::from_std(listener).map_err(failed)?;
-    *addr = bound;
-    Ok(listener)
+fn listen(addr: &mut SocketAddr) -> Result<TcpListener, DaemonError> {
+    TcpListener::from_std(bind(addr)?).map_err(DaemonError::Runtime)
 }
 
 impl Listeners {
     /// Binds all addresses and writes the ports that were chosen into them.
-    fn bind(settings: &mut RelaySettings) -> Result<Self, RelayError> {
+    fn bind(settings: &mut RelaySettings) -> Result<Self, DaemonError> {
         let addr = settings.peer;
-        let failed = |source| RelayError::Listen { addr, source };
+        let failed = |source| DaemonError::Listen { addr, source };
         let peer = UdpSocket::bind(addr).map_err(failed)?;
         settings.peer = peer.local_addr().map_err(failed)?;
         Ok(Self {
@@ -163,15 +112,8 @@
     monoio::spawn(serve(listener, limits, Rc::new(service)));
 }
 
-/// The boot number: microseconds since 1970, which rise from start to start
-/// without a disk.
-fn boot_number() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.map_or(1, |since| since.as_micros() as u64)
-}
-
 impl Daemon {
-    fn start(mut settings: RelaySettings, around: Surroundings) -> Result<Self, RelayError> {
+    fn start(mut settings: RelaySettings, around: Surroundings) -> Result<Self, DaemonError> {
         let listeners = Listeners::bind(&mut settings)?;
         let boot = boot_number();
         let router = Router::new(RouterConfig {
@@ -239,10 +181,10 @@
             shell.notice_suspension();
             shell.step(Event::Tick);
             log_sink::flush();
-            if signals.reload.swap(false, Ordering::Relaxed) {
+            if signals.take_reload() {
                 self.reload();
             }
-            if signals.stop.load(Ordering::Relaxed) && self.stop_step().await {
+            if signals.stops() && self.stop_step().await {
                 break;
             }
         }
--- a/crates/notchwalk_relay/src/lib.rs
+++ b/crates/notchwalk_relay/src/lib.rs
@@ -8,16 +8,13 @@
 
 mod answer;
 mod attempt;
-mod backoff;
 mod config_watch;
 mod daemon;
 mod dialect;
 mod directory;
 mod effects;
 mod engine_orders;
-mod error;
 mod front;
-mod log_sink;
 mod metrics;
 mod operator;
 mod peer_link;
@@ -30,7 +27,6 @@
 mod server_words;
 mod settings;
 mod shell;
-mod signal;
 mod stream_events;
 mod table_watch;
 mod written_again;
@@ -38,9 +34,7 @@
 pub mod prelude;
 
 pub use answer::{AnswerFacts, AnswerWord, ComeBack, SaidLimit};
-pub use daemon::{run, Signals, Surroundings};
+pub use daemon::{run, Surroundings};
 pub use dialect::{BackendRequest, CallerFacts, Dialect, DirectoryAnswer};
-pub use error::RelayError;
-pub use log_sink::start_logging;
 pub use settings::RelaySettings;
 pub use stream_events::EventSplitter;
--- a/crates/notchwalk_relay/src/presence.rs
+++ b/crates/notchwalk_relay/src/presence.rs
@@ -5,10 +5,10 @@
 
 use bytes::Bytes;
 use notchwalk_core::{LogEvent, LogEventKind};
+use notchwalk_daemon::Backoff;
 use notchwalk_platform::{PlatformError, Row, RowWrite};
 
 use crate::{
-    backoff::Backoff,
     peer_link,
     presence_record::{PresenceRecord, TABLE},
     quarantine,
--- a/crates/notchwalk_relay/src/quarantine.rs
+++ b/crates/notchwalk_relay/src/quarantine.rs
@@ -9,13 +9,14 @@
 
 use bytes::Bytes;
 use notchwalk_core::{LogEvent, LogEventKind};
+use notchwalk_daemon::Backoff;
 use notchwalk_http::prelude::*;
 use notchwalk_platform::{Row, RowWrite};
 use notchwalk_quarantine::{Crash, EndReason, Finding, Fingerprint, Quarantined, Verdict};
 use notchwalk_route::{Event, Fleet};
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
-use crate::{backoff::Backoff, presence_record::TABLE, shell::Shell};
+use crate::{presence_record::TABLE, shell::Shell};
 
 /// What keys of quarantines begin with; names of entries hold no slash.
 const KEY_PREFIX: &str = "quarantine/";
--- a/crates/notchwalk_relay/src/settings.rs
+++ b/crates/notchwalk_relay/src/settings.rs
@@ -4,8 +4,7 @@
 
 use notchwalk_bundle::IniFile;
 use notchwalk_core::Findings;
-
-use crate::RelayError;
+use notchwalk_daemon::{settings, DaemonError};
 
 /// Everything a process is told before it starts.
 #[derive(Clone, Debug, PartialEq)]
@@ -46,13 +45,8 @@
     /// # Errors
     ///
     /// Fails if the file can't be read, or with all findings in it.
-    pub fn load(path: &Path) -> Result<Self, RelayError> {
-        let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|source| RelayError::File {
-            path: name.clone(),
-            source,
-        })?;
-        Self::parse(&name, &text).map_err(RelayError::Settings)
+    pub fn load(path: &Path) -> Result<Self, DaemonError> {
+        settings::load(path, read)
     }
 
     /// Parses the text of a settings file; `name` stands in the findings.
@@ -61,16 +55,7 @@
     ///
     /// Returns all findings.
     pub fn parse(name: &str, text: &str) -> Result<Self, Findings> {
-        let ini = IniFile::parse(name, text)?;
-        let settings = read(&ini);
-        let findings = match ini.finish() {
-            Ok(()) => Findings::default(),
-            Err(findings) => findings,
-        };
-        match settings {
-            Some(settings) => findings.or_ok(settings),
-            None => Err(findings),
-        }
+        settings::parse(name, text, read)
     }
 }
 
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -5,19 +5,16 @@
 
 use local_sync::mpsc::unbounded;
 use notchwalk_core::{Clock, Instant, LogEvent, LogEventKind};
+use notchwalk_daemon::{SuspensionWatch, Wake};
 use notchwalk_http::Client;
 use notchwalk_platform::{RowPage, RowStore, StoreVersion};
 use notchwalk_route::{ClientLimits, Effect, Event, RequestKey, Router};
 use slotmap::SecondaryMap;
 
 use crate::{
-    metrics::Metrics, peers::Peers, presence_record::PresenceRecord, signal::Signal, Dialect,
-    RelaySettings,
+    metrics::Metrics, peers::Peers, presence_record::PresenceRecord, Dialect, RelaySettings,
 };
 
-/// The shortest suspension that counts as one: the two clocks are not read at the
-/// same moment. Nothing is given up sooner than that.
-const LEAST_SUSPENSION: Duration = Duration::from_millis(200);
 /// How often a wait looks at the clock: timers stand still while the machine is
 /// suspended, deadlines don't.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
@@ -74,12 +71,9 @@
     pub era_to_tell: std::cell::Cell<bool>,
     /// The store's clock in milliseconds, and when it said so.
     store_clock: std::cell::Cell<Option<(Instant, u64)>>,
-    /// How long the machine had been suspended in all when it was last looked at,
-    /// and how often that has grown.
-    suspended: std::cell::Cell<Duration>,
-    resumes: std::cell::Cell<u64>,
+    suspension: SuspensionWatch,
     /// Raised when peers are to be told of this entry's work, or of suspects.
-    pub work_changed: Signal,
+    pub work_changed: Wake,
     inboxes: RefCell<SecondaryMap<RequestKey, unbounded::Tx<Effect>>>,
     effects: Box<dyn EffectDriver>,
 }
@@ -94,11 +88,13 @@
         client: Client,
         effects: Box<dyn EffectDriver>,
     ) -> Self {
+        let clock = Clock::new();
         Self {
             peers: RefCell::new(Peers::new(&settings.name)),
             settings,
             boot,
-            clock: Clock::new(),
+            suspension: SuspensionWatch::new(&clock),
+            clock,
             router: RefCell::new(router),
             dialect,
             store,
@@ -114,9 +110,7 @@
             era_to_tell: std::cell::Cell::new(false),
             servers_current: std::cell::Cell::new(Instant::ZERO),
             store_clock: std::cell::Cell::default(),
-            suspended: std::cell::Cell::default(),
-            resumes: std::cell::Cell::new(0),
-            work_changed: Signal::default(),
+            work_changed: Wake::default(),
             inboxes: RefCell::default(),
             effects,
         }
@@ -124,30 +118,24 @@
 
     /// Sets the clock.
     pub fn with_clock(mut self, clock: Clock) -> Self {
-        self.suspended.set(clock.suspended());
+        self.suspension = SuspensionWatch::new(&clock);
         self.clock = clock;
         self
     }
 
     /// Returns how often the machine was suspended and resumed so far.
     pub fn resumes(&self) -> u64 {
-        self.resumes.get()
+        self.suspension.resumes()
     }
 
     /// Notices that the machine was suspended. Connections kept from before are
     /// closed: the other ends gave them up unheard, and a call that may run once is
     /// lost on one. Whoever reads the store starts anew.
     pub fn notice_suspension(&self) {
-        let suspended = self.clock.suspended();
-        let lately = suspended.saturating_sub(self.suspended.replace(suspended));
-        if lately < LEAST_SUSPENSION {
-            return;
+        if self.suspension.notice(&self.clock) {
+            self.client.forget_idle();
+            self.store.renew_connections();
         }
-        self.resumes.set(self.resumes.get() + 1);
-        self.client.forget_idle();
-        self.store.renew_connections();
-        let facts = format!("suspended_ms={}", lately.as_millis());
-        LogEvent::new(LogEventKind::MachineResumed, facts).emit();
     }
 
     /// Returns this entry's own record.
--- a/crates/notchwalk_relay/src/table_watch.rs
+++ b/crates/notchwalk_relay/src/table_watch.rs
@@ -3,12 +3,13 @@
 use std::{future::Future, rc::Rc, time::Duration};
 
 use notchwalk_core::{Instant, LogEvent, LogEventKind};
+use notchwalk_daemon::Backoff;
 use notchwalk_platform::{
     FeedError, PlatformError, Row, RowPage, StoreVersion, TableCursor, Taken,
 };
 use rand::Rng;
 
-use crate::{backoff::Backoff, shell::Shell};
+use crate::shell::Shell;
 
 /// How long a question for changes waits. Connections fall silent without a sign,
 /// all at once, so that no peer knows better: then the loss is noticed when the
--- a/crates/notchwalk_relay/src/written_again.rs
+++ b/crates/notchwalk_relay/src/written_again.rs
@@ -5,9 +5,10 @@
 use std::{collections::HashSet, rc::Rc, time::Duration};
 
 use notchwalk_core::{LogEvent, LogEventKind};
+use notchwalk_daemon::Backoff;
 use rand::Rng;
 
-use crate::{backoff::Backoff, presence, quarantine, shell::Shell};
+use crate::{presence, quarantine, shell::Shell};
 
 /// How often it is looked for a new era.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
--- a/crates/notchwalk_standin/src/entry.rs
+++ b/crates/notchwalk_standin/src/entry.rs
@@ -6,12 +6,11 @@
     net::SocketAddr,
     path::Path,
     process::{Child, Command, Stdio},
-    sync::{atomic::AtomicBool, Arc},
 };
 
+use notchwalk_daemon::{DaemonError, Signals};
 use notchwalkd::{
-    run_until_stopped, start_in_thread, BoundAddresses, DaemonError, DaemonSettings, Listeners,
-    RunningDaemon,
+    run_until_stopped, start_in_thread, BoundAddresses, DaemonSettings, Listeners, RunningDaemon,
 };
 use rustix::process::{kill_process, Pid, Signal};
 use serde::{Deserialize, Serialize};
@@ -138,10 +137,7 @@
 /// Fails if it can't start.
 pub fn run_entry(settings: &Path) -> Result<(), DaemonError> {
     let settings = DaemonSettings::load(settings)?;
-    let stop = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::flag::register(signal, stop.clone()).map_err(DaemonError::Runtime)?;
-    }
+    let signals = Signals::from_process()?;
     let listeners = Listeners::bind(&settings)?;
     let addresses = listeners.addresses()?;
     let printed = Printed {
@@ -150,5 +146,5 @@
         operator: addresses.operator,
     };
     println!("{}", serde_json::to_string(&printed).unwrap_or_default());
-    run_until_stopped(settings, listeners, stop, Arc::new(AtomicBool::new(false)))
+    run_until_stopped(settings, listeners, signals)
 }
--- a/crates/notchwalk_standin/src/main.rs
+++ b/crates/notchwalk_standin/src/main.rs
@@ -122,7 +122,7 @@
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
-    notchwalkd::raise_file_limit();
+    notchwalk_daemon::raise_file_limit();
     match command().run() {
         Command::Demo { hold: true } => match demo::hold() {
             Ok(()) => ExitCode::SUCCESS,
--- a/crates/notchwalkd/src/daemon.rs
+++ b/crates/notchwalkd/src/daemon.rs
@@ -3,23 +3,21 @@
 use std::{
     net::{SocketAddr, TcpListener as StdListener},
     rc::Rc,
-    sync::{
-        atomic::{AtomicBool, Ordering},
-        Arc,
-    },
+    sync::atomic::Ordering,
     thread::JoinHandle,
-    time::{Duration, SystemTime},
+    time::Duration,
 };
 
-use monoio::{net::TcpListener, LegacyDriver, RuntimeBuilder};
+use monoio::net::TcpListener;
 use notchwalk_core::{BootNumber, LogEvent, LogEventKind};
+use notchwalk_daemon::{bind, block_on, boot_number, log_sink, DaemonError, Signals};
 use notchwalk_decide::Event;
 use notchwalk_http::{serve, Client, ServerLimits, Service};
 use notchwalk_platform::HttpPlatform;
 
 use crate::{
-    bundle_watch, caller_api::CallerApi, effects::Effects, error::DaemonError,
-    operator_api::OperatorApi, peer_link, settings::DaemonSettings, shell::Shell, vm_watch,
+    bundle_watch, caller_api::CallerApi, effects::Effects, operator_api::OperatorApi, peer_link,
+    settings::DaemonSettings, shell::Shell, vm_watch,
 };
 
 /// How often the reducer hears that time passed.
@@ -43,13 +41,6 @@
     operator: StdListener,
 }
 
-fn bind(addr: SocketAddr) -> Result<StdListener, DaemonError> {
-    let listen = |source| DaemonError::Listen { addr, source };
-    let listener = StdListener::bind(addr).map_err(listen)?;
-    listener.set_nonblocking(true).map_err(listen)?;
-    Ok(listener)
-}
-
 impl Listeners {
     /// Binds all addresses of the settings.
     ///
@@ -57,10 +48,11 @@
     ///
     /// Fails if one can't be bound.
     pub fn bind(settings: &DaemonSettings) -> Result<Self, DaemonError> {
+        let mut listen = settings.listen;
         Ok(Self {
-            caller: bind(settings.listen.caller)?,
-            peer: bind(settings.listen.peer)?,
-            operator: bind(settings.listen.operator)?,
+            caller: bind(&mut listen.caller)?,
+            peer: bind(&mut listen.peer)?,
+            operator: bind(&mut listen.operator)?,
         })
     }
 
@@ -79,8 +71,7 @@
     }
 }
 
-/// Runs a daemon on this thread until `stop` is set and its drain is over.
-/// `kill` ends it at once, as a crash would.
+/// Runs a daemon on this thread until a signal stops it and its drain is over.
 ///
 /// # Errors
 ///
@@ -88,26 +79,15 @@
 pub fn run_until_stopped(
     settings: DaemonSettings,
     listeners: Listeners,
-    stop: Arc<AtomicBool>,
-    kill: Arc<AtomicBool>,
+    signals: Signals,
 ) -> Result<(), DaemonError> {
-    let builder = RuntimeBuilder::<LegacyDriver>::new().enable_timer();
-    let mut runtime = builder.build().map_err(DaemonError::Runtime)?;
-    runtime.block_on(run(settings, listeners, stop, kill))
-}
-
-/// The boot number: microseconds since 1970, which rise from boot to boot
-/// without a disk.
-fn boot_number() -> BootNumber {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    BootNumber(since.map_or(1, |d| d.as_micros() as u64))
+    block_on(run(settings, listeners, signals))
 }
 
 async fn run(
     settings: DaemonSettings,
     listeners: Listeners,
-    stop: Arc<AtomicBool>,
-    kill: Arc<AtomicBool>,
+    signals: Signals,
 ) -> Result<(), DaemonError> {
     let addresses = listeners.addresses()?;
     let client = Client::new();
@@ -116,7 +96,13 @@
         connections: settings.max_connections,
         ..ServerLimits::default()
     };
-    let shell = Shell::new(settings, boot_number(), client, platform, Box::new(Effects));
+    let shell = Shell::new(
+        settings,
+        BootNumber(boot_number()),
+        client,
+        platform,
+        Box::new(Effects),
+    );
     let listener = |std| TcpListener::from_std(std).map_err(DaemonError::Runtime);
     let serve_on = |std, service: Rc<dyn Service>| -> Result<(), DaemonError> {
         notchwalk_http::spawn(serve(listener(std)?, limits, service));
@@ -135,20 +121,23 @@
         addresses.operator
     );
     LogEvent::new(LogEventKind::DaemonStarted, facts).emit();
-    tick_until_stopped(&shell, &stop, &kill).await;
+    tick_until_stopped(&shell, &signals).await;
     notchwalk_http::end_all().await;
     LogEvent::new(LogEventKind::DaemonStopped, format!("vm={}", shell.vm().0)).emit();
+    log_sink::flush();
     Ok(())
 }
 
-async fn tick_until_stopped(shell: &Rc<Shell>, stop: &AtomicBool, kill: &AtomicBool) {
+async fn tick_until_stopped(shell: &Rc<Shell>, signals: &Signals) {
     let mut draining = false;
-    while !shell.is_stopped() && !kill.load(Ordering::Relaxed) {
-        if !draining && stop.load(Ordering::Relaxed) {
+    while !shell.is_stopped() && !signals.kills() {
+        if !draining && signals.stops() {
             draining = true;
             shell.step(Event::Drain);
         }
+        shell.notice_suspension();
         shell.step(Event::Tick);
+        log_sink::flush();
         monoio::time::sleep(TICK).await;
     }
 }
@@ -157,20 +146,19 @@
 pub struct RunningDaemon {
     /// Where it listens.
     pub addresses: BoundAddresses,
-    stop: Arc<AtomicBool>,
-    kill: Arc<AtomicBool>,
+    signals: Signals,
     thread: Option<JoinHandle<Result<(), DaemonError>>>,
 }
 
 impl RunningDaemon {
     /// Tells it to drain and end.
     pub fn stop(&self) {
-        self.stop.store(true, Ordering::Relaxed);
+        self.signals.stop.store(true, Ordering::Relaxed);
     }
 
     /// Ends it at once, as a crash would.
     pub fn kill(&self) {
-        self.kill.store(true, Ordering::Relaxed);
+        self.signals.kill.store(true, Ordering::Relaxed);
     }
 
     /// Tells whether it has ended.
@@ -203,19 +191,15 @@
 pub fn start_in_thread(settings: DaemonSettings) -> Result<RunningDaemon, DaemonError> {
     let listeners = Listeners::bind(&settings)?;
     let addresses = listeners.addresses()?;
-    let (stop, kill) = (
-        Arc::new(AtomicBool::new(false)),
-        Arc::new(AtomicBool::new(false)),
-    );
-    let (stop_flag, kill_flag) = (stop.clone(), kill.clone());
+    let signals = Signals::default();
+    let seen = signals.clone();
     let builder = std::thread::Builder::new().name(format!("entry-{}", settings.vm.0));
     let thread = builder
-        .spawn(move || run_until_stopped(settings, listeners, stop_flag, kill_flag))
+        .spawn(move || run_until_stopped(settings, listeners, seen))
         .map_err(DaemonError::Runtime)?;
     Ok(RunningDaemon {
         addresses,
-        stop,
-        kill,
+        signals,
         thread: Some(thread),
     })
 }
--- a/crates/notchwalkd/src/lib.rs
+++ b/crates/notchwalkd/src/lib.rs
@@ -16,8 +16,6 @@
 mod effects;
 mod engine_driver;
 mod engine_poll;
-mod error;
-mod file_limit;
 mod metrics;
 mod operator_api;
 mod order_driver;
@@ -34,7 +32,5 @@
 pub mod prelude;
 
 pub use daemon::{run_until_stopped, start_in_thread, BoundAddresses, Listeners, RunningDaemon};
-pub use error::DaemonError;
-pub use file_limit::raise_file_limit;
 pub use peer_proof::{PeerKey, PeerKeys};
 pub use settings::{DaemonSettings, ListenAddresses};
--- a/crates/notchwalkd/src/main.rs
+++ b/crates/notchwalkd/src/main.rs
@@ -1,14 +1,10 @@
 //! `notchwalkd`: the entry daemon.
 
-use std::{
-    path::PathBuf,
-    process::ExitCode,
-    sync::{atomic::AtomicBool, Arc},
-};
+use std::{path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
+use notchwalk_daemon::{prelude::*, raise_file_limit};
 use notchwalkd::prelude::*;
-use signal_hook::consts::{SIGINT, SIGTERM};
 
 /// Serves callers in front of model engines and plain services. SIGTERM and
 /// SIGINT drain the daemon.
@@ -26,7 +22,6 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let arguments = arguments().run();
     let settings = match DaemonSettings::load(&arguments.settings) {
         Ok(settings) => settings,
@@ -39,6 +34,7 @@
         println!("{}: no findings", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
+    start_logging();
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -49,11 +45,8 @@
 }
 
 fn run(settings: DaemonSettings) -> Result<(), DaemonError> {
-    let stop = Arc::new(AtomicBool::new(false));
-    for signal in [SIGTERM, SIGINT] {
-        signal_hook::flag::register(signal, stop.clone()).map_err(DaemonError::Runtime)?;
-    }
-    notchwalkd::raise_file_limit();
+    let signals = Signals::from_process()?;
+    raise_file_limit();
     let listeners = Listeners::bind(&settings)?;
-    run_until_stopped(settings, listeners, stop, Arc::new(AtomicBool::new(false)))
+    run_until_stopped(settings, listeners, signals)
 }
--- a/crates/notchwalkd/src/metrics.rs
+++ b/crates/notchwalkd/src/metrics.rs
@@ -1,11 +1,12 @@
 //! Metrics in Prometheus' text format.
 
+use notchwalk_daemon::MetricSet;
 use notchwalk_decide::Node;
-use prometheus::{Encoder, Gauge, IntGauge, Registry, TextEncoder};
+use prometheus::{Gauge, IntGauge};
 
 /// The gauges of one daemon, set when they are asked for.
 pub struct Metrics {
-    registry: Registry,
+    set: MetricSet,
     counters: Vec<(&'static str, IntGauge)>,
     open_requests: IntGauge,
     queued_requests: IntGauge,
@@ -58,36 +59,24 @@
     ///
     /// Panics if two metrics have the same name, which is a bug.
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help).expect("metric names are valid");
-            registry
-                .register(Box::new(gauge.clone()))
-                .expect("metric names differ");
-            gauge
-        };
+        let set = MetricSet::new();
         let counters = COUNTS
-            .map(|(name, help)| (name, gauge(name, help)))
+            .map(|(name, help)| (name, set.gauge(name, help)))
             .to_vec();
-        let retry_budget =
-            Gauge::new("notchwalk_retry_budget", "Retries saved up").expect("a valid name");
-        registry
-            .register(Box::new(retry_budget.clone()))
-            .expect("metric names differ");
         Self {
             counters,
-            open_requests: gauge("notchwalk_open_requests", "Requests admitted and not over"),
-            queued_requests: gauge("notchwalk_queued_requests", "Requests that wait"),
-            open_cancels: gauge("notchwalk_open_cancels", "Cancels not confirmed"),
-            bundle_version: gauge("notchwalk_bundle_version", "The bundle in force"),
-            peer_bytes: gauge("notchwalk_peer_bytes_total", "Bytes sent to other daemons"),
-            bundle_bytes: gauge("notchwalk_bundle_bytes_total", "Bytes fetched for bundles"),
-            ready: gauge(
+            open_requests: set.gauge("notchwalk_open_requests", "Requests admitted and not over"),
+            queued_requests: set.gauge("notchwalk_queued_requests", "Requests that wait"),
+            open_cancels: set.gauge("notchwalk_open_cancels", "Cancels not confirmed"),
+            bundle_version: set.gauge("notchwalk_bundle_version", "The bundle in force"),
+            peer_bytes: set.gauge("notchwalk_peer_bytes_total", "Bytes sent to other daemons"),
+            bundle_bytes: set.gauge("notchwalk_bundle_bytes_total", "Bytes fetched for bundles"),
+            ready: set.gauge(
                 "notchwalk_ready",
                 "1 if a bundle is in force and nothing drains",
             ),
-            retry_budget,
-            registry,
+            retry_budget: set.fraction("notchwalk_retry_budget", "Retries saved up"),
+            set,
         }
     }
 
@@ -119,9 +108,7 @@
         self.retry_budget.set(node.retry_budget());
         self.bundle_bytes.set(sent.bundle_bytes as i64);
         self.peer_bytes.set(sent.peer_bytes as i64);
-        let mut buf = Vec::new();
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
-        String::from_utf8(buf).unwrap_or_default()
+        self.set.text()
     }
 }
 
--- a/crates/notchwalkd/src/prelude.rs
+++ b/crates/notchwalkd/src/prelude.rs
@@ -1,5 +1,3 @@
 //! The names that programs starting daemons need.
 
-pub use crate::{
-    run_until_stopped, start_in_thread, DaemonError, DaemonSettings, Listeners, RunningDaemon,
-};
+pub use crate::{run_until_stopped, start_in_thread, DaemonSettings, Listeners, RunningDaemon};
--- a/crates/notchwalkd/src/settings.rs
+++ b/crates/notchwalkd/src/settings.rs
@@ -4,9 +4,10 @@
 
 use notchwalk_bundle::IniFile;
 use notchwalk_core::{Findings, VmId};
+use notchwalk_daemon::{settings, DaemonError};
 use notchwalk_decide::ReserveMode;
 
-use crate::{error::DaemonError, peer_proof::PeerKeys};
+use crate::peer_proof::PeerKeys;
 
 /// Where a daemon listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,12 +86,7 @@
     ///
     /// Fails if the file can't be read, or with all findings in it.
     pub fn load(path: &Path) -> Result<Self, DaemonError> {
-        let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|source| DaemonError::File {
-            path: name.clone(),
-            source,
-        })?;
-        Self::parse(&name, &text).map_err(DaemonError::Settings)
+        settings::load(path, read)
     }
 
     /// Parses the text of a settings file; `name` stands in the findings.
@@ -99,16 +95,7 @@
     ///
     /// Returns all findings.
     pub fn parse(name: &str, text: &str) -> Result<Self, Findings> {
-        let ini = IniFile::parse(name, text)?;
-        let settings = read(&ini);
-        let findings = match ini.finish() {
-            Ok(()) => Findings::default(),
-            Err(findings) => findings,
-        };
-        match settings {
-            Some(settings) => findings.or_ok(settings),
-            None => Err(findings),
-        }
+        settings::parse(name, text, read)
     }
 }
 
--- a/crates/notchwalkd/src/shell.rs
+++ b/crates/notchwalkd/src/shell.rs
@@ -11,6 +11,7 @@
 use futures_util::future::{AbortHandle, Abortable};
 use notchwalk_bundle::Bundle;
 use notchwalk_core::{BootNumber, Clock, Instant, RequestId, ServerId, VmId};
+use notchwalk_daemon::SuspensionWatch;
 use notchwalk_decide::{
     Arrival, CallerKey, Effect, Event, Failure, Node, NodeConfig, NodeDump, RequestKey,
 };
@@ -97,6 +98,7 @@
     servers: RefCell<HashMap<ServerId, SocketAddr>>,
     next_caller: Cell<u64>,
     stopped: Cell<bool>,
+    suspension: SuspensionWatch,
     effects: Box<dyn EffectDriver>,
 }
 
@@ -118,11 +120,13 @@
         cfg = cfg
             .with_entries_ttl(settings.entries_ttl)
             .with_reserve(settings.reserve);
+        let clock = Clock::new();
         Rc::new(Self {
+            suspension: SuspensionWatch::new(&clock),
             node: RefCell::new(Node::new(cfg)),
             settings,
             boot,
-            clock: Clock::new(),
+            clock,
             client,
             platform,
             metrics: Metrics::new(),
@@ -172,6 +176,14 @@
         self.node.borrow_mut().dump(now)
     }
 
+    /// Notices that the machine was suspended. Connections kept from before are closed:
+    /// the other ends gave them up unheard, and a call that may run once is lost on one.
+    pub fn notice_suspension(&self) {
+        if self.suspension.notice(&self.clock) {
+            self.client.forget_idle();
+        }
+    }
+
     /// Tells whether all work is done after a drain.
     pub fn is_stopped(&self) -> bool {
         self.stopped.get()
