--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -128,7 +128,7 @@
 }
 
 /// Tells peers for ever what changed, at once: what they place in the
-/// meantime, they place in ignorance of it (docs/BENCHES.md).
+/// meantime, they place in ignorance of it.
 pub(crate) async fn tell_changes(shell: Rc<Shell>, socket: Rc<UdpSocket>) {
     loop {
         shell.work_changed.wait().await;
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -160,7 +160,7 @@
 
     /// Returns the newest era of the store that this entry or a peer has seen. A
     /// question under way may not notice that the store came back until its wait is
-    /// over: of 30 entries the last one knew of a change after 2.05 s then.
+    /// over.
     pub fn newest_era(&self) -> u64 {
         let peers = self.peers.borrow().newest_change_of_servers().era;
         self.store_era().max(peers)
--- a/crates/notchwalk_relay/src/table_watch.rs
+++ b/crates/notchwalk_relay/src/table_watch.rs
@@ -236,8 +236,7 @@
     /// the entry that the store is back.
     async fn wait_for_others(&self) {
         /// After the first sign of a change, so that one question brings those
-        /// that follow it closely as well. (Gathering for 0.7 s saved 0.002 of
-        /// worth on the grown sites, within the spread, and time to spare.)
+        /// that follow it closely as well.
         const GATHER: Duration = Duration::from_millis(300);
         /// The longest wait: what was missed is mended then.
         const LONGEST: Duration = Duration::from_secs(30);
--- a/crates/notchwalk_route/src/fleet/mod.rs
+++ b/crates/notchwalk_route/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod server;
 mod shared_bucket;
 mod sharing;
+mod told_limit;
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -19,8 +20,9 @@
 use crate::{Group, ServerWord};
 use leaving_lives::LeavingLives;
 pub use server::{Server, ServerRecord, ServerStage};
+pub use sharing::Availability;
 use sharing::Limits;
-pub use sharing::{Availability, Sharing, Told, ToldLimit, ToldLimitWord};
+pub use told_limit::{Sharing, Told, ToldLimit, ToldLimitWord};
 
 new_key_type! {
     /// A server's place in the fleet.
--- a/crates/notchwalk_route/src/fleet/server.rs
+++ b/crates/notchwalk_route/src/fleet/server.rs
@@ -20,9 +20,7 @@
 /// Weight of a new observation in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.12;
 /// In this time the failure rate halves if nothing is observed: a server that is
-/// avoided for its failures has no answers that could speak for it. Four failures
-/// kept one of four servers without work for as long as it was looked at (nine
-/// seconds, 3,000 calls).
+/// avoided for its failures has no answers that could speak for it.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Without observation for this long the rate counts no more, as long as the longest
 /// pause: what is left of it outweighs any difference in use at light load.
--- a/crates/notchwalk_route/src/groups.rs
+++ b/crates/notchwalk_route/src/groups.rs
@@ -16,9 +16,8 @@
 const MOST_TOGETHER: usize = 64;
 /// Entries of a group at most, where there are several; each has more than half as many.
 const MOST_IN_GROUP: usize = 24;
-/// Servers of the largest service that a group has at least. With 15 of 60 engines to
-/// each of four groups of 19 entries, days earned 0.06 and 0.09 less than with one group
-/// (two grown deployments, four paired plays each): long prompts are read by up to 17.
+/// Servers of the largest service that a group has at least: a long prompt is read by up
+/// to 17, and others are served beside it.
 const LEAST_SERVERS_A_GROUP: usize = 48;
 /// Servers of any service that a group has at least; with fewer, neighbouring groups
 /// share theirs.
--- a/crates/notchwalk_route/src/placement/long.rs
+++ b/crates/notchwalk_route/src/placement/long.rs
@@ -33,9 +33,8 @@
 const EACH_PART_MS: f64 = 15.0;
 
 /// Engines that a prompt may hope for while it waits to be read in time: about
-/// a third of a small fleet. With 3 it was given up too early (worth of a day
-/// lower by 0.011, 120 paired plays), with 10 and 17 it waited in vain (by 0.001
-/// and 0.004).
+/// a third of a small fleet. With fewer it is given up too early, with more it waits
+/// in vain.
 const USUALLY_FREE: usize = 6;
 
 /// The memory that a prompt takes, in tokens.
@@ -169,8 +168,7 @@
     ///
     /// Engines read parts for others before prompts of their own, so that a late
     /// prompt gives way where it is read whole. Spread, it would hold up those
-    /// that can still be in time: mean worth of a day fell by 0.009 and 0.003 on
-    /// two of three deployments (120 paired plays, standard error 0.003).
+    /// that can still be in time.
     pub fn place_late(
         &self,
         service: &str,
--- a/crates/notchwalk_route/src/placement/mod.rs
+++ b/crates/notchwalk_route/src/placement/mod.rs
@@ -31,7 +31,7 @@
 /// Predicted over allowed time from which a miss is thought certain.
 const SURELY_LATE: f64 = 1.15;
 /// Part of an engine's slots that short requests fill before the next engine is
-/// opened for them. Measured: see docs/BENCHES.md.
+/// opened for them.
 const SHORT_SLOT_SHARE: f64 = 0.875;
 /// Engines beyond those in use that are kept for short requests.
 const SPARE_SHORT_ENGINES: usize = 0;
@@ -54,8 +54,7 @@
 /// What a generated token is worth in tokens of the prompt; the users' rules
 /// state it.
 const GENERATED_WEIGHT: f64 = 10.0;
-/// Tokens that are worth a millisecond of engine time. Measured: see
-/// docs/BENCHES.md.
+/// Tokens that are worth a millisecond of engine time.
 const WORTH_TOKENS_PER_MS: f64 = 100.0;
 /// Tokens of an answer whose length is not known, as on the deployments known.
 const USUAL_ANSWER_TOKENS: f64 = 1_000.0;
@@ -153,7 +152,7 @@
     /// to read would be delayed by it.
     fn may_help(&self) -> bool {
         /// Enough that an engine never waits for its next part, little enough
-        /// that few are delayed. Measured: see docs/BENCHES.md.
+        /// that few are delayed.
         const QUEUED_MS: f64 = 150.0;
         !self.is_scarce && self.load.own_long_reads == 0 && self.load.reading_ms <= QUEUED_MS
     }
--- a/crates/notchwalk_route/src/router/waiting.rs
+++ b/crates/notchwalk_route/src/router/waiting.rs
@@ -19,7 +19,7 @@
 };
 
 /// Part of its worth that others may lose for a prompt that is read late; a late
-/// answer earns a quarter. Measured between 0.03 and 0.25: docs/DECISIONS.md.
+/// answer earns a quarter.
 const LATE_HARM: f64 = 0.1;
 /// Part of its caller's patience that reading a late prompt must leave, for it
 /// to wait for a cheaper moment.
@@ -133,15 +133,11 @@
     ///
     /// The first answers the seconds after all entries lost power: callers come
     /// back together, and sent at once they make the first tries behind them
-    /// late. Worth in the two seconds after the restart rose from 0.55 to 0.60.
+    /// late.
     /// The second answers more questions than slots: sent at once, each makes the next
-    /// one late as well. With half again the users' traffic, in simulated time, a wave of
-    /// questions earned 0.34 of its worth without it, 0.52 with it (12 seeds); with the
-    /// users' own, 0.98 either way.
-    /// The third answers a flood of one workspace: at ten times what engines
-    /// serve, 4 of 136 requests of the others were in time without it, 109 with it.
-    /// (To refuse them all at once cost 0.011 of an ordinary day's worth on one
-    /// deployment, where large workspaces are over their share in each wave.)
+    /// one late as well.
+    /// The third answers a flood of one workspace, which makes the others late. (They are
+    /// not all refused at once: large workspaces are over their share in each wave.)
     fn decide_short(
         &self,
         request: &Request,
@@ -227,9 +223,8 @@
     /// Decides about a prompt that can't be read in time any more: it is read
     /// where it costs others less than its late answer is worth.
     ///
-    /// It answers waves of long prompts that fill all engines. Reading late ones
-    /// as soon as they were late, whatever it cost, lowered the mean worth of a
-    /// day by 0.008 and 0.004 on two of three deployments.
+    /// It answers waves of long prompts that fill all engines: read as soon as they are
+    /// late, whatever it costs, they make others late.
     fn decide_late(
         &self,
         request: &Request,
@@ -263,7 +258,6 @@
     /// more than they do.
     fn plan_urgent(&self, request: &Request, now: Instant) -> Option<Plan> {
         /// Part of what a request stands for that others may lose for it.
-        /// Measured between 0.15 and 0.6: see docs/BENCHES.md.
         const WORTH_SHARE: f64 = 0.3;
         let left_ms = request.objective_at().since(now).as_secs_f64() * 1e3;
         let mut plan = self.plan(request, now)?;
--- a/crates/notchwalk_route/src/shares.rs
+++ b/crates/notchwalk_route/src/shares.rs
@@ -7,8 +7,8 @@
 use std::collections::HashMap;
 
 /// How many times an equal share a workspace may have before it yields; equal
-/// among those that have work on any server now, calls included. At 1.25 and 1.5 the worth of ordinary
-/// days fell by 0.008 to 0.012: large workspaces were refused in every wave.
+/// among those that have work on any server now, calls included. With less, large
+/// workspaces are refused in every wave.
 const TOLERANCE: f64 = 2.0;
 /// Part of all that is used below which a workspace never yields: a large one is
 /// no flood.
--- a/crates/notchwalk_route/tests/decisions/common.rs
+++ b/crates/notchwalk_route/tests/decisions/common.rs
@@ -6,8 +6,8 @@
 use notchwalk_quarantine::{Content, Fingerprint, Fingerprinting};
 use notchwalk_route::{
     Assignment, AttemptEnd, Backend, Effect, EngineParameters, Event, Refusal, Repeatability,
-    RequestFacts, RequestKey, Route, RouteLookup, Router, RouterConfig, ServerChange, ServerRecord,
-    ServerStage, Service, Sharing, SiteConfig, Workspace, WorkspaceTag,
+    RequestFacts, RequestKey, Route, RouteLookup, Router, RouterConfig, ServerChange, ServerKey,
+    ServerRecord, ServerStage, Service, Sharing, SiteConfig, Workspace, WorkspaceTag,
 };
 
 pub const ENGINES: &str = "engines";
@@ -248,6 +248,26 @@
     }
 }
 
+/// Returns the record of a desk that says when its life began.
+pub fn born(number: u8, born: u64) -> ServerRecord {
+    ServerRecord {
+        born: Some(born),
+        ..record(DESK, number)
+    }
+}
+
+/// Puts a server on record, or changes its record.
+pub fn present(rig: &mut Rig, record: ServerRecord) {
+    rig.step(Event::Servers(ServerChange::Present(record)));
+}
+
+/// Returns the place of a server that is on record.
+pub fn key(rig: &Rig, service: &str, number: u8) -> ServerKey {
+    let instance = record(service, number).instance;
+    let fleet = rig.router.fleet();
+    fleet.by_instance(&instance).expect("it is on record")
+}
+
 /// Counts how often each server was chosen.
 pub fn tally(sends: &[(RequestKey, Assignment)]) -> HashMap<String, usize> {
     let mut tally = HashMap::new();
--- a/crates/notchwalk_route/tests/decisions/limits.rs
+++ b/crates/notchwalk_route/tests/decisions/limits.rs
@@ -3,20 +3,14 @@
 use std::time::Duration;
 
 use notchwalk_route::{
-    AttemptEnd, Effect, Event, RateLimit, Refusal, RequestKey, ServerChange, ServerKey,
-    ServerRecord, ServerWord, Sharing, Told, ToldLimit,
+    AttemptEnd, Effect, Event, RateLimit, Refusal, RequestKey, ServerChange, ServerWord, Sharing,
+    Told, ToldLimit,
 };
 
-use crate::common::{content, record, Rig, DESK, ENGINES};
+use crate::common::{born, content, key, present, record, Rig, DESK, ENGINES};
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn key(rig: &Rig, service: &str, number: u8) -> ServerKey {
-    let instance = record(service, number).instance;
-    let fleet = rig.router.fleet();
-    fleet.by_instance(&instance).expect("it is on record")
-}
-
 /// Has a server say something of its limit in the answer to a request that was sent
 /// `age` ago.
 fn say_aged(rig: &mut Rig, service: &str, number: u8, rate: Option<f64>, age: Duration) {
@@ -322,17 +316,6 @@
     assert_eq!(limit(&first, DESK, 0), None);
 }
 
-fn born(number: u8, born: u64) -> ServerRecord {
-    ServerRecord {
-        born: Some(born),
-        ..record(DESK, number)
-    }
-}
-
-fn present(rig: &mut Rig, record: ServerRecord) {
-    rig.step(Event::Servers(ServerChange::Present(record)));
-}
-
 #[test]
 fn a_limit_ends_with_the_servers_life() {
     let mut rig = Rig::new();
--- a/crates/notchwalk_route/tests/decisions/server_words.rs
+++ b/crates/notchwalk_route/tests/decisions/server_words.rs
@@ -2,17 +2,9 @@
 
 use std::time::Duration;
 
-use notchwalk_route::{
-    AttemptEnd, Effect, Event, Refusal, ServerChange, ServerKey, ServerRecord, ServerWord,
-};
+use notchwalk_route::{AttemptEnd, Effect, Event, Refusal, ServerChange, ServerKey, ServerWord};
 
-use crate::common::{record, Rig, DESK, ENGINES};
-
-fn key(rig: &Rig, service: &str, number: u8) -> ServerKey {
-    let instance = record(service, number).instance;
-    let fleet = rig.router.fleet();
-    fleet.by_instance(&instance).expect("it is on record")
-}
+use crate::common::{born, key, present, record, Rig, DESK, ENGINES};
 
 fn say(rig: &mut Rig, service: &str, number: u8, word: ServerWord) {
     let server = key(rig, service, number);
@@ -40,17 +32,6 @@
     say(rig, DESK, number, word);
 }
 
-fn born(number: u8, born: u64) -> ServerRecord {
-    ServerRecord {
-        born: Some(born),
-        ..record(DESK, number)
-    }
-}
-
-fn present(rig: &mut Rig, record: ServerRecord) {
-    rig.step(Event::Servers(ServerChange::Present(record)));
-}
-
 #[test]
 fn a_server_that_says_it_leaves_gets_no_first_send() {
     let mut rig = Rig::new();
--- a/crates/notchwalk_standin/src/bench/limits.rs
+++ b/crates/notchwalk_standin/src/bench/limits.rs
@@ -7,7 +7,10 @@
 use serde_json::{json, Value};
 
 use super::{rounded, BenchOptions, Figures};
-use crate::routed::limits::{Demand, LimitsPlan, LimitsWorld, BEGIN};
+use crate::routed::{
+    limits::{LimitsWorld, BEGIN},
+    limits_plan::{Demand, LimitsPlan},
+};
 
 /// Entries that share the servers.
 const ENTRIES: [usize; 4] = [2, 6, 30, 300];
--- a/crates/notchwalk_standin/src/routed/mod.rs
+++ b/crates/notchwalk_standin/src/routed/mod.rs
@@ -7,6 +7,7 @@
 //! | `bound` | what no policy can pass |
 //! | `engine` | one engine: passes, parts, memory |
 //! | `limits` | servers that name limits, shared by many routers under faults |
+//! | `limits_plan` | what is played there, and what came of it |
 //! | `policy` | who decides on which knowledge, and the site |
 //! | `traffic` | kinds of requests, waves, arrivals |
 //! | `world` | routers, engines and what arrivals come to |
@@ -15,6 +16,7 @@
 pub mod bound;
 pub mod engine;
 pub mod limits;
+pub mod limits_plan;
 pub mod policy;
 pub mod report;
 pub mod traffic;
--- a/crates/notchwalk_standin/tests/shared_limits.rs
+++ b/crates/notchwalk_standin/tests/shared_limits.rs
@@ -3,8 +3,9 @@
 
 use std::time::Duration;
 
-use notchwalk_standin::routed::limits::{
-    Demand, LimitsOutcome, LimitsPlan, LimitsWorld, Trouble, BEGIN,
+use notchwalk_standin::routed::{
+    limits::{LimitsWorld, BEGIN},
+    limits_plan::{Demand, LimitsOutcome, LimitsPlan, Trouble},
 };
 use proptest::prelude::*;
 
