--- a/crates/notchwalk_relay/src/server_words.rs
+++ b/crates/notchwalk_relay/src/server_words.rs
@@ -12,6 +12,10 @@
 /// lives.
 const LONGEST_REST: Duration = Duration::from_secs(3_600);
 
+/// How often it is logged of one server that what it says can't be taken as said: it may
+/// stand in each of its answers.
+const FAULTY_LOGGED_EVERY: Duration = Duration::from_secs(60);
+
 /// Who an answer came from, as far as the sender knows.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Asked {
@@ -74,7 +78,8 @@
     match &facts.limit {
         SaidLimit::Rate(rate) => Some(Some(*rate)),
         SaidLimit::Faulty { reason, taken } => {
-            log_faulty_limit(shell, server, reason, *taken);
+            let rate = taken.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+            log_faulty(shell, server, reason, &format!("taken_per_second={rate}"));
             taken.map(Some)
         }
         SaidLimit::NotSaid => {
@@ -96,32 +101,28 @@
         ComeBack::NotSaid => None,
         ComeBack::After(time) if *time > LONGEST_REST => {
             let reason = format!("{} s are too long", time.as_secs());
-            log_faulty(shell, server, &reason, Some(LONGEST_REST));
+            let taken = format!("taken_ms={}", LONGEST_REST.as_millis());
+            log_faulty(shell, server, &reason, &taken);
             Some(LONGEST_REST)
         }
         ComeBack::After(time) => Some(*time).filter(|time| !time.is_zero()),
         ComeBack::Faulty(reason) => {
-            log_faulty(shell, server, reason, None);
+            log_faulty(shell, server, reason, "taken_ms=0");
             None
         }
     }
 }
 
-fn log_faulty(shell: &Shell, server: ServerKey, reason: &str, taken: Option<Duration>) {
-    let facts = format!(
-        "server={} reason={reason:?} taken_ms={}",
-        name(shell, server),
-        taken.unwrap_or_default().as_millis()
-    );
-    LogEvent::new(LogEventKind::ServerWordFaulty, facts).emit();
-}
-
-fn log_faulty_limit(shell: &Shell, server: ServerKey, reason: &str, taken: Option<RateLimit>) {
-    let taken = taken.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
-    let facts = format!(
-        "server={} reason={reason:?} taken_per_second={taken}",
-        name(shell, server)
-    );
+/// Logs that what a server said can't be taken as said, and what is `taken` in its place.
+fn log_faulty(shell: &Shell, server: ServerKey, reason: &str, taken: &str) {
+    let now = shell.now();
+    let mut logged = shell.faulty_words.borrow_mut();
+    let last = logged.get(server);
+    if last.is_some_and(|&last| now.since(last) < FAULTY_LOGGED_EVERY) {
+        return;
+    }
+    logged.insert(server, now);
+    let facts = format!("server={} reason={reason:?} {taken}", name(shell, server));
     LogEvent::new(LogEventKind::ServerWordFaulty, facts).emit();
 }
 
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -8,7 +8,7 @@
 use notchwalk_daemon::{SuspensionWatch, Wake};
 use notchwalk_http::Client;
 use notchwalk_platform::{RowPage, RowStore, StoreVersion};
-use notchwalk_route::{ClientLimits, Effect, Event, RequestKey, Router};
+use notchwalk_route::{ClientLimits, Effect, Event, RequestKey, Router, ServerKey};
 use slotmap::SecondaryMap;
 
 use crate::{
@@ -74,6 +74,8 @@
     suspension: SuspensionWatch,
     /// Raised when peers are to be told of this entry's work, or of suspects.
     pub work_changed: Wake,
+    /// When it was last logged of a server that what it says can't be taken as said.
+    pub faulty_words: RefCell<SecondaryMap<ServerKey, Instant>>,
     inboxes: RefCell<SecondaryMap<RequestKey, unbounded::Tx<Effect>>>,
     effects: Box<dyn EffectDriver>,
 }
@@ -111,6 +113,7 @@
             servers_current: std::cell::Cell::new(Instant::ZERO),
             store_clock: std::cell::Cell::default(),
             work_changed: Wake::default(),
+            faulty_words: RefCell::default(),
             inboxes: RefCell::default(),
             effects,
         }
--- a/crates/notchwalk_route/src/router/limits.rs
+++ b/crates/notchwalk_route/src/router/limits.rs
@@ -25,16 +25,13 @@
 }
 
 impl Ahead {
-    /// Counts a request that waits; returns how many were before it.
-    fn push(&mut self, service: &str) -> u32 {
-        let known = self.by_service.iter_mut();
-        let mut known = known.filter(|(name, _)| name == service);
-        if let Some((_, count)) = known.next() {
-            *count += 1;
-            return *count - 1;
+    /// Counts a request that waits.
+    fn push(&mut self, service: &str) {
+        let mut known = self.by_service.iter_mut();
+        match known.find(|(name, _)| name == service) {
+            Some((_, count)) => *count += 1,
+            None => self.by_service.push((service.to_owned(), 1)),
         }
-        self.by_service.push((service.to_owned(), 1));
-        0
     }
 
     fn count(&self, service: &str) -> u32 {
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -42,8 +42,7 @@
         if self.draining_from.is_some_and(|from| now >= from) {
             return self.refuse(key, Refusal::Draining, now, out);
         }
-        let service = self.requests.get(key).and_then(Option::as_ref);
-        if let Some(request) = service {
+        if let Some(Some(request)) = self.requests.get(key) {
             self.fleet.note_asked_for(&request.service, now);
         }
         self.queue_or_send(key, now, out);
