--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -344,6 +344,7 @@
         shell.step(Event::ToldLimits {
             peer: number,
             name: heard.name,
+            near: heard.is_near,
             limits: message.limits,
         });
     }
--- a/crates/notchwalk_relay/src/peers.rs
+++ b/crates/notchwalk_relay/src/peers.rs
@@ -66,6 +66,8 @@
     pub name: String,
     /// Whether it had not been heard, or started anew.
     pub is_new: bool,
+    /// Whether it is of this entry's group.
+    pub is_near: bool,
     /// Its name, if it had not been heard and shares servers with this entry.
     pub appeared: Option<String>,
     /// Whether it started anew, so that what it told before is void.
@@ -312,6 +314,7 @@
             number: peer.number,
             name: peer.record.name.clone(),
             is_new: appeared,
+            is_near,
             appeared: (appeared && is_near).then(|| peer.record.name.clone()),
             started_anew,
         })
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -151,6 +151,8 @@
         peer: u32,
         /// Its name.
         name: String,
+        /// Whether it is of this entry's group: only then its sends are told in time.
+        near: bool,
         /// What it told.
         limits: Vec<ToldLimit>,
     },
--- a/crates/notchwalk_route/src/fleet/sharing.rs
+++ b/crates/notchwalk_route/src/fleet/sharing.rs
@@ -164,11 +164,11 @@
     }
 
     /// Hears what a peer tells of servers that name limits; returns what is new here.
-    /// `name` is the peer's.
+    /// `near` is the number and the name of a peer of this entry's group: what others send
+    /// is their groups' part, by which the bucket does not fill.
     pub fn hear_limits(
         &mut self,
-        peer: u32,
-        name: &str,
+        near: Option<(u32, &str)>,
         told: &[ToldLimit],
         now: Instant,
     ) -> Vec<(ServerKey, ServerWord)> {
@@ -189,6 +189,7 @@
                     news.push((key, ServerWord::Limit { limit, asked }));
                 }
             }
+            let Some((peer, name)) = near else { continue };
             if let Some(limited) = self.servers[key].limit.in_force_mut() {
                 let bucket = &mut limited.bucket;
                 bucket.hear(peer, tag_of(name), told.sent, told.wants, now);
--- a/crates/notchwalk_route/src/router/limits.rs
+++ b/crates/notchwalk_route/src/router/limits.rs
@@ -44,13 +44,12 @@
 impl Router {
     pub(super) fn told_limits(
         &mut self,
-        peer: u32,
-        name: &str,
+        near: Option<(u32, &str)>,
         told: &[ToldLimit],
         now: Instant,
         out: &mut Vec<Effect>,
     ) {
-        for (server, word) in self.fleet.hear_limits(peer, name, told, now) {
+        for (server, word) in self.fleet.hear_limits(near, told, now) {
             let by_peer = true;
             out.push(Effect::Heard {
                 server,
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -255,8 +255,14 @@
             Event::Group(group) => self.fleet.set_group(group, now),
             Event::Entries { count } => self.entries = Some(count),
             Event::Sharing(sharing) => self.fleet.set_sharing(sharing, now),
-            Event::ToldLimits { peer, name, limits } => {
-                self.told_limits(peer, &name, &limits, now, out);
+            Event::ToldLimits {
+                peer,
+                name,
+                near,
+                limits,
+            } => {
+                let near = near.then_some((peer, name.as_str()));
+                self.told_limits(near, &limits, now, out);
             }
             Event::Reserved { request, failed } => self.reserved(request, &failed, now, out),
             Event::Unanswered(order) => self.reservations.note_unanswered(&order, now),
--- a/crates/notchwalk_route/tests/decisions/limits.rs
+++ b/crates/notchwalk_route/tests/decisions/limits.rs
@@ -188,6 +188,7 @@
     to.step(Event::ToldLimits {
         peer,
         name: name.to_owned(),
+        near: true,
         limits: told(from),
     });
 }
@@ -223,7 +224,12 @@
     let limits = limits.limits_to_tell(Told::All, 48, second.now);
     let name = "entry-2".to_owned();
     let peer = 2;
-    first.step(Event::ToldLimits { peer, name, limits });
+    first.step(Event::ToldLimits {
+        peer,
+        name,
+        near: true,
+        limits,
+    });
     assert_eq!(limit(&first, DESK, 0), Some(0.0));
 }
 
@@ -243,7 +249,12 @@
         }];
         let name = "entry-2".to_owned();
         let peer = 1;
-        rig.step(Event::ToldLimits { peer, name, limits });
+        rig.step(Event::ToldLimits {
+            peer,
+            name,
+            near: true,
+            limits,
+        });
         allowance(&rig, DESK, 0)
     };
     // What was sent before the first count is over.
@@ -511,3 +522,32 @@
         "one in five seconds, of twelve"
     );
 }
+
+/// Among several groups each has its part of what a server allows. What entries of other
+/// groups send is theirs: taken from this group's part as well, sixteen groups together
+/// would use a sixteenth of the limit.
+#[test]
+fn what_other_groups_send_is_not_taken_from_this_groups_part() {
+    let mut rig = Rig::new();
+    say(&mut rig, DESK, 0, 8.0);
+    rig.pass(5 * SECOND);
+    let full = allowance(&rig, DESK, 0);
+    let server = told(&rig)[0].server;
+    for sent in [70, 90] {
+        let limits = vec![ToldLimit {
+            server,
+            said: None,
+            sent,
+            wants: true,
+        }];
+        rig.step(Event::ToldLimits {
+            peer: 1,
+            name: "entry-70".to_owned(),
+            near: false,
+            limits,
+        });
+    }
+    assert!((allowance(&rig, DESK, 0) - full).abs() < 0.01);
+    let server = rig.router.fleet().get(key(&rig, DESK, 0));
+    assert_eq!(server.map(|server| server.limit_users(rig.now)), Some(1));
+}
--- a/crates/notchwalk_standin/src/routed/limits.rs
+++ b/crates/notchwalk_standin/src/routed/limits.rs
@@ -370,7 +370,14 @@
         if !limits.is_empty() {
             let peer = from as u32;
             let name = name(from);
-            self.step(to, Event::ToldLimits { peer, name, limits });
+            let near = true;
+            let told = Event::ToldLimits {
+                peer,
+                name,
+                near,
+                limits,
+            };
+            self.step(to, told);
         }
     }
 
