NW5105 reports each decision of the retry budget

Callers noticed nothing by it. NW5105, notchwalk_retries_total and retry_budget in /state show it; no decision uses them.

--- a/crates/notchwalk_core/src/log_event.rs
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -82,6 +82,7 @@
     AttemptFailed = 5102, Info, "an attempt on a backend server failed";
     RequestEnded = 5103, Info, "a request ended";
     RequestRejected = 5104, Info, "a request was rejected";
+    RetryDecided = 5105, Info, "the retry budget allowed or denied a retry";
     CrashSuspected = 5201, Info, "a backend server may have crashed while running a request";
     RequestQuarantined = 5202, Warn, "requests with the same content crashed several servers; the content is quarantined";
     QuarantineEnded = 5203, Info, "a quarantine ended";
--- a/crates/notchwalk_relay/src/effects.rs
+++ b/crates/notchwalk_relay/src/effects.rs
@@ -34,7 +34,10 @@
             Effect::LimitExhausted { server } => server_notices::log_limit_exhausted(shell, server),
             Effect::Ejected { server, duration } => log_circuit_opened(shell, server, duration),
             // Handled by the task of their request.
-            Effect::Send { .. } | Effect::Refuse { .. } | Effect::DeliverFailure { .. } => {}
+            Effect::Send { .. }
+            | Effect::RetryDecided { .. }
+            | Effect::Refuse { .. }
+            | Effect::DeliverFailure { .. } => {}
         }
     }
 }
--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -130,6 +130,13 @@
                 Some(Effect::DeliverFailure { .. }) => {
                     return self.deliver_server_error(exchange, delivery).await;
                 }
+                Some(Effect::RetryDecided {
+                    service,
+                    end,
+                    allowed,
+                    usage,
+                    ..
+                }) => self.record_retry_decision(req, &service, end, allowed, usage),
                 Some(_) => continue,
                 None => {
                     return self
--- a/crates/notchwalk_relay/src/front/record.rs
+++ b/crates/notchwalk_relay/src/front/record.rs
@@ -1,10 +1,13 @@
 //! Log lines and metrics of requests.
 
 use notchwalk_core::{LogEvent, LogEventKind};
-use notchwalk_route::{Assignment, Refusal};
+use notchwalk_route::{Assignment, AttemptEnd, Refusal, RetryUsage};
 
 use super::Front;
-use crate::{active_request::ActiveRequest, attempt::Delivery};
+use crate::{
+    active_request::ActiveRequest,
+    attempt::{self, Delivery},
+};
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +60,33 @@
         LogEvent::new(LogEventKind::RequestSent, facts).emit();
     }
 
+    /// Logs and counts a decision of the retry budget.
+    pub(super) fn record_retry_decision(
+        &self,
+        req: &ActiveRequest,
+        service: &str,
+        end: AttemptEnd,
+        allowed: bool,
+        usage: RetryUsage,
+    ) {
+        let result = if allowed { "allowed" } else { "denied" };
+        let end = attempt::end_label(end);
+        self.shell
+            .metrics
+            .retries
+            .with_label_values(&[service, end, result])
+            .inc();
+        let facts = format!(
+            "request={} service={service} end={end} result={result} retries={} limit={:.1} first_attempts={} nodes={}",
+            req.id(),
+            usage.retries,
+            usage.limit,
+            usage.first_attempts,
+            usage.nodes.unwrap_or(0),
+        );
+        LogEvent::new(LogEventKind::RetryDecided, facts).emit();
+    }
+
     /// Logs and counts the outcome of a request.
     pub(super) fn record_outcome(
         &self,
--- a/crates/notchwalk_relay/src/metrics.rs
+++ b/crates/notchwalk_relay/src/metrics.rs
@@ -12,6 +12,8 @@
     pub requests: IntCounterVec,
     /// Attempts at backend servers, by how they ended.
     pub attempts: IntCounterVec,
+    /// Decisions of the retry budget, by service, end of the last attempt and result.
+    pub retries: IntCounterVec,
     /// Seconds from arrival to the first event or the complete response, by route.
     pub first_byte: HistogramVec,
     /// Ratio of the predicted to the actual time to the first event, by route.
@@ -75,6 +77,11 @@
                 "Sends to backend servers",
                 &["end"],
             ),
+            retries: set.counter_vec(
+                "notchwalk_retries_total",
+                "Retries that the retry budget allowed or denied",
+                &["service", "end", "result"],
+            ),
             store_polls: set.counter_vec(
                 "notchwalk_store_questions_total",
                 "Questions to the store for changes",
--- a/crates/notchwalk_relay/src/operator.rs
+++ b/crates/notchwalk_relay/src/operator.rs
@@ -89,6 +89,7 @@
                 })
             })
             .collect();
+        let usage = router.retry_usage(now);
         serde_json::json!({
             "name": shell.settings.name,
             "ready": shell.is_ready(),
@@ -101,6 +102,11 @@
             "reservations": router.reservations(),
             "peers_alive": shell.peers.borrow().alive_count(now),
             "entries_sharing_limits": shell.peers.borrow().sharing_nodes(now),
+            "retry_budget": {
+                "retries": usage.retries,
+                "limit": usage.limit,
+                "first_attempts": usage.first_attempts,
+            },
             "servers_age_ms": now.since(shell.servers_refreshed_at.get()).as_millis() as u64,
             "servers": servers,
             "suspects": quarantine::state(shell),
--- a/crates/notchwalk_route/src/effect.rs
+++ b/crates/notchwalk_route/src/effect.rs
@@ -5,7 +5,7 @@
 use notchwalk_core::Instant;
 use notchwalk_quarantine::QuarantineFinding;
 
-use crate::{RequestKey, ServerKey, ServerNotice};
+use crate::{AttemptEnd, RequestKey, RetryUsage, ServerKey, ServerNotice};
 
 /// A prefill worker: an engine that prefills a segment of a prompt for the decoding engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -125,6 +125,19 @@
         /// time of the quarantine.
         retry_after: Option<Duration>,
     },
+    /// Report whether the retry budget allowed a retry.
+    RetryDecided {
+        /// The request.
+        request: RequestKey,
+        /// Its service.
+        service: String,
+        /// How its last attempt ended.
+        end: AttemptEnd,
+        /// Whether the retry was allowed.
+        allowed: bool,
+        /// The usage of the budget before.
+        usage: RetryUsage,
+    },
     /// Deliver the retained error of the server; the router drops the request's state.
     DeliverFailure {
         /// The request.
--- a/crates/notchwalk_route/src/lib.rs
+++ b/crates/notchwalk_route/src/lib.rs
@@ -52,7 +52,7 @@
 pub use groups::{node_order, Group};
 pub use load_view::{LoadView, PeerWork, WorkPhase};
 pub use request::{RequestFacts, RequestKey};
-pub use retry_budget::RetryBudget;
+pub use retry_budget::{RetryBudget, RetryUsage};
 pub use router::{Router, RouterConfig};
 pub use routes::{host_name, RouteLookup, RouteTable};
 pub use server_notice::{RateLimit, ServerNotice};
--- a/crates/notchwalk_route/src/retry_budget.rs
+++ b/crates/notchwalk_route/src/retry_budget.rs
@@ -22,6 +22,26 @@
     retries: u32,
 }
 
+/// What a node used of its retry budget, and what it may use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryUsage {
+    /// First attempts within the window.
+    pub first_attempts: u32,
+    /// Retries within the window.
+    pub retries: u32,
+    /// Retries that this node may send within the window.
+    pub limit: f64,
+    /// Number of nodes that share the slack, if known.
+    pub nodes: Option<u32>,
+}
+
+impl RetryUsage {
+    /// Returns whether another retry is allowed.
+    pub fn allows_retry(&self) -> bool {
+        f64::from(self.retries) + 1.0 <= self.limit
+    }
+}
+
 /// Fraction of the allowed retries that is used. It keeps all nodes together within the limit
 /// while they disagree on the number of nodes.
 const USED_BUDGET_FRACTION: f64 = 0.7;
@@ -85,8 +105,8 @@
         self.slack * fraction / f64::from(nodes.max(1))
     }
 
-    /// Returns whether another retry is allowed now. The slack is divided by `nodes`.
-    pub fn allows_retry(&self, now: Instant, nodes: Option<u32>) -> bool {
+    /// Returns the usage within the window. The slack is divided by `nodes`.
+    pub fn usage(&self, now: Instant, nodes: Option<u32>) -> RetryUsage {
         let window_start = now.before(self.window);
         let expired = self
             .attempts
@@ -94,10 +114,19 @@
             .take_while(|&&(at, _)| at < window_start);
         let expired_retries = expired.clone().filter(|&&(_, is_retry)| is_retry).count() as u32;
         let expired_firsts = expired.count() as u32 - expired_retries;
-        let first_attempts = f64::from(self.first_attempts - expired_firsts);
-        let retries = f64::from(self.retries - expired_retries);
+        let first_attempts = self.first_attempts - expired_firsts;
         let slack = self.slack(now, nodes);
-        retries + 1.0 <= USED_BUDGET_FRACTION * (self.ratio * first_attempts + slack)
+        RetryUsage {
+            first_attempts,
+            retries: self.retries - expired_retries,
+            limit: USED_BUDGET_FRACTION * (self.ratio * f64::from(first_attempts) + slack),
+            nodes,
+        }
+    }
+
+    /// Returns whether another retry is allowed now. The slack is divided by `nodes`.
+    pub fn allows_retry(&self, now: Instant, nodes: Option<u32>) -> bool {
+        self.usage(now, nodes).allows_retry()
     }
 
     /// Spends one retry. Returns whether the budget allows one. The slack is divided by `nodes`.
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -165,7 +165,7 @@
         if matches!(end, AttemptEnd::Delivered { .. }) {
             return self.remove_request(key, now, out);
         }
-        if self.may_retry(key, end, now) {
+        if self.may_retry(key, end, now, out) {
             self.restrict_suspect(key, now);
             return self.enqueue_and_dispatch(key, now, out);
         }
@@ -238,7 +238,13 @@
 
     /// Returns whether a request may be sent again, and takes a retry from the budget if the
     /// attempt put load on a server.
-    pub(super) fn may_retry(&mut self, key: RequestKey, end: AttemptEnd, now: Instant) -> bool {
+    pub(super) fn may_retry(
+        &mut self,
+        key: RequestKey,
+        end: AttemptEnd,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) -> bool {
         let Some(Some(request)) = self.requests.get(key) else {
             return false;
         };
@@ -258,7 +264,17 @@
         if matches!(end, AttemptEnd::NotConnected | AttemptEnd::NotSent) {
             return true;
         }
-        self.retry_budget.try_spend(now, self.node_count)
+        let service = request.service.clone();
+        let usage = self.retry_budget.usage(now, self.node_count);
+        let allowed = self.retry_budget.try_spend(now, self.node_count);
+        out.push(Effect::RetryDecided {
+            request: key,
+            service,
+            end,
+            allowed,
+            usage,
+        });
+        allowed
     }
 
     /// Ends a request that may not be sent again.
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -28,8 +28,8 @@
 use crate::{
     first_attempt::FirstAttempts, placement::EnginePlacement, request::Request,
     reservations::Reservations, shares::Shares, wait_queue::WaitQueue, Effect, Event, Fleet,
-    LimitUpdate, LoadView, RequestKey, RetryBudget, RouteTable, ServerChange, ServerKey,
-    ServerNotice, Service, SiteConfig,
+    LimitUpdate, LoadView, RequestKey, RetryBudget, RetryUsage, RouteTable, ServerChange,
+    ServerKey, ServerNotice, Service, SiteConfig,
 };
 
 /// Time without updates after which a peer's work expires.
@@ -197,6 +197,11 @@
             && self.has_alternative(request, now)
     }
 
+    /// Returns the usage of the retry budget.
+    pub fn retry_usage(&self, now: Instant) -> RetryUsage {
+        self.retry_budget.usage(now, self.node_count)
+    }
+
     /// Returns the number of queued requests, and the total prefill time of the long ones
     /// in milliseconds.
     pub fn queued_work(&self) -> (usize, f64) {
--- a/crates/notchwalk_route/tests/decisions/random_runs.rs
+++ b/crates/notchwalk_route/tests/decisions/random_runs.rs
@@ -112,6 +112,7 @@
                     state.reserving = true;
                 }
                 Effect::SendReservationOrder(_)
+                | Effect::RetryDecided { .. }
                 | Effect::Ejected { .. }
                 | Effect::NewNotice { .. }
                 | Effect::ProbePort { .. }
--- a/crates/notchwalk_standin/src/routed/simulation.rs
+++ b/crates/notchwalk_standin/src/routed/simulation.rs
@@ -354,6 +354,7 @@
             | Effect::DeliverFailure { .. }
             | Effect::ProbePort { .. }
             | Effect::LimitExhausted { .. }
+            | Effect::RetryDecided { .. }
             | Effect::Finding(_) => {}
         }
     }
