Failing tests: the retry budget over restarts and over several services

What callers saw: nothing directly; servers that fail get more retries than allowed. Six simulated nodes whose servers fail, restarted one by one or all at once, with two services; the check counts per service and 10 s, as the servers see it. The existing test of restarts began with a process that had just started, without requests, and so never saw a whole share spent before the restart.

--- a/crates/notchwalk_route/tests/decisions/common.rs
+++ b/crates/notchwalk_route/tests/decisions/common.rs
@@ -136,6 +136,11 @@
 
     /// Creates the router of a node that has just started.
     pub fn just_started(name: &str, engines: u8) -> Self {
+        Self::just_started_at(name, engines, Instant::from_millis(1_000))
+    }
+
+    /// Creates the router of a node that started at this time.
+    pub fn just_started_at(name: &str, engines: u8, now: Instant) -> Self {
         let router = Router::new(RouterConfig {
             name: name.to_owned(),
             failure_domain: "a".to_owned(),
@@ -146,7 +151,7 @@
         });
         let mut node = Self {
             router,
-            now: Instant::from_millis(1_000),
+            now,
             effects: Vec::new(),
             workspace: WorkspaceShortId::default(),
             content: None,
--- a/crates/notchwalk_route/tests/decisions/main.rs
+++ b/crates/notchwalk_route/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod random_runs;
 mod reservations;
 mod retries;
+mod retry_budget;
 mod routes;
 mod server_notices;
 mod shares;
