Each service has its own retry budget

What callers saw: servers of a small service that reject requests get more retries than allowed while a larger service beside it is busy. Cause: one budget counted the first attempts of all services; a fifth of the larger one's requests and the whole slack could go to the smaller one as retries. Why it works: the rule is per service; a budget now sees the requests and retries of its service only.

--- a/crates/notchwalk_relay/src/operator.rs
+++ b/crates/notchwalk_relay/src/operator.rs
@@ -89,7 +89,17 @@
                 })
             })
             .collect();
-        let usage = router.retry_usage(now);
+        let retry_budgets: Vec<serde_json::Value> = router
+            .retry_usages(now)
+            .map(|(service, usage)| {
+                serde_json::json!({
+                    "service": service,
+                    "retries": usage.retries,
+                    "limit": usage.limit,
+                    "first_attempts": usage.first_attempts,
+                })
+            })
+            .collect();
         serde_json::json!({
             "name": shell.settings.name,
             "ready": shell.is_ready(),
@@ -102,11 +112,7 @@
             "reservations": router.reservations(),
             "peers_alive": shell.peers.borrow().alive_count(now),
             "entries_sharing_limits": shell.peers.borrow().sharing_nodes(now),
-            "retry_budget": {
-                "retries": usage.retries,
-                "limit": usage.limit,
-                "first_attempts": usage.first_attempts,
-            },
+            "retry_budgets": retry_budgets,
             "servers_age_ms": now.since(shell.servers_refreshed_at.get()).as_millis() as u64,
             "servers": servers,
             "suspects": quarantine::state(shell),
--- a/crates/notchwalk_route/src/retry_budget.rs
+++ b/crates/notchwalk_route/src/retry_budget.rs
@@ -1,28 +1,14 @@
-//! A budget for retries that keeps all nodes together within a configured ratio of retries
-//! to requests.
+//! Budgets for retries. They keep all nodes together within a configured ratio of retries to
+//! requests, for each service.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use notchwalk_core::Instant;
 
-/// Limits retries over a sliding window.
-#[derive(Debug)]
-pub struct RetryBudget {
-    /// Retries allowed per request.
-    ratio: f64,
-    /// Additional retries allowed per window over all nodes.
-    slack: f64,
-    /// Length of the sliding window.
-    window: Duration,
-    /// When this node started serving.
-    started_at: Option<Instant>,
-    /// Time of each attempt and whether it is a retry, oldest first.
-    attempts: VecDeque<(Instant, bool)>,
-    first_attempts: u32,
-    retries: u32,
-}
-
-/// What a node used of its retry budget, and what it may use.
+/// What a node used of its retry budget for a service, and what it may use.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryUsage {
     /// First attempts within the window.
@@ -42,6 +28,23 @@
     }
 }
 
+/// Limits the retries of one service over a sliding window.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    /// Retries allowed per request.
+    ratio: f64,
+    /// Additional retries allowed per window over all nodes.
+    slack: f64,
+    /// Length of the sliding window.
+    window: Duration,
+    /// When this node started serving.
+    started_at: Option<Instant>,
+    /// Time of each attempt and whether it is a retry, oldest first.
+    attempts: VecDeque<(Instant, bool)>,
+    first_attempts: u32,
+    retries: u32,
+}
+
 /// Fraction of the allowed retries that is used. It keeps all nodes together within the limit
 /// while they disagree on the number of nodes.
 const USED_BUDGET_FRACTION: f64 = 0.7;
@@ -141,3 +144,50 @@
         true
     }
 }
+
+/// The retry budgets of all services. Each service has its own, since its servers are loaded by
+/// its own retries only.
+#[derive(Debug)]
+pub(crate) struct RetryBudgets {
+    /// An unused budget, which those of new services are copies of.
+    unused: RetryBudget,
+    by_service: HashMap<String, RetryBudget>,
+}
+
+impl RetryBudgets {
+    /// Creates budgets like `unused`.
+    pub fn new(unused: RetryBudget) -> Self {
+        Self {
+            unused,
+            by_service: HashMap::new(),
+        }
+    }
+
+    /// Marks the start of serving; further calls have no effect.
+    pub fn start(&mut self, now: Instant) {
+        self.unused.start(now);
+    }
+
+    /// Returns the budget of a service.
+    pub fn get(&self, service: &str) -> &RetryBudget {
+        self.by_service.get(service).unwrap_or(&self.unused)
+    }
+
+    /// Returns the budget of a service for changes.
+    pub fn get_mut(&mut self, service: &str) -> &mut RetryBudget {
+        if !self.by_service.contains_key(service) {
+            let budget = self.unused.clone();
+            self.by_service.insert(service.to_owned(), budget);
+        }
+        self.by_service.get_mut(service).expect("just inserted")
+    }
+
+    /// Returns the budgets of the services that had requests, in the order of their names.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &RetryBudget)> {
+        let mut budgets: Vec<_> = self.by_service.iter().collect();
+        budgets.sort_by_key(|(service, _)| service.as_str());
+        budgets
+            .into_iter()
+            .map(|(service, budget)| (service.as_str(), budget))
+    }
+}
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -265,8 +265,10 @@
             return true;
         }
         let service = request.service.clone();
-        let usage = self.retry_budget.usage(now, self.node_count);
-        let allowed = self.retry_budget.try_spend(now, self.node_count);
+        let nodes = self.node_count;
+        let budget = self.retry_budgets.get_mut(&service);
+        let usage = budget.usage(now, nodes);
+        let allowed = budget.try_spend(now, nodes);
         out.push(Effect::RetryDecided {
             request: key,
             service,
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -27,9 +27,9 @@
 
 use crate::{
     first_attempt::FirstAttempts, placement::EnginePlacement, request::Request,
-    reservations::Reservations, shares::Shares, wait_queue::WaitQueue, Effect, Event, Fleet,
-    LimitUpdate, LoadView, RequestKey, RetryBudget, RetryUsage, RouteTable, ServerChange,
-    ServerKey, ServerNotice, Service, SiteConfig,
+    reservations::Reservations, retry_budget::RetryBudgets, shares::Shares, wait_queue::WaitQueue,
+    Effect, Event, Fleet, LimitUpdate, LoadView, RequestKey, RetryBudget, RetryUsage, RouteTable,
+    ServerChange, ServerKey, ServerNotice, Service, SiteConfig,
 };
 
 /// Time without updates after which a peer's work expires.
@@ -66,7 +66,7 @@
     configured_at: Option<Instant>,
     fleet: Fleet,
     load_view: LoadView,
-    retry_budget: RetryBudget,
+    retry_budgets: RetryBudgets,
     /// Number of nodes, if known.
     node_count: Option<u32>,
     requests: SlotMap<RequestKey, Option<Request>>,
@@ -86,11 +86,11 @@
     /// Creates a router without configuration and servers.
     pub fn new(config: RouterConfig) -> Self {
         Self {
-            retry_budget: RetryBudget::new(
+            retry_budgets: RetryBudgets::new(RetryBudget::new(
                 config.retry_ratio,
                 config.retry_slack,
                 config.retry_window,
-            ),
+            )),
             rng: Pcg64Mcg::seed_from_u64(config.seed),
             config,
             routes: RouteTable::default(),
@@ -193,13 +193,19 @@
         request.may_repeat()
             && request.started_on + 1 < request.facts.route.max_attempts
             && request.time_left(now) >= MIN_TIME_LEFT
-            && self.retry_budget.allows_retry(now, self.node_count)
+            && self.retry_usage(&request.service, now).allows_retry()
             && self.has_alternative(request, now)
     }
 
-    /// Returns the usage of the retry budget.
-    pub fn retry_usage(&self, now: Instant) -> RetryUsage {
-        self.retry_budget.usage(now, self.node_count)
+    /// Returns the usage of the retry budget of a service.
+    pub(super) fn retry_usage(&self, service: &str, now: Instant) -> RetryUsage {
+        self.retry_budgets.get(service).usage(now, self.node_count)
+    }
+
+    /// Returns the usage of the retry budgets of all services that had requests.
+    pub fn retry_usages(&self, now: Instant) -> impl Iterator<Item = (&str, RetryUsage)> {
+        let budgets = self.retry_budgets.iter();
+        budgets.map(move |(service, budget)| (service, budget.usage(now, self.node_count)))
     }
 
     /// Returns the number of queued requests, and the total prefill time of the long ones
@@ -287,7 +293,7 @@
     }
 
     fn configure(&mut self, site: &SiteConfig, now: Instant) {
-        self.retry_budget.start(now);
+        self.retry_budgets.start(now);
         if site.version < self.version {
             return;
         }
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -115,7 +115,8 @@
         };
         let is_first_send = request.sends == 0;
         if is_first_send {
-            self.retry_budget.record_first_attempt(now);
+            let budget = self.retry_budgets.get_mut(&request.service);
+            budget.record_first_attempt(now);
         }
         let Some(assignment) = self.assign(key, &plan, now) else {
             return self.refuse(key, Refusal::NoServer, now, out);
