A restarted node does not renew its retry budget

What callers saw: while servers fail and nodes restart, servers get more retries than allowed (BUDGET). Cause: the budget lives in the process and counts 10 s. The next process of a node started with a fifth of its share of the slack and all of its ratio, while the retries of its previous process still counted for the servers. Nodes that start with too small a node count shared the slack by it as well. Why it works: in its first window a process uses a quarter of the ratio and of a slack that grows from zero with its age, and 0.7 after it. Whatever the number of restarts, the processes of a window use 0.7 + 0.25 at most, and the slack of fresh ones together 0.25 once. A wrong count right after the start divides next to nothing.

--- a/crates/notchwalk_route/src/retry_budget.rs
+++ b/crates/notchwalk_route/src/retry_budget.rs
@@ -45,12 +45,14 @@
     retries: u32,
 }
 
-/// Fraction of the allowed retries that is used. It keeps all nodes together within the limit
-/// while they disagree on the number of nodes.
-const USED_BUDGET_FRACTION: f64 = 0.7;
+/// Fraction of the allowed retries that a node uses. The rest covers nodes that disagree on
+/// the number of nodes.
+const USED_FRACTION: f64 = 0.7;
 
-/// Fraction of its slack that a node may use right after its start.
-const INITIAL_SLACK_FRACTION: f64 = 0.2;
+/// Fraction of the allowed retries that a node uses during the first window after its start.
+/// Its previous process may have used [`USED_FRACTION`] right before, so that the sum of both
+/// must not exceed 1.
+const USED_FRACTION_AFTER_START: f64 = 0.25;
 
 impl RetryBudget {
     /// Creates a budget of `ratio` retries per request, and `slack` more over all nodes, per
@@ -94,18 +96,21 @@
         self.first_attempts += 1;
     }
 
-    /// Returns this node's share of the slack, which is divided by `nodes`; zero while their
-    /// number is unknown.
+    /// Returns how many retries this node may send per window. The slack is divided by `nodes`;
+    /// there is none while their number is unknown.
     ///
-    /// It grows over the first window: retries before a restart are not counted, so nodes
-    /// that restart could otherwise use the slack of a window several times.
-    fn slack(&self, now: Instant, nodes: Option<u32>) -> f64 {
-        let (Some(started_at), Some(nodes)) = (self.started_at, nodes) else {
-            return 0.0;
+    /// During the first window the slack grows from zero: however often a node restarts, its
+    /// processes use the slack of a window only once.
+    fn limit(&self, first_attempts: u32, now: Instant, nodes: Option<u32>) -> f64 {
+        let age = self.started_at.map_or(0.0, |started_at| {
+            now.since(started_at).as_secs_f64() / self.window.as_secs_f64()
+        });
+        let fraction = match age < 1.0 {
+            true => USED_FRACTION_AFTER_START,
+            false => USED_FRACTION,
         };
-        let age = now.since(started_at).as_secs_f64() / self.window.as_secs_f64();
-        let fraction = INITIAL_SLACK_FRACTION + (1.0 - INITIAL_SLACK_FRACTION) * age.min(1.0);
-        self.slack * fraction / f64::from(nodes.max(1))
+        let slack = nodes.map_or(0.0, |nodes| self.slack / f64::from(nodes.max(1)));
+        fraction * (self.ratio * f64::from(first_attempts) + slack * age.min(1.0))
     }
 
     /// Returns the usage within the window. The slack is divided by `nodes`.
@@ -118,11 +123,10 @@
         let expired_retries = expired.clone().filter(|&&(_, is_retry)| is_retry).count() as u32;
         let expired_firsts = expired.count() as u32 - expired_retries;
         let first_attempts = self.first_attempts - expired_firsts;
-        let slack = self.slack(now, nodes);
         RetryUsage {
             first_attempts,
             retries: self.retries - expired_retries,
-            limit: USED_BUDGET_FRACTION * (self.ratio * f64::from(first_attempts) + slack),
+            limit: self.limit(first_attempts, now, nodes),
             nodes,
         }
     }
