Restarted nodes learn from peers what they have retried

Cause: a process that has just started does not know whether its previous one used the budget, and has to assume so. Change: heartbeats carry a process's recent retries; peers keep them by node and boot and send them to a node that starts, if they know all of a window. The node counts them as its own and has its whole budget. Not if its previous process was silent for three seconds before: it may have served callers unseen. A node whose presence record was not in the store has no previous process (the record is now created under a condition); one that stops leaves it there if it has retried within the window. Ruled out: keeping the counts in the store (a killed process can't write them, and each write is a call to the platform); a small allowance for each start (renewed by each). Soak nodes keep their addresses across restarts, as on the platform: before, each restart counted as another node.

--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -122,6 +122,7 @@
             retry_ratio: settings.retry_ratio,
             retry_slack: settings.retry_slack,
             retry_window: settings.retry_window,
+            boot,
             seed: boot,
         });
         let client = Client::new().with_connect_timeout(CONNECT_TIMEOUT);
--- a/crates/notchwalk_relay/src/front/record.rs
+++ b/crates/notchwalk_relay/src/front/record.rs
@@ -77,12 +77,13 @@
             .with_label_values(&[service, end, result])
             .inc();
         let facts = format!(
-            "request={} service={service} end={end} result={result} retries={} limit={:.1} first_attempts={} nodes={}",
+            "request={} service={service} end={end} result={result} retries={} limit={:.1} first_attempts={} nodes={} knows_previous={}",
             req.id(),
             usage.retries,
             usage.limit,
             usage.first_attempts,
             usage.nodes.unwrap_or(0),
+            usage.knows_previous,
         );
         LogEvent::new(LogEventKind::RetryDecided, facts).emit();
     }
--- a/crates/notchwalk_relay/src/operator.rs
+++ b/crates/notchwalk_relay/src/operator.rs
@@ -91,12 +91,14 @@
             .collect();
         let retry_budgets: Vec<serde_json::Value> = router
             .retry_usages(now)
+            .into_iter()
             .map(|(service, usage)| {
                 serde_json::json!({
                     "service": service,
                     "retries": usage.retries,
                     "limit": usage.limit,
                     "first_attempts": usage.first_attempts,
+                    "knows_previous": usage.knows_previous,
                 })
             })
             .collect();
@@ -113,6 +115,7 @@
             "peers_alive": shell.peers.borrow().alive_count(now),
             "entries_sharing_limits": shell.peers.borrow().sharing_nodes(now),
             "retry_budgets": retry_budgets,
+            "knows_own_retries": router.knows_own_retries(now),
             "servers_age_ms": now.since(shell.servers_refreshed_at.get()).as_millis() as u64,
             "servers": servers,
             "suspects": quarantine::state(shell),
--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -11,7 +11,7 @@
 use notchwalk_core::{LogEvent, LogEventKind};
 use notchwalk_platform::StoreVersion;
 use notchwalk_quarantine::QuarantineUpdate;
-use notchwalk_route::{Event, LimitScope, LimitUpdate, PeerWork};
+use notchwalk_route::{Event, LimitScope, LimitUpdate, PeerWork, ProcessRetries, ServiceRetries};
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 use crate::{
@@ -31,6 +31,8 @@
 const MAX_DRAINING_PER_DATAGRAM: usize = 64;
 /// Maximum number of servers with rate limits per datagram.
 const MAX_LIMITS_PER_DATAGRAM: usize = 48;
+/// Maximum number of processes with their retries per datagram.
+const MAX_PROCESSES_PER_DATAGRAM: usize = 64;
 /// The largest datagram read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
@@ -62,6 +64,13 @@
     /// Updates on servers with rate limits: the limits, and the sender's use of them.
     #[serde(default)]
     limits: Vec<LimitUpdate>,
+    /// The sender's recent retries; `None` outside heartbeats.
+    #[serde(default)]
+    retries: Option<Vec<ServiceRetries>>,
+    /// The recent retries of other processes, for a node that has just started; `None` if
+    /// they are not all known.
+    #[serde(default)]
+    retry_history: Option<Vec<ProcessRetries>>,
 }
 
 fn message(shell: &Shell, servers: Vec<u32>, work: Vec<PeerWork>) -> PeerMessage {
@@ -77,6 +86,8 @@
         suspects: Vec::new(),
         draining: Vec::new(),
         limits: Vec::new(),
+        retries: None,
+        retry_history: None,
     }
 }
 
@@ -191,7 +202,13 @@
     if pending_sync.is_empty() {
         return;
     }
-    let outgoing = heartbeat_messages(shell, Vec::new(), Vec::new(), LimitScope::All);
+    let mut outgoing = heartbeat_messages(shell, Vec::new(), Vec::new(), LimitScope::All);
+    if let Some(first) = outgoing.first_mut() {
+        // A part of the history would pass for all of it.
+        let history = shell.router.borrow().retry_history(shell.now());
+        first.retry_history =
+            history.filter(|processes| processes.len() <= MAX_PROCESSES_PER_DATAGRAM);
+    }
     send(socket, &pending_sync, outgoing).await;
 }
 
@@ -213,6 +230,7 @@
         first.limits = router
             .fleet()
             .limit_updates(limits, MAX_LIMITS_PER_DATAGRAM, shell.now());
+        first.retries = Some(router.own_retries(shell.now()));
     }
     outgoing
 }
@@ -249,6 +267,7 @@
     debug_assert!(shell.stopping.get() != Stopping::No);
     let mut outgoing = message(shell, Vec::new(), Vec::new());
     outgoing.record = Some(shell.presence_record());
+    outgoing.retries = Some(shell.router.borrow().own_retries(shell.now()));
     let all = shell.peers.borrow().all_peers();
     send(socket, &all, vec![outgoing]).await;
 }
@@ -338,6 +357,16 @@
     if update.restarted {
         shell.step(Event::PeerExpired { peer: number });
     }
+    if let Some(services) = message.retries {
+        shell.step(Event::PeerRetries {
+            name: update.name.clone(),
+            boot,
+            services,
+        });
+    }
+    if let Some(processes) = message.retry_history {
+        shell.step(Event::RetryHistory { processes });
+    }
     if !message.suspects.is_empty() {
         shell.step(Event::QuarantineUpdates {
             peer: number,
--- a/crates/notchwalk_relay/src/presence.rs
+++ b/crates/notchwalk_relay/src/presence.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use notchwalk_core::{LogEvent, LogEventKind};
 use notchwalk_daemon::Backoff;
-use notchwalk_platform::{PlatformError, Row, RowWrite};
+use notchwalk_platform::{PlatformError, Row, RowWrite, WriteOutcome};
+use notchwalk_route::Event;
 
 use crate::{
     peer_link,
@@ -22,7 +23,7 @@
     // Concurrent with the write, so that a slow store does not delay the discovery of
     // peers.
     monoio::spawn(discover_peers(shell.clone()));
-    write_record(&shell).await;
+    register(&shell).await;
     // `discover_peers` may have read the records before this node's record was written. Of two
     // nodes that start together, the one whose record is written last finds the other's record
     // by this second read.
@@ -31,33 +32,72 @@
     }
 }
 
+/// Writes this node's first record, and replaces that of its previous process if there is one.
+async fn register(shell: &Rc<Shell>) {
+    let Some(write) = record_write(shell) else {
+        return;
+    };
+    let create = RowWrite {
+        expected: Some(0),
+        ..write
+    };
+    let mut backoff = Backoff::new(Duration::from_millis(200));
+    loop {
+        match shell.store.write(create.clone()).await {
+            Ok(WriteOutcome::Written) => {
+                shell.step(Event::NoPreviousProcess);
+                return log_registered(shell);
+            }
+            Ok(WriteOutcome::Conflict) => return write_record(shell).await,
+            // The record may be that of this process.
+            Err(e) if e.may_have_taken_effect() => return write_record(shell).await,
+            Err(_) => backoff.wait().await,
+        }
+    }
+}
+
 /// Writes this node's record, retrying until it succeeds.
 pub(crate) async fn write_record(shell: &Shell) {
+    let Some(write) = record_write(shell) else {
+        return;
+    };
+    let mut backoff = Backoff::new(Duration::from_millis(200));
+    // Safe to repeat: the write is idempotent.
+    while shell.store.write(write.clone()).await.is_err() {
+        backoff.wait().await;
+    }
+    log_registered(shell);
+}
+
+/// Returns the unconditional write of this node's record.
+fn record_write(shell: &Shell) -> Option<RowWrite> {
     let record = shell.presence_record();
     let mut value = Vec::new();
     if let Err(e) = ciborium::into_writer(&record, &mut value) {
         log::error!("can't encode this node's presence record: {e}");
-        return;
+        return None;
     }
-    let write = RowWrite {
+    Some(RowWrite {
         table: PRESENCE_TABLE.to_owned(),
-        key: record.name.clone(),
+        key: record.name,
         value: Some(Bytes::from(value)),
         expected: None,
-    };
-    let mut backoff = Backoff::new(Duration::from_millis(200));
-    // Safe to repeat: the write is idempotent.
-    while shell.store.write(write.clone()).await.is_err() {
-        backoff.wait().await;
-    }
-    let facts = format!("name={} boot={}", record.name, record.boot);
+    })
+}
+
+fn log_registered(shell: &Shell) {
+    let facts = format!("name={} boot={}", shell.settings.name, shell.boot);
     LogEvent::new(LogEventKind::NodeRegistered, facts).emit();
 }
 
-/// Removes this node's record before exit. Makes one attempt; peers detect an
-/// unreachable node by themselves.
+/// Removes this node's record before exit, unless it may have sent retries recently: the next
+/// process must then know of this one. Makes one attempt; peers detect an unreachable node by
+/// themselves.
 pub(crate) async fn withdraw(shell: &Shell) {
     const TIMEOUT: Duration = Duration::from_millis(200);
+    if shell.router.borrow().may_have_retried(shell.now()) {
+        return;
+    }
     let write = RowWrite {
         table: PRESENCE_TABLE.to_owned(),
         key: shell.settings.name.clone(),
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -5,8 +5,8 @@
 use notchwalk_quarantine::{Fingerprint, QuarantineUpdate};
 
 use crate::{
-    Group, LimitSharing, LimitUpdate, PeerWork, RequestFacts, RequestKey, ReservationOrder,
-    ServerChange, ServerKey, ServerNotice, SiteConfig,
+    Group, LimitSharing, LimitUpdate, PeerWork, ProcessRetries, RequestFacts, RequestKey,
+    ReservationOrder, ServerChange, ServerKey, ServerNotice, ServiceRetries, SiteConfig,
 };
 
 /// How an attempt to send a request to a server ended.
@@ -139,6 +139,22 @@
         /// The number of nodes, this one included.
         count: u32,
     },
+    /// A peer published the recent retries of its process.
+    PeerRetries {
+        /// The peer's name.
+        name: String,
+        /// The boot number of its process.
+        boot: u64,
+        /// Its retries.
+        services: Vec<ServiceRetries>,
+    },
+    /// The store had no record of an earlier process of this node.
+    NoPreviousProcess,
+    /// A peer that knows all recent retries published them.
+    RetryHistory {
+        /// The processes that it knows.
+        processes: Vec<ProcessRetries>,
+    },
     /// The number of nodes that share the limits of servers changed.
     LimitSharing(LimitSharing),
     /// A peer published updates on limited servers.
--- a/crates/notchwalk_route/src/lib.rs
+++ b/crates/notchwalk_route/src/lib.rs
@@ -19,7 +19,8 @@
 //! | `wait_queue` | order of waiting requests |
 //! | `placement/` | choice of a server and of prefill workers |
 //! | `reservations` | memory reservations on engines for the longest prompts |
-//! | `retry_budget` | budget for retries |
+//! | `retry_budget` | budgets for retries |
+//! | `retry_history` | retries of processes that ended, kept by their peers |
 //! | `router/` | the reducer |
 
 mod effect;
@@ -33,6 +34,7 @@
 mod request;
 mod reservations;
 mod retry_budget;
+mod retry_history;
 mod router;
 mod routes;
 mod server_notice;
@@ -52,7 +54,8 @@
 pub use groups::{node_order, Group};
 pub use load_view::{LoadView, PeerWork, WorkPhase};
 pub use request::{RequestFacts, RequestKey};
-pub use retry_budget::{RetryBudget, RetryUsage};
+pub use retry_budget::{RetryBudget, RetryShare, RetryUsage};
+pub use retry_history::{ProcessRetries, ServiceRetries};
 pub use router::{Router, RouterConfig};
 pub use routes::{host_name, RouteLookup, RouteTable};
 pub use server_notice::{RateLimit, ServerNotice};
--- a/crates/notchwalk_route/src/retry_budget.rs
+++ b/crates/notchwalk_route/src/retry_budget.rs
@@ -8,17 +8,33 @@
 
 use notchwalk_core::Instant;
 
+use crate::{
+    retry_history::{age_ms, RetryHistory, ServiceRetries},
+    shares::short_id_of,
+};
+
+/// What a node's share of the allowed retries depends on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RetryShare {
+    /// Number of nodes that share the slack, if known.
+    pub nodes: Option<u32>,
+    /// Retries within the window by earlier processes of this node, if known.
+    pub previous_retries: Option<u32>,
+}
+
 /// What a node used of its retry budget for a service, and what it may use.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryUsage {
     /// First attempts within the window.
     pub first_attempts: u32,
-    /// Retries within the window.
+    /// Retries within the window, with the known ones of earlier processes.
     pub retries: u32,
     /// Retries that this node may send within the window.
     pub limit: f64,
     /// Number of nodes that share the slack, if known.
     pub nodes: Option<u32>,
+    /// Whether the retries of earlier processes within the window are known.
+    pub knows_previous: bool,
 }
 
 impl RetryUsage {
@@ -49,9 +65,9 @@
 /// the number of nodes.
 const USED_FRACTION: f64 = 0.7;
 
-/// Fraction of the allowed retries that a node uses during the first window after its start.
-/// Its previous process may have used [`USED_FRACTION`] right before, so that the sum of both
-/// must not exceed 1.
+/// Fraction of the allowed retries that a node uses during the first window after its start,
+/// while it does not know the retries of its previous process. That may have used
+/// [`USED_FRACTION`] right before, so that the sum of both must not exceed 1.
 const USED_FRACTION_AFTER_START: f64 = 0.25;
 
 impl RetryBudget {
@@ -96,25 +112,28 @@
         self.first_attempts += 1;
     }
 
-    /// Returns how many retries this node may send per window. The slack is divided by `nodes`;
-    /// there is none while their number is unknown.
+    /// Returns how many retries this node may send per window. There is no slack while the
+    /// number of nodes is unknown.
     ///
-    /// During the first window the slack grows from zero: however often a node restarts, its
-    /// processes use the slack of a window only once.
-    fn limit(&self, first_attempts: u32, now: Instant, nodes: Option<u32>) -> f64 {
+    /// While the retries of earlier processes are unknown, the slack grows from zero over the
+    /// first window: however often a node restarts, its processes use the slack of a window
+    /// only once.
+    fn limit(&self, first_attempts: u32, share: RetryShare, now: Instant) -> f64 {
+        let from_requests = self.ratio * f64::from(first_attempts);
+        let slack = share
+            .nodes
+            .map_or(0.0, |nodes| self.slack / f64::from(nodes.max(1)));
         let age = self.started_at.map_or(0.0, |started_at| {
             now.since(started_at).as_secs_f64() / self.window.as_secs_f64()
         });
-        let fraction = match age < 1.0 {
-            true => USED_FRACTION_AFTER_START,
-            false => USED_FRACTION,
-        };
-        let slack = nodes.map_or(0.0, |nodes| self.slack / f64::from(nodes.max(1)));
-        fraction * (self.ratio * f64::from(first_attempts) + slack * age.min(1.0))
+        match share.previous_retries.is_some() || age >= 1.0 {
+            true => USED_FRACTION * (from_requests + slack),
+            false => USED_FRACTION_AFTER_START * (from_requests + slack * age),
+        }
     }
 
-    /// Returns the usage within the window. The slack is divided by `nodes`.
-    pub fn usage(&self, now: Instant, nodes: Option<u32>) -> RetryUsage {
+    /// Returns the usage within the window.
+    pub fn usage(&self, share: RetryShare, now: Instant) -> RetryUsage {
         let window_start = now.before(self.window);
         let expired = self
             .attempts
@@ -123,24 +142,29 @@
         let expired_retries = expired.clone().filter(|&&(_, is_retry)| is_retry).count() as u32;
         let expired_firsts = expired.count() as u32 - expired_retries;
         let first_attempts = self.first_attempts - expired_firsts;
+        let own_retries = self.retries - expired_retries;
         RetryUsage {
             first_attempts,
-            retries: self.retries - expired_retries,
-            limit: self.limit(first_attempts, now, nodes),
-            nodes,
+            retries: own_retries + share.previous_retries.unwrap_or(0),
+            limit: self.limit(first_attempts, share, now),
+            nodes: share.nodes,
+            knows_previous: share.previous_retries.is_some(),
         }
     }
 
-    /// Returns whether another retry is allowed now. The slack is divided by `nodes`.
-    pub fn allows_retry(&self, now: Instant, nodes: Option<u32>) -> bool {
-        self.usage(now, nodes).allows_retry()
+    /// Returns the times of the retries within the window.
+    fn recent_retries(&self, now: Instant) -> impl Iterator<Item = Instant> + '_ {
+        let window_start = now.before(self.window);
+        let attempts = self.attempts.iter();
+        let retries = attempts.filter(move |&&(at, is_retry)| is_retry && at >= window_start);
+        retries.map(|&(at, _)| at)
     }
 
-    /// Spends one retry. Returns whether the budget allows one. The slack is divided by `nodes`.
-    pub fn try_spend(&mut self, now: Instant, nodes: Option<u32>) -> bool {
+    /// Spends one retry. Returns whether the budget allows one.
+    pub fn try_spend(&mut self, share: RetryShare, now: Instant) -> bool {
         self.start(now);
         self.remove_expired(now);
-        if !self.allows_retry(now, nodes) {
+        if !self.usage(share, now).allows_retry() {
             return false;
         }
         self.attempts.push_back((now, true));
@@ -156,29 +180,81 @@
     /// An unused budget, which those of new services are copies of.
     unused: RetryBudget,
     by_service: HashMap<String, RetryBudget>,
+    history: RetryHistory,
+    nodes: Option<u32>,
 }
 
 impl RetryBudgets {
     /// Creates budgets like `unused`.
-    pub fn new(unused: RetryBudget) -> Self {
+    pub fn new(unused: RetryBudget, history: RetryHistory) -> Self {
         Self {
             unused,
             by_service: HashMap::new(),
+            history,
+            nodes: None,
         }
     }
 
     /// Marks the start of serving; further calls have no effect.
     pub fn start(&mut self, now: Instant) {
         self.unused.start(now);
+        self.history.start(now);
+    }
+
+    /// Sets the number of nodes that share the slack.
+    pub fn set_nodes(&mut self, nodes: u32) {
+        self.nodes = Some(nodes);
+    }
+
+    /// Returns the recent retries of other processes.
+    pub fn history(&self) -> &RetryHistory {
+        &self.history
     }
 
-    /// Returns the budget of a service.
-    pub fn get(&self, service: &str) -> &RetryBudget {
-        self.by_service.get(service).unwrap_or(&self.unused)
+    /// Returns the recent retries of other processes for changes.
+    pub fn history_mut(&mut self) -> &mut RetryHistory {
+        &mut self.history
     }
 
-    /// Returns the budget of a service for changes.
-    pub fn get_mut(&mut self, service: &str) -> &mut RetryBudget {
+    fn share(&self, service: &str, now: Instant) -> RetryShare {
+        let is_known = self.history.is_complete(now);
+        RetryShare {
+            nodes: self.nodes,
+            previous_retries: is_known.then(|| self.history.previous_retries(service, now)),
+        }
+    }
+
+    /// Returns the usage of the budget of a service.
+    pub fn usage(&self, service: &str, now: Instant) -> RetryUsage {
+        let budget = self.by_service.get(service).unwrap_or(&self.unused);
+        budget.usage(self.share(service, now), now)
+    }
+
+    /// Returns the usages of the services that had requests, in the order of their names.
+    pub fn usages(&self, now: Instant) -> Vec<(&str, RetryUsage)> {
+        let services = self.by_service.keys();
+        let usages = services.map(|service| (service.as_str(), self.usage(service, now)));
+        let mut usages: Vec<_> = usages.collect();
+        usages.sort_by_key(|&(service, _)| service);
+        usages
+    }
+
+    /// Returns the recent retries of this process, to be published to peers.
+    pub fn to_publish(&self, now: Instant) -> Vec<ServiceRetries> {
+        let services = self.by_service.iter();
+        let retries = services.map(|(service, budget)| ServiceRetries {
+            service: short_id_of(service),
+            ages_ms: budget
+                .recent_retries(now)
+                .map(|at| age_ms(at, now))
+                .collect(),
+        });
+        retries
+            .filter(|retries| !retries.ages_ms.is_empty())
+            .collect()
+    }
+
+    fn budget_mut(&mut self, service: &str) -> &mut RetryBudget {
         if !self.by_service.contains_key(service) {
             let budget = self.unused.clone();
             self.by_service.insert(service.to_owned(), budget);
@@ -186,12 +262,14 @@
         self.by_service.get_mut(service).expect("just inserted")
     }
 
-    /// Returns the budgets of the services that had requests, in the order of their names.
-    pub fn iter(&self) -> impl Iterator<Item = (&str, &RetryBudget)> {
-        let mut budgets: Vec<_> = self.by_service.iter().collect();
-        budgets.sort_by_key(|(service, _)| service.as_str());
-        budgets
-            .into_iter()
-            .map(|(service, budget)| (service.as_str(), budget))
+    /// Records the first attempt of a request to a service.
+    pub fn record_first_attempt(&mut self, service: &str, now: Instant) {
+        self.budget_mut(service).record_first_attempt(now);
+    }
+
+    /// Spends one retry of a service. Returns whether its budget allows one.
+    pub fn try_spend(&mut self, service: &str, now: Instant) -> bool {
+        let share = self.share(service, now);
+        self.budget_mut(service).try_spend(share, now)
     }
 }
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -265,10 +265,8 @@
             return true;
         }
         let service = request.service.clone();
-        let nodes = self.node_count;
-        let budget = self.retry_budgets.get_mut(&service);
-        let usage = budget.usage(now, nodes);
-        let allowed = budget.try_spend(now, nodes);
+        let usage = self.retry_budgets.usage(&service, now);
+        let allowed = self.retry_budgets.try_spend(&service, now);
         out.push(Effect::RetryDecided {
             request: key,
             service,
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -27,9 +27,10 @@
 
 use crate::{
     first_attempt::FirstAttempts, placement::EnginePlacement, request::Request,
-    reservations::Reservations, retry_budget::RetryBudgets, shares::Shares, wait_queue::WaitQueue,
-    Effect, Event, Fleet, LimitUpdate, LoadView, RequestKey, RetryBudget, RetryUsage, RouteTable,
-    ServerChange, ServerKey, ServerNotice, Service, SiteConfig,
+    reservations::Reservations, retry_budget::RetryBudgets, retry_history::RetryHistory,
+    shares::Shares, wait_queue::WaitQueue, Effect, Event, Fleet, LimitUpdate, LoadView,
+    ProcessRetries, RequestKey, RetryBudget, RetryUsage, RouteTable, ServerChange, ServerKey,
+    ServerNotice, Service, ServiceRetries, SiteConfig,
 };
 
 /// Time without updates after which a peer's work expires.
@@ -52,6 +53,8 @@
     pub retry_slack: f64,
     /// The window over which requests and retries are counted.
     pub retry_window: Duration,
+    /// The boot number of the process; increases with each start on its VM.
+    pub boot: u64,
     /// Seed of the random number generator.
     pub seed: u64,
 }
@@ -86,11 +89,10 @@
     /// Creates a router without configuration and servers.
     pub fn new(config: RouterConfig) -> Self {
         Self {
-            retry_budgets: RetryBudgets::new(RetryBudget::new(
-                config.retry_ratio,
-                config.retry_slack,
-                config.retry_window,
-            )),
+            retry_budgets: RetryBudgets::new(
+                RetryBudget::new(config.retry_ratio, config.retry_slack, config.retry_window),
+                RetryHistory::new(&config.name, config.boot, config.retry_window),
+            ),
             rng: Pcg64Mcg::seed_from_u64(config.seed),
             config,
             routes: RouteTable::default(),
@@ -193,19 +195,39 @@
         request.may_repeat()
             && request.started_on + 1 < request.facts.route.max_attempts
             && request.time_left(now) >= MIN_TIME_LEFT
-            && self.retry_usage(&request.service, now).allows_retry()
+            && self
+                .retry_budgets
+                .usage(&request.service, now)
+                .allows_retry()
             && self.has_alternative(request, now)
     }
 
-    /// Returns the usage of the retry budget of a service.
-    pub(super) fn retry_usage(&self, service: &str, now: Instant) -> RetryUsage {
-        self.retry_budgets.get(service).usage(now, self.node_count)
+    /// Returns the usage of the retry budgets of all services that had requests.
+    pub fn retry_usages(&self, now: Instant) -> Vec<(&str, RetryUsage)> {
+        self.retry_budgets.usages(now)
     }
 
-    /// Returns the usage of the retry budgets of all services that had requests.
-    pub fn retry_usages(&self, now: Instant) -> impl Iterator<Item = (&str, RetryUsage)> {
-        let budgets = self.retry_budgets.iter();
-        budgets.map(move |(service, budget)| (service, budget.usage(now, self.node_count)))
+    /// Returns the recent retries of this process, to publish to peers.
+    pub fn own_retries(&self, now: Instant) -> Vec<ServiceRetries> {
+        self.retry_budgets.to_publish(now)
+    }
+
+    /// Returns whether all retries of this node within the window are known, including those
+    /// of its previous processes.
+    pub fn knows_own_retries(&self, now: Instant) -> bool {
+        self.retry_budgets.history().is_complete(now)
+    }
+
+    /// Returns whether this node may have sent retries within the window.
+    pub fn may_have_retried(&self, now: Instant) -> bool {
+        let usages = self.retry_usages(now);
+        !self.knows_own_retries(now) || usages.iter().any(|(_, usage)| usage.retries > 0)
+    }
+
+    /// Returns the recent retries of other processes, for a node that has just started; `None`
+    /// if they are not all known.
+    pub fn retry_history(&self, now: Instant) -> Option<Vec<ProcessRetries>> {
+        self.retry_budgets.history().to_publish(now)
     }
 
     /// Returns the number of queued requests, and the total prefill time of the long ones
@@ -273,7 +295,22 @@
                 self.quarantine.release(content, now);
             }
             Event::Group(group) => self.fleet.set_group(group, now),
-            Event::NodeCount { count } => self.node_count = Some(count),
+            Event::NodeCount { count } => {
+                self.node_count = Some(count);
+                self.retry_budgets.set_nodes(count);
+            }
+            Event::PeerRetries {
+                name,
+                boot,
+                services,
+            } => {
+                let history = self.retry_budgets.history_mut();
+                history.record(&name, boot, &services, now);
+            }
+            Event::NoPreviousProcess => self.retry_budgets.history_mut().set_first_process(),
+            Event::RetryHistory { processes } => {
+                self.retry_budgets.history_mut().adopt(&processes, now);
+            }
             Event::LimitSharing(sharing) => self.fleet.set_sharing(sharing, now),
             Event::LimitUpdates {
                 peer,
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -115,8 +115,8 @@
         };
         let is_first_send = request.sends == 0;
         if is_first_send {
-            let budget = self.retry_budgets.get_mut(&request.service);
-            budget.record_first_attempt(now);
+            self.retry_budgets
+                .record_first_attempt(&request.service, now);
         }
         let Some(assignment) = self.assign(key, &plan, now) else {
             return self.refuse(key, Refusal::NoServer, now, out);
--- a/crates/notchwalk_route/tests/decisions/common.rs
+++ b/crates/notchwalk_route/tests/decisions/common.rs
@@ -136,17 +136,18 @@
 
     /// Creates the router of a node that has just started.
     pub fn just_started(name: &str, engines: u8) -> Self {
-        Self::just_started_at(name, engines, Instant::from_millis(1_000))
+        Self::just_started_at(name, 1, engines, Instant::from_millis(1_000))
     }
 
     /// Creates the router of a node that started at this time.
-    pub fn just_started_at(name: &str, engines: u8, now: Instant) -> Self {
+    pub fn just_started_at(name: &str, boot: u64, engines: u8, now: Instant) -> Self {
         let router = Router::new(RouterConfig {
             name: name.to_owned(),
             failure_domain: "a".to_owned(),
             retry_ratio: 0.2,
             retry_slack: 100.0,
             retry_window: Duration::from_secs(10),
+            boot,
             seed: 7,
         });
         let mut node = Self {
--- a/crates/notchwalk_route/tests/decisions/retries.rs
+++ b/crates/notchwalk_route/tests/decisions/retries.rs
@@ -5,10 +5,18 @@
     time::Duration,
 };
 
-use notchwalk_route::{Assignment, AttemptEnd, Effect, Refusal, RetryBudget};
+use notchwalk_route::{Assignment, AttemptEnd, Effect, Refusal, RetryBudget, RetryShare};
 
 use crate::common::TestRouter;
 
+/// Returns the share of a node whose retries before its start are unknown.
+fn share(nodes: Option<u32>) -> RetryShare {
+    RetryShare {
+        nodes,
+        previous_retries: None,
+    }
+}
+
 const REJECTED: AttemptEnd = AttemptEnd::NotRun {
     faulty_server: None,
     address_reused: false,
@@ -92,9 +100,9 @@
     for _ in 0..100 {
         budget.record_first_attempt(node.now);
     }
-    assert!(budget.allows_retry(node.now, Some(1)));
+    assert!(budget.usage(share(Some(1)), node.now).allows_retry());
     node.now = node.now.after(Duration::from_secs(11));
-    assert!(!budget.allows_retry(node.now, Some(1)));
+    assert!(!budget.usage(share(Some(1)), node.now).allows_retry());
 }
 
 /// Guards against cancelling a slow attempt when no other engine is available.
@@ -118,8 +126,11 @@
     for _ in 0..100 {
         budget.record_first_attempt(node.now);
     }
-    let take_retries =
-        |budget: &mut RetryBudget, now| (0..100).filter(|_| budget.try_spend(now, Some(6))).count();
+    let take_retries = |budget: &mut RetryBudget, now| {
+        (0..100)
+            .filter(|_| budget.try_spend(share(Some(6)), now))
+            .count()
+    };
     let bound = (0.2 * 100.0 + 12.0 / 6.0) as usize;
     let first = take_retries(&mut budget, node.now);
     assert!(first > 0 && first <= bound, "{first}");
@@ -210,10 +221,10 @@
     let now = TestRouter::new().now;
     let slack = 100.0;
     let mut budget = RetryBudget::new(0.2, slack, Duration::from_secs(10));
-    assert!(!budget.try_spend(now, None));
+    assert!(!budget.try_spend(share(None), now));
     let now = now.after(Duration::from_secs(10));
-    assert!(!budget.try_spend(now, None));
-    assert!(budget.try_spend(now, Some(1)));
+    assert!(!budget.try_spend(share(None), now));
+    assert!(budget.try_spend(share(Some(1)), now));
 }
 
 /// Guards against using the whole slack again after a restart, which resets the counts.
@@ -225,7 +236,9 @@
     for _ in 0..3 {
         let mut budget = RetryBudget::new(0.2, slack, window);
         for _ in 0..10 {
-            retries += (0..200).filter(|_| budget.try_spend(now, Some(1))).count();
+            retries += (0..200)
+                .filter(|_| budget.try_spend(share(Some(1)), now))
+                .count();
             now = now.after(window / 30);
         }
     }
--- a/crates/notchwalk_route/tests/decisions/retry_budget.rs
+++ b/crates/notchwalk_route/tests/decisions/retry_budget.rs
@@ -19,6 +19,9 @@
 /// Time until a server responds.
 const RESPONSE_TICKS: u32 = 2;
 
+/// Ticks between two heartbeats of a node.
+const HEARTBEAT_TICKS: u32 = 5;
+
 /// The ways in which the tests' servers fail a request that reached them.
 const SERVER_ERROR: AttemptEnd = AttemptEnd::ServerError;
 const REJECTED: AttemptEnd = AttemptEnd::NotRun {
@@ -73,6 +76,8 @@
 
 /// One process of a node.
 struct Process {
+    name: String,
+    boot: u64,
     router: TestRouter,
     open: Vec<OpenAttempt>,
     /// The load that each known request belongs to, and whether it has reached a server.
@@ -88,7 +93,10 @@
     now: Instant,
     loads: Vec<Load>,
     processes: Vec<Process>,
-    starts: u32,
+    starts: u64,
+    ticks: u32,
+    /// Whether nodes receive each other's messages.
+    is_connected: bool,
     /// Requests of callers, by load.
     requests: Vec<Vec<Instant>>,
     /// Arrivals at servers beyond the first of their request, by load.
@@ -102,20 +110,33 @@
             loads: loads.to_vec(),
             processes: Vec::new(),
             starts: 0,
+            ticks: 0,
+            is_connected: false,
             requests: vec![Vec::new(); loads.len()],
             retries: vec![Vec::new(); loads.len()],
         };
-        cluster.processes = (0..NODES).map(|_| cluster.start_process(None)).collect();
+        for node in 0..NODES {
+            let process = cluster.start_process(node, None);
+            cluster.processes.push(process);
+        }
         cluster
     }
 
-    fn start_process(&mut self, undercount: Option<(Duration, u32)>) -> Process {
+    fn connected(mut self) -> Self {
+        self.is_connected = true;
+        self
+    }
+
+    fn start_process(&mut self, node: usize, undercount: Option<(Duration, u32)>) -> Process {
         self.starts += 1;
-        let now = self.now;
-        let mut router = TestRouter::just_started_at(&format!("entry-{}", self.starts), 18, now);
+        let (boot, now) = (self.starts, self.now);
+        let name = format!("entry-{node}");
+        let mut router = TestRouter::just_started_at(&name, boot, 18, now);
         let count = undercount.map_or(NODES as u32, |(_, count)| count);
         router.step(Event::NodeCount { count });
         Process {
+            name,
+            boot,
             router,
             open: Vec::new(),
             requests: Vec::new(),
@@ -126,7 +147,38 @@
 
     /// Replaces the process of a node. Its requests are lost.
     fn restart(&mut self, node: usize, undercount: Option<(Duration, u32)>) {
-        self.processes[node] = self.start_process(undercount);
+        self.processes[node] = self.start_process(node, undercount);
+        if self.is_connected {
+            self.send_history_to(node);
+        }
+    }
+
+    /// Sends the peers' history of retries to a node that has just started.
+    fn send_history_to(&mut self, node: usize) {
+        for peer in 0..self.processes.len() {
+            let history = self.processes[peer].router.router.retry_history(self.now);
+            let Some(processes) = history.filter(|_| peer != node) else {
+                continue;
+            };
+            let router = &mut self.processes[node].router;
+            router.step(Event::RetryHistory { processes });
+        }
+    }
+
+    fn send_heartbeats(&mut self) {
+        for node in 0..self.processes.len() {
+            let from = &self.processes[node];
+            let heartbeat = Event::PeerRetries {
+                name: from.name.clone(),
+                boot: from.boot,
+                services: from.router.router.own_retries(self.now),
+            };
+            for (peer, to) in self.processes.iter_mut().enumerate() {
+                if peer != node {
+                    to.router.step(heartbeat.clone());
+                }
+            }
+        }
     }
 
     fn restart_all(&mut self) {
@@ -142,6 +194,10 @@
 
     fn tick(&mut self) {
         self.now = self.now.after(TICK);
+        self.ticks += 1;
+        if self.is_connected && self.ticks % HEARTBEAT_TICKS == 0 {
+            self.send_heartbeats();
+        }
         for node in 0..self.processes.len() {
             self.update_node_count(node);
             self.processes[node].router.advance(TICK);
@@ -278,8 +334,77 @@
     assert_eq!(cluster.violation(), None);
 }
 
+#[test]
+fn restarted_node_keeps_the_retries_of_its_previous_process() {
+    let failing = Load::new(ENGINES, 20.0).failing(Duration::from_secs(12), SERVER_ERROR);
+    let mut cluster = Cluster::new(&[failing]).connected();
+    cluster.run(Duration::from_secs(16));
+    let usage = |cluster: &Cluster| {
+        let router = &cluster.processes[0].router.router;
+        router.retry_usages(cluster.now)[0].1
+    };
+    let before = usage(&cluster);
+    cluster.restart(0, None);
+    cluster.run(TICK);
+    let after = usage(&cluster);
+    assert!(after.knows_previous);
+    assert!(after.retries > 0 && after.retries >= before.retries - 1);
+    cluster.run(Duration::from_secs(8));
+    assert_eq!(cluster.violation(), None);
+}
+
+/// Guards against failing callers for retries that nobody has sent.
+#[test]
+fn nodes_that_restart_in_turn_keep_their_retry_budget() {
+    let retries = |restarts: bool| {
+        let failing = Load::new(ENGINES, 20.0).failing(Duration::from_secs(18), SERVER_ERROR);
+        let mut cluster = Cluster::new(&[failing]).connected();
+        cluster.run(Duration::from_secs(12));
+        for node in 0..NODES {
+            if restarts {
+                cluster.restart(node, None);
+            }
+            cluster.run(Duration::from_secs(1));
+        }
+        cluster.run(Duration::from_secs(4));
+        assert_eq!(cluster.violation(), None);
+        cluster.total_retries(0) as f64
+    };
+    let (without, with) = (retries(false), retries(true));
+    assert!(with >= 0.75 * without, "{with} of {without}");
+}
+
+/// Guards against failing callers in the first seconds of a deployment.
+#[test]
+fn first_process_of_a_node_uses_its_whole_share_at_once() {
+    let failing = Load::new(ENGINES, 20.0).failing(Duration::ZERO, SERVER_ERROR);
+    let mut cluster = Cluster::new(&[failing]);
+    for process in &mut cluster.processes {
+        process.router.step(Event::NoPreviousProcess);
+    }
+    cluster.run(Duration::from_secs(2));
+    assert!(cluster.total_retries(0) as f64 >= 0.5 * RETRY_SLACK);
+    cluster.run(Duration::from_secs(10));
+    assert_eq!(cluster.violation(), None);
+}
+
+#[test]
+fn retries_of_an_unreachable_previous_process_are_unknown() {
+    let mut cluster = Cluster::new(&[Load::new(ENGINES, 20.0)]).connected();
+    cluster.run(Duration::from_secs(11));
+    cluster.is_connected = false;
+    cluster.run(Duration::from_secs(4));
+    cluster.is_connected = true;
+    cluster.restart(0, None);
+    cluster.run(TICK);
+    let router = &cluster.processes[0].router.router;
+    assert!(!router.retry_usages(cluster.now)[0].1.knows_previous);
+}
+
 #[derive(Clone, Debug)]
 struct Plan {
+    /// Whether nodes receive each other's messages.
+    is_connected: bool,
     loads: [(u8, u8); 2],
     /// Tick, node (or all of them), and the node count known at first.
     restarts: Vec<(u16, Option<u8>, u8)>,
@@ -292,8 +417,12 @@
         1..=NODES as u8,
     );
     let loads = [(1..40u8, 0..3u8), (1..40u8, 0..3u8)];
-    (loads, prop::collection::vec(restart, 0..30))
-        .prop_map(|(loads, restarts)| Plan { loads, restarts })
+    let restarts = prop::collection::vec(restart, 0..30);
+    (any::<bool>(), loads, restarts).prop_map(|(is_connected, loads, restarts)| Plan {
+        is_connected,
+        loads,
+        restarts,
+    })
 }
 
 fn run_plan(plan: &Plan) -> Option<String> {
@@ -310,6 +439,7 @@
         load(PLAIN_SERVICE, plan.loads[1]),
     ];
     let mut cluster = Cluster::new(&loads);
+    cluster.is_connected = plan.is_connected;
     for tick in 0..600u16 {
         for &(at, node, count) in &plan.restarts {
             let undercount = Some((Duration::from_millis(300), count.into()));
--- a/crates/notchwalk_standin/src/routed/limits.rs
+++ b/crates/notchwalk_standin/src/routed/limits.rs
@@ -171,6 +171,7 @@
             retry_ratio: 0.2,
             retry_slack: 100.0,
             retry_window: Duration::from_secs(10),
+            boot: 1,
             seed: self.plan.seed + node as u64,
         });
         let unlimited = if self.plan.has_unlimited_servers {
--- a/crates/notchwalk_standin/src/routed/simulation.rs
+++ b/crates/notchwalk_standin/src/routed/simulation.rs
@@ -117,6 +117,7 @@
                 retry_ratio: 0.2,
                 retry_slack: 100.0,
                 retry_window: Duration::from_secs(10),
+                boot: 1,
                 seed: 7,
             });
             let mut out = Vec::new();
