A retry counts when it is sent, a request once

What callers saw: in an outage some got a failure although their retry was allowed by rights; servers could get retries of two windows in one. Cause: a retry was taken from the budget when it was decided. If no server was left for it, it was spent for nothing; if it waited in the queue, it reached the server in a later window than the one it counted in. A prompt counted as another request after each failed reservation, which raised the ratio's part of the budget. Change: a retry is reserved in the budget, and counted or released with its send or its request's end; each request holds what its next send counts as.

--- a/crates/notchwalk_route/src/request.rs
+++ b/crates/notchwalk_route/src/request.rs
@@ -6,7 +6,9 @@
 use notchwalk_quarantine::Fingerprint;
 use slotmap::new_key_type;
 
-use crate::{Assignment, Repeatability, Route, ServerKey, WorkspaceShortId};
+use crate::{
+    retry_budget::SendCount, Assignment, Repeatability, Route, ServerKey, WorkspaceShortId,
+};
 
 new_key_type! {
     /// Identifies a request in the router.
@@ -60,6 +62,8 @@
     pub started_on: u32,
     /// Number of sends, rejected ones included.
     pub sends: u32,
+    /// How its next send counts against the retry budget.
+    pub next_send: SendCount,
     /// Number of sends that failed because of a prefill worker.
     pub prefill_worker_failures: u32,
     /// The server that it is assigned to.
@@ -92,6 +96,7 @@
             attempted: Vec::new(),
             started_on: 0,
             sends: 0,
+            next_send: SendCount::FirstAttempt,
             prefill_worker_failures: 0,
             server: None,
             prefill_workers: Vec::new(),
--- a/crates/notchwalk_route/src/retry_budget.rs
+++ b/crates/notchwalk_route/src/retry_budget.rs
@@ -59,6 +59,8 @@
     attempts: VecDeque<(Instant, bool)>,
     first_attempts: u32,
     retries: u32,
+    /// Retries that were allowed and are not sent yet.
+    reserved: u32,
 }
 
 /// Fraction of the allowed retries that a node uses. The rest covers nodes that disagree on
@@ -82,6 +84,7 @@
             attempts: VecDeque::new(),
             first_attempts: 0,
             retries: 0,
+            reserved: 0,
         }
     }
 
@@ -142,7 +145,7 @@
         let expired_retries = expired.clone().filter(|&&(_, is_retry)| is_retry).count() as u32;
         let expired_firsts = expired.count() as u32 - expired_retries;
         let first_attempts = self.first_attempts - expired_firsts;
-        let own_retries = self.retries - expired_retries;
+        let own_retries = self.retries - expired_retries + self.reserved;
         RetryUsage {
             first_attempts,
             retries: own_retries + share.previous_retries.unwrap_or(0),
@@ -160,19 +163,41 @@
         retries.map(|&(at, _)| at)
     }
 
-    /// Spends one retry. Returns whether the budget allows one.
-    pub fn try_spend(&mut self, share: RetryShare, now: Instant) -> bool {
+    /// Reserves a retry that is sent later. Returns whether the budget allows one.
+    pub fn try_reserve(&mut self, share: RetryShare, now: Instant) -> bool {
         self.start(now);
         self.remove_expired(now);
-        if !self.usage(share, now).allows_retry() {
-            return false;
-        }
+        let is_allowed = self.usage(share, now).allows_retry();
+        self.reserved += u32::from(is_allowed);
+        is_allowed
+    }
+
+    /// Releases a reserved retry that is not sent.
+    pub fn release(&mut self) {
+        debug_assert!(self.reserved > 0, "no retry is reserved");
+        self.reserved = self.reserved.saturating_sub(1);
+    }
+
+    /// Records that a reserved retry is sent.
+    pub fn record_retry(&mut self, now: Instant) {
+        self.release();
+        self.remove_expired(now);
         self.attempts.push_back((now, true));
         self.retries += 1;
-        true
     }
 }
 
+/// How the next send of a request counts against the retry budget of its service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SendCount {
+    /// As its first attempt.
+    FirstAttempt,
+    /// As a retry that is reserved in the budget.
+    Retry,
+    /// Not at all, since the last send reached no server.
+    Nothing,
+}
+
 /// The retry budgets of all services. Each service has its own, since its servers are loaded by
 /// its own retries only.
 #[derive(Debug)]
@@ -262,14 +287,24 @@
         self.by_service.get_mut(service).expect("just inserted")
     }
 
-    /// Records the first attempt of a request to a service.
-    pub fn record_first_attempt(&mut self, service: &str, now: Instant) {
-        self.budget_mut(service).record_first_attempt(now);
+    /// Records that a request to a service is sent.
+    pub fn record_send(&mut self, service: &str, counts_as: SendCount, now: Instant) {
+        let budget = self.budget_mut(service);
+        match counts_as {
+            SendCount::FirstAttempt => budget.record_first_attempt(now),
+            SendCount::Retry => budget.record_retry(now),
+            SendCount::Nothing => {}
+        }
     }
 
-    /// Spends one retry of a service. Returns whether its budget allows one.
-    pub fn try_spend(&mut self, service: &str, now: Instant) -> bool {
+    /// Reserves a retry of a service. Returns whether its budget allows one.
+    pub fn try_reserve(&mut self, service: &str, now: Instant) -> bool {
         let share = self.share(service, now);
-        self.budget_mut(service).try_spend(share, now)
+        self.budget_mut(service).try_reserve(share, now)
+    }
+
+    /// Releases a reserved retry that is not sent.
+    pub fn release(&mut self, service: &str) {
+        self.budget_mut(service).release();
     }
 }
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -5,7 +5,10 @@
 use notchwalk_core::Instant;
 
 use super::{Router, MIN_TIME_LEFT};
-use crate::{AttemptEnd, Availability, Effect, Refusal, RequestKey, ServerKey, WorkPhase};
+use crate::{
+    retry_budget::SendCount, AttemptEnd, Availability, Effect, Refusal, RequestKey, ServerKey,
+    WorkPhase,
+};
 
 /// Limit on the sends of a request, rejected ones included, as a multiple of its route's
 /// attempts.
@@ -64,7 +67,12 @@
             !self.load_view.has_request(key),
             "removed request still has work in the load view"
         );
-        self.requests.remove(key);
+        let Some(Some(request)) = self.requests.remove(key) else {
+            return;
+        };
+        if request.next_send == SendCount::Retry {
+            self.retry_budgets.release(&request.service);
+        }
     }
 
     /// Refuses a request and drops its state. If it may have run, the reason is
@@ -236,8 +244,8 @@
         }
     }
 
-    /// Returns whether a request may be sent again, and takes a retry from the budget if the
-    /// attempt put load on a server.
+    /// Returns whether a request may be sent again, and reserves a retry in the budget if
+    /// the attempt put load on a server.
     pub(super) fn may_retry(
         &mut self,
         key: RequestKey,
@@ -245,7 +253,7 @@
         now: Instant,
         out: &mut Vec<Effect>,
     ) -> bool {
-        let Some(Some(request)) = self.requests.get(key) else {
+        let Some(Some(request)) = self.requests.get_mut(key) else {
             return false;
         };
         let attempts = request.facts.route.max_attempts;
@@ -266,7 +274,10 @@
         }
         let service = request.service.clone();
         let usage = self.retry_budgets.usage(&service, now);
-        let allowed = self.retry_budgets.try_spend(&service, now);
+        let allowed = self.retry_budgets.try_reserve(&service, now);
+        if allowed {
+            request.next_send = SendCount::Retry;
+        }
         out.push(Effect::RetryDecided {
             request: key,
             service,
--- a/crates/notchwalk_route/src/router/reserving.rs
+++ b/crates/notchwalk_route/src/router/reserving.rs
@@ -76,11 +76,7 @@
                 .is_some_and(|server| server.accepts_requests(now))
         };
         if failed.is_empty() && servers.into_iter().all(is_ready) {
-            out.push(Effect::Send {
-                request: key,
-                to: assignment,
-            });
-            return;
+            return self.send(key, assignment, now, out);
         }
         // No server received the request. Retry with other engines.
         for &server in request.prefill_workers.iter().chain(&request.server) {
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -10,6 +10,7 @@
     load_view::{Owner, Work, DEFAULT_INTER_TOKEN_MS},
     placement::{place_call, Plan, RequestDemand},
     request::Request,
+    retry_budget::SendCount,
     Assignment, Effect, PrefillWorker, Refusal, RequestFacts, RequestKey, WorkPhase,
 };
 
@@ -113,23 +114,32 @@
             };
             return self.refuse(key, reason, now, out);
         };
-        let is_first_send = request.sends == 0;
-        if is_first_send {
-            self.retry_budgets
-                .record_first_attempt(&request.service, now);
-        }
         let Some(assignment) = self.assign(key, &plan, now) else {
             return self.refuse(key, Refusal::NoServer, now, out);
         };
         match plan.reserve_tokens {
             Some(tokens) => self.reserve(key, assignment, tokens, now, out),
-            None => out.push(Effect::Send {
-                request: key,
-                to: assignment,
-            }),
+            None => self.send(key, assignment, now, out),
         }
     }
 
+    /// Sends a request to its assigned server and counts it against the retry budget.
+    pub(super) fn send(
+        &mut self,
+        key: RequestKey,
+        to: Assignment,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(Some(request)) = self.requests.get_mut(key) else {
+            return;
+        };
+        let counts_as = std::mem::replace(&mut request.next_send, SendCount::Nothing);
+        self.retry_budgets
+            .record_send(&request.service, counts_as, now);
+        out.push(Effect::Send { request: key, to });
+    }
+
     /// Assigns a request to the servers of a plan and adds its work to the load view.
     pub(super) fn assign(
         &mut self,
--- a/crates/notchwalk_route/tests/decisions/reservations.rs
+++ b/crates/notchwalk_route/tests/decisions/reservations.rs
@@ -50,6 +50,22 @@
     node.step(Event::Reserved { request, failed });
 }
 
+/// Guards against a retry budget that grows with each failed reservation.
+#[test]
+fn prompt_whose_reservations_fail_counts_as_one_request() {
+    let mut node = TestRouter::new();
+    let request = node.arrive("/long/", OVERSIZED_TOKENS);
+    for _ in 0..2 {
+        assert!(!take_reservations(&mut node).is_empty());
+        finish_reservation(&mut node, request, false);
+        node.advance(Duration::from_millis(50));
+    }
+    assert!(!take_reservations(&mut node).is_empty());
+    finish_reservation(&mut node, request, true);
+    node.take_only_send();
+    assert_eq!(node.router.retry_usages(node.now)[0].1.first_attempts, 1);
+}
+
 #[test]
 fn oversized_prompt_is_sent_after_all_memory_is_reserved() {
     let mut node = TestRouter::new();
--- a/crates/notchwalk_route/tests/decisions/retries.rs
+++ b/crates/notchwalk_route/tests/decisions/retries.rs
@@ -5,9 +5,12 @@
     time::Duration,
 };
 
-use notchwalk_route::{Assignment, AttemptEnd, Effect, Refusal, RetryBudget, RetryShare};
+use notchwalk_core::Instant;
+use notchwalk_route::{
+    Assignment, AttemptEnd, Effect, Event, Refusal, RetryBudget, RetryShare, ServerNotice,
+};
 
-use crate::common::TestRouter;
+use crate::common::{server_key, TestRouter, PLAIN_SERVICE};
 
 /// Returns the share of a node whose retries before its start are unknown.
 fn share(nodes: Option<u32>) -> RetryShare {
@@ -17,6 +20,15 @@
     }
 }
 
+/// Sends a retry if the budget allows one; returns whether it does.
+fn try_spend(budget: &mut RetryBudget, share: RetryShare, now: Instant) -> bool {
+    let is_allowed = budget.try_reserve(share, now);
+    if is_allowed {
+        budget.record_retry(now);
+    }
+    is_allowed
+}
+
 const REJECTED: AttemptEnd = AttemptEnd::NotRun {
     faulty_server: None,
     address_reused: false,
@@ -128,7 +140,7 @@
     }
     let take_retries = |budget: &mut RetryBudget, now| {
         (0..100)
-            .filter(|_| budget.try_spend(share(Some(6)), now))
+            .filter(|_| try_spend(budget, share(Some(6)), now))
             .count()
     };
     let bound = (0.2 * 100.0 + 12.0 / 6.0) as usize;
@@ -221,10 +233,10 @@
     let now = TestRouter::new().now;
     let slack = 100.0;
     let mut budget = RetryBudget::new(0.2, slack, Duration::from_secs(10));
-    assert!(!budget.try_spend(share(None), now));
+    assert!(!try_spend(&mut budget, share(None), now));
     let now = now.after(Duration::from_secs(10));
-    assert!(!budget.try_spend(share(None), now));
-    assert!(budget.try_spend(share(Some(1)), now));
+    assert!(!try_spend(&mut budget, share(None), now));
+    assert!(try_spend(&mut budget, share(Some(1)), now));
 }
 
 /// Guards against using the whole slack again after a restart, which resets the counts.
@@ -237,10 +249,29 @@
         let mut budget = RetryBudget::new(0.2, slack, window);
         for _ in 0..10 {
             retries += (0..200)
-                .filter(|_| budget.try_spend(share(Some(1)), now))
+                .filter(|_| try_spend(&mut budget, share(Some(1)), now))
                 .count();
             now = now.after(window / 30);
         }
     }
     assert!(retries as f64 <= slack, "{retries}");
 }
+
+/// Guards against failing callers for retries that no server has received.
+#[test]
+fn retry_that_finds_no_server_is_returned_to_the_budget() {
+    let mut node = TestRouter::new();
+    let request = node.arrive("/again/", 0);
+    let first = node.take_only_send();
+    for number in 0..3 {
+        let server = server_key(&node, PLAIN_SERVICE, number);
+        if server != first.server {
+            let notice = ServerNotice::Backoff(Duration::from_secs(5));
+            node.step(Event::NoticeReceived { server, notice });
+        }
+    }
+    node.end_attempt(request, AttemptEnd::ConnectionLost);
+    assert!(node.take_sends().is_empty());
+    assert_eq!(node.refusals(), [Refusal::Unknown]);
+    assert_eq!(node.router.retry_usages(node.now)[0].1.retries, 0);
+}
