Histories of retries reach nodes of large groups, and late ones count

Among 65 and more nodes a history had too many processes for a datagram and was not sent, so a restarted node had a quarter of its retry budget for a window. One that received the history later than three seconds after its start did not use it either: the silence of its previous process was counted to the arrival of the message, not to its start. Change: 160 processes a datagram (about 60 bytes each at most), of this node's group only; silence is counted to the start. Test history_that_arrives_late_is_used failed before. All decision tests pass.

--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -32,7 +32,7 @@
 /// Maximum number of servers with rate limits per datagram.
 const MAX_LIMITS_PER_DATAGRAM: usize = 48;
 /// Maximum number of processes with their retries per datagram.
-const MAX_PROCESSES_PER_DATAGRAM: usize = 64;
+const MAX_PROCESSES_PER_DATAGRAM: usize = 160;
 /// The largest datagram read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
@@ -357,7 +357,7 @@
     if update.restarted {
         shell.step(Event::PeerExpired { peer: number });
     }
-    if let Some(services) = message.retries {
+    if let Some(services) = message.retries.filter(|_| update.in_same_group) {
         shell.step(Event::PeerRetries {
             name: update.name.clone(),
             boot,
--- a/crates/notchwalk_route/src/retry_history.rs
+++ b/crates/notchwalk_route/src/retry_history.rs
@@ -10,8 +10,8 @@
 
 /// How long a silent process is remembered.
 const RETENTION: Duration = Duration::from_secs(60);
-/// Longest time without messages after which the reported retries of a process still count as
-/// all of them. Covers its restart.
+/// Longest time from the last message of a process to the start of the next one after which
+/// its reported retries count as all of them.
 const MAX_SILENCE: Duration = Duration::from_secs(3);
 
 /// The recent retries of a process for one service, as published to peers.
@@ -119,10 +119,11 @@
             let heard_at = now.before(Duration::from_millis(process.silent_ms.into()));
             self.insert(id, heard_at, &process.services, heard_at);
         }
+        let started_at = self.started_at.unwrap_or(now);
         let last_heard = self.previous_processes().map(|process| process.heard_at);
         let is_covered = last_heard
             .max()
-            .is_none_or(|last_heard| now.since(last_heard) <= MAX_SILENCE);
+            .is_none_or(|last_heard| started_at.since(last_heard) <= MAX_SILENCE);
         self.is_inherited |= is_covered;
     }
 
--- a/crates/notchwalk_route/tests/decisions/retry_budget.rs
+++ b/crates/notchwalk_route/tests/decisions/retry_budget.rs
@@ -353,6 +353,18 @@
     assert_eq!(cluster.violation(), None);
 }
 
+#[test]
+fn history_that_arrives_late_is_used() {
+    let mut cluster = Cluster::new(&[Load::new(ENGINES, 20.0)]).connected();
+    cluster.run(Duration::from_secs(11));
+    cluster.is_connected = false;
+    cluster.restart(0, None);
+    cluster.run(Duration::from_secs(5));
+    cluster.send_history_to(0);
+    let router = &cluster.processes[0].router.router;
+    assert!(router.knows_own_retries(cluster.now));
+}
+
 /// Guards against failing callers for retries that nobody has sent.
 #[test]
 fn nodes_that_restart_in_turn_keep_their_retry_budget() {
