--- a/crates/notchwalk_route/tests/decisions/limits.rs
+++ b/crates/notchwalk_route/tests/decisions/limits.rs
@@ -601,24 +601,3 @@
     let server = node.router.fleet().get(server_key(&node, PLAIN_SERVICE, 0));
     assert_eq!(server.map(|server| server.limit_users(node.now)), Some(1));
 }
-
-/// Guards against retries that wait, and reach the servers together with those of the next
-/// window.
-#[test]
-fn queued_retry_counts_against_the_budget_from_its_send() {
-    let mut node = TestRouter::new();
-    let request = node.arrive("/again/", 0);
-    node.take_only_send();
-    for number in 0..3 {
-        announce(&mut node, PLAIN_SERVICE, number, 0.5);
-    }
-    node.end_attempt(request, AttemptEnd::ConnectionLost);
-    let decided_at = node.now;
-    while node.take_sends().is_empty() {
-        assert!(node.refusals().is_empty());
-        node.advance(Duration::from_millis(50));
-    }
-    assert!(node.now.since(decided_at) > Duration::from_millis(500));
-    let window_later = decided_at.after(Duration::from_millis(10_200));
-    assert_eq!(node.router.retry_usages(window_later)[0].1.retries, 1);
-}
--- a/crates/notchwalk_route/tests/decisions/retries.rs
+++ b/crates/notchwalk_route/tests/decisions/retries.rs
@@ -7,7 +7,8 @@
 
 use notchwalk_core::Instant;
 use notchwalk_route::{
-    Assignment, AttemptEnd, Effect, Event, Refusal, RetryBudget, RetryShare, ServerNotice,
+    Assignment, AttemptEnd, Effect, Event, RateLimit, Refusal, RetryBudget, RetryShare,
+    ServerNotice,
 };
 
 use crate::common::{server_key, TestRouter, PLAIN_SERVICE};
@@ -275,3 +276,29 @@
     assert_eq!(node.refusals(), [Refusal::Unknown]);
     assert_eq!(node.router.retry_usages(node.now)[0].1.retries, 0);
 }
+
+/// Guards against retries that wait, and reach the servers together with those of the next
+/// window.
+#[test]
+fn queued_retry_counts_against_the_budget_from_its_send() {
+    let mut node = TestRouter::new();
+    let request = node.arrive("/again/", 0);
+    node.take_only_send();
+    for number in 0..3 {
+        let server = server_key(&node, PLAIN_SERVICE, number);
+        let notice = ServerNotice::Limit {
+            limit: RateLimit::per_second(0.5),
+            requested_at: node.now,
+        };
+        node.step(Event::NoticeReceived { server, notice });
+    }
+    node.end_attempt(request, AttemptEnd::ConnectionLost);
+    let decided_at = node.now;
+    while node.take_sends().is_empty() {
+        assert!(node.refusals().is_empty());
+        node.advance(Duration::from_millis(50));
+    }
+    assert!(node.now.since(decided_at) > Duration::from_millis(500));
+    let window_later = decided_at.after(Duration::from_millis(10_200));
+    assert_eq!(node.router.retry_usages(window_later)[0].1.retries, 1);
+}
