Logs say why no server is available and why a connection failed

The logs of the incident show 503 after 0 ms, but neither whether the servers were ejected, draining or backing off, nor how connections failed, so that they don't tell a node that ejected all servers from one that has none. NW5106 and the error of NW5102 do.

--- a/crates/notchwalk_core/src/log_event.rs
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -83,6 +83,7 @@
     RequestEnded = 5103, Info, "a request ended";
     RequestRejected = 5104, Info, "a request was rejected";
     RetryDecided = 5105, Info, "the retry budget allowed or denied a retry";
+    NoServerAvailable = 5106, Info, "no backend server is available for a request";
     CrashSuspected = 5201, Info, "a backend server may have crashed while running a request";
     RequestQuarantined = 5202, Warn, "requests with the same content crashed several servers; the content is quarantined";
     QuarantineEnded = 5203, Info, "a quarantine ended";
--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -59,6 +59,8 @@
     pub predicted_first_event: Option<Duration>,
     /// Number of attempts.
     pub attempts: u32,
+    /// Why the connection of the last attempt failed, for logs.
+    pub last_error: Option<String>,
     /// The last error that a server returned.
     pub server_error: Option<RetainedError>,
     /// Splits the stream at event boundaries.
@@ -79,6 +81,7 @@
             event_writes: 0,
             predicted_first_event: None,
             attempts: 0,
+            last_error: None,
             server_error: None,
             splitter: EventSplitter::default(),
             last_event_id,
@@ -180,10 +183,14 @@
     let response = match head {
         Awaited::Done(Ok(Some(response))) => response,
         Awaited::Done(Ok(None)) => return AttemptOutcome::Ended(AttemptEnd::NotSent),
-        Awaited::Done(Err(e)) if e.is_unsent() => {
-            return AttemptOutcome::Ended(AttemptEnd::NotConnected);
+        Awaited::Done(Err(e)) => {
+            delivery.last_error = Some(e.to_string());
+            let end = match e.is_unsent() {
+                true => AttemptEnd::NotConnected,
+                false => AttemptEnd::ConnectionLost,
+            };
+            return AttemptOutcome::Ended(end);
         }
-        Awaited::Done(Err(_)) => return AttemptOutcome::Ended(AttemptEnd::ConnectionLost),
         Awaited::ServerIdle => return AttemptOutcome::Ended(AttemptEnd::IdleTimeout),
         Awaited::CallerDisconnected => return AttemptOutcome::CallerDisconnected,
         Awaited::DeadlinePassed => return AttemptOutcome::DeadlinePassed,
@@ -377,7 +384,8 @@
         let next = response.next();
         let chunk = match await_server(shell, exchange, req, idle_timeout, next).await {
             Awaited::Done(Ok(chunk)) => chunk,
-            Awaited::Done(Err(_)) => {
+            Awaited::Done(Err(e)) => {
+                delivery.last_error = Some(e.to_string());
                 delivery.splitter.drop_partial();
                 return AttemptOutcome::Ended(AttemptEnd::ConnectionLost);
             }
--- a/crates/notchwalk_relay/src/effects.rs
+++ b/crates/notchwalk_relay/src/effects.rs
@@ -36,6 +36,7 @@
             // Handled by the task of their request.
             Effect::Send { .. }
             | Effect::RetryDecided { .. }
+            | Effect::NoServer { .. }
             | Effect::Refuse { .. }
             | Effect::DeliverFailure { .. } => {}
         }
--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -137,6 +137,12 @@
                     usage,
                     ..
                 }) => self.record_retry_decision(req, &service, end, allowed, usage),
+                Some(Effect::NoServer {
+                    service,
+                    status,
+                    excluded,
+                    ..
+                }) => record::log_no_server(req, &service, status, excluded),
                 Some(_) => continue,
                 None => {
                     return self
@@ -177,10 +183,11 @@
         if outcome.is_none() {
             let after = self.shell.now().since(req.arrived_at).as_millis();
             let facts = format!(
-                "request={} content={} server={} end={label} after_ms={after}",
+                "request={} content={} server={} end={label} after_ms={after} error={:?}",
                 req.id(),
                 req.content,
-                to.instance
+                to.instance,
+                delivery.last_error.take().unwrap_or_default()
             );
             LogEvent::new(LogEventKind::AttemptFailed, facts).emit();
         }
--- a/crates/notchwalk_relay/src/front/record.rs
+++ b/crates/notchwalk_relay/src/front/record.rs
@@ -1,7 +1,7 @@
 //! Log lines and metrics of requests.
 
 use notchwalk_core::{LogEvent, LogEventKind};
-use notchwalk_route::{Assignment, AttemptEnd, Refusal, RetryUsage};
+use notchwalk_route::{Assignment, AttemptEnd, Refusal, RetryUsage, ServiceStatus};
 
 use super::Front;
 use crate::{
@@ -38,6 +38,24 @@
     }
 }
 
+/// Logs why no server is available for a request.
+pub(super) fn log_no_server(
+    req: &ActiveRequest,
+    service: &str,
+    status: ServiceStatus,
+    excluded: usize,
+) {
+    let facts = format!(
+        "request={} service={service} servers={} ejected={} draining={} backing_off={} excluded={excluded}",
+        req.id(),
+        status.registered,
+        status.ejected,
+        status.draining,
+        status.backing_off,
+    );
+    LogEvent::new(LogEventKind::NoServerAvailable, facts).emit();
+}
+
 impl Front {
     pub(super) fn log_sent(&self, req: &ActiveRequest, to: &Assignment) {
         let now = self.shell.now();
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -254,9 +254,9 @@
 
     fn execute(self: &Rc<Self>, effect: Effect) {
         match effect {
-            Effect::Send { request, .. } | Effect::RetryDecided { request, .. } => {
-                self.deliver(request, effect)
-            }
+            Effect::Send { request, .. }
+            | Effect::RetryDecided { request, .. }
+            | Effect::NoServer { request, .. } => self.deliver(request, effect),
             Effect::Refuse { request, .. } | Effect::DeliverFailure { request } => {
                 self.deliver(request, effect);
                 self.inboxes.borrow_mut().remove(request);
--- a/crates/notchwalk_route/src/effect.rs
+++ b/crates/notchwalk_route/src/effect.rs
@@ -5,7 +5,7 @@
 use notchwalk_core::Instant;
 use notchwalk_quarantine::QuarantineFinding;
 
-use crate::{AttemptEnd, RequestKey, RetryUsage, ServerKey, ServerNotice};
+use crate::{AttemptEnd, RequestKey, RetryUsage, ServerKey, ServerNotice, ServiceStatus};
 
 /// A prefill worker: an engine that prefills a segment of a prompt for the decoding engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -138,6 +138,17 @@
         /// The usage of the budget before.
         usage: RetryUsage,
     },
+    /// Report why no server is available for a request.
+    NoServer {
+        /// The request.
+        request: RequestKey,
+        /// Its service.
+        service: String,
+        /// The servers of the service.
+        status: ServiceStatus,
+        /// How many of them are excluded for this request by its earlier attempts.
+        excluded: usize,
+    },
     /// Deliver the retained error of the server; the router drops the request's state.
     DeliverFailure {
         /// The request.
--- a/crates/notchwalk_route/src/fleet/mod.rs
+++ b/crates/notchwalk_route/src/fleet/mod.rs
@@ -41,6 +41,19 @@
     All(Vec<ServerRecord>),
 }
 
+/// How many servers of a service are in which state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServiceStatus {
+    /// All of them.
+    pub registered: u32,
+    /// Those that are draining.
+    pub draining: u32,
+    /// Those within a backoff that they requested.
+    pub backing_off: u32,
+    /// Those ejected for their failures, or with a probe under way after an ejection.
+    pub ejected: u32,
+}
+
 /// An incarnation of a server that was removed from the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RemovedServer {
@@ -192,6 +205,23 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns how many servers of a service are in which state.
+    pub fn service_status(&self, service: &str, now: Instant) -> ServiceStatus {
+        let mut status = ServiceStatus::default();
+        for &key in self.of_service(service) {
+            let server = &self.servers[key];
+            status.registered += 1;
+            if server.is_draining() {
+                status.draining += 1;
+            } else if !server.accepts_requests(now) {
+                status.backing_off += 1;
+            } else if server.time_until_available(now) != Some(Duration::ZERO) {
+                status.ejected += 1;
+            }
+        }
+        status
+    }
+
     /// Returns the number of servers of the largest service.
     pub fn largest_service_size(&self) -> usize {
         self.by_service.values().map(Vec::len).max().unwrap_or(0)
--- a/crates/notchwalk_route/src/lib.rs
+++ b/crates/notchwalk_route/src/lib.rs
@@ -49,7 +49,7 @@
 pub use event::{AttemptEnd, Event, FailedReservation};
 pub use fleet::{
     Availability, Fleet, LimitScope, LimitSharing, LimitUpdate, ObservedLimit, Server,
-    ServerChange, ServerKey, ServerRecord, ServerStage,
+    ServerChange, ServerKey, ServerRecord, ServerStage, ServiceStatus,
 };
 pub use groups::{node_order, Group};
 pub use load_view::{LoadView, PeerWork, WorkPhase};
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -108,6 +108,12 @@
             return;
         };
         let Some(plan) = plan else {
+            out.push(Effect::NoServer {
+                request: key,
+                service: request.service.clone(),
+                status: self.fleet.service_status(&request.service, now),
+                excluded: request.attempted.len(),
+            });
             let reason = match request.sends {
                 0 => Refusal::NoServer,
                 _ => Refusal::NotRun,
--- a/crates/notchwalk_route/tests/decisions/random_runs.rs
+++ b/crates/notchwalk_route/tests/decisions/random_runs.rs
@@ -113,6 +113,7 @@
                 }
                 Effect::SendReservationOrder(_)
                 | Effect::RetryDecided { .. }
+                | Effect::NoServer { .. }
                 | Effect::Ejected { .. }
                 | Effect::NewNotice { .. }
                 | Effect::ProbePort { .. }
--- a/crates/notchwalk_standin/src/routed/simulation.rs
+++ b/crates/notchwalk_standin/src/routed/simulation.rs
@@ -356,6 +356,7 @@
             | Effect::ProbePort { .. }
             | Effect::LimitExhausted { .. }
             | Effect::RetryDecided { .. }
+            | Effect::NoServer { .. }
             | Effect::Finding(_) => {}
         }
     }
