--- a/crates/notchwalk_core/src/log_event.rs
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -73,6 +73,8 @@
     ServerLimitAnnounced = 4106, Info, "a backend server announced a limit on the requests per second from all nodes together";
     ServerLimitLifted = 4107, Info, "a backend server no longer announces a limit";
     ServerLimitExhausted = 4108, Info, "a backend server's limit is exhausted; requests are rerouted, queued or rejected with Retry-After";
+    ServiceUnreachable = 4109, Warn, "a service is unreachable from this node; its requests are forwarded to peers";
+    ServiceReachable = 4110, Info, "a service is reachable from this node again";
     AttemptRetried = 5001, Info, "an attempt failed; the request continues with another one";
     RequestTimedOut = 5002, Info, "a request reached its deadline";
     RequestRefused = 5003, Debug, "a request was refused before it ran";
@@ -84,6 +86,7 @@
     RequestRejected = 5104, Info, "a request was rejected";
     RetryDecided = 5105, Info, "the retry budget allowed or denied a retry";
     NoServerAvailable = 5106, Info, "no backend server is available for a request";
+    RequestForwarded = 5107, Info, "a request was forwarded to a peer";
     CrashSuspected = 5201, Info, "a backend server may have crashed while running a request";
     RequestQuarantined = 5202, Warn, "requests with the same content crashed several servers; the content is quarantined";
     QuarantineEnded = 5203, Info, "a quarantine ended";
--- a/crates/notchwalk_relay/src/active_request.rs
+++ b/crates/notchwalk_relay/src/active_request.rs
@@ -27,9 +27,18 @@
     pub body: Bytes,
     /// Whether the response is a stream.
     pub streaming: bool,
+    /// The name of the peer that forwarded the request, if any.
+    pub forwarded_by: Option<String>,
 }
 
 impl ActiveRequest {
+    /// Returns the peer that forwarded the request as a further fact of a log line; empty if
+    /// the request came from its caller.
+    pub fn forwarded_by_fact(&self) -> String {
+        let name = self.forwarded_by.as_ref();
+        name.map_or_else(String::new, |name| format!(" forwarded_by={name}"))
+    }
+
     /// Returns the request id as text, for logs.
     pub fn id(&self) -> &str {
         self.caller.id.to_str().unwrap_or("unreadable")
--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -1,15 +1,16 @@
-//! Sends a request to one backend server and relays the response.
+//! Sends a request to one backend server, or forwards it to a peer, and relays the response.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{header, HeaderMap, Method, StatusCode};
 use notchwalk_core::Instant;
 use notchwalk_http::{encode_chunk, encode_request_head, prelude::*};
-use notchwalk_route::{Assignment, AttemptEnd, Event};
+use notchwalk_route::{Assignment, AttemptEnd, Event, Forwarding, Refusal, ServerKey};
 
 use crate::{
     active_request::ActiveRequest,
+    forwarding,
     server_notices::{self, ResponseOrigin},
     shell::Shell,
     stream_events::EventSplitter,
@@ -24,6 +25,52 @@
 /// respond and close the connection before it has read the body.
 const EARLY_RESPONSE_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// How long a server may be silent until the links to its service are checked. Engines that
+/// respond to several requests send events more often.
+const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(200);
+/// Interval between the further checks of a silence.
+const SILENCE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Where an attempt sends the request.
+#[derive(Clone, Copy)]
+pub(crate) enum Destination<'a> {
+    /// A backend server.
+    Server(&'a Assignment),
+    /// A peer, which sends it to a server.
+    Peer(&'a Forwarding),
+}
+
+impl Destination<'_> {
+    fn addr(self) -> SocketAddr {
+        match self {
+            Self::Server(to) => to.addr,
+            Self::Peer(to) => to.addr,
+        }
+    }
+
+    /// Returns the server; `None` for a peer.
+    fn server(self) -> Option<ServerKey> {
+        match self {
+            Self::Server(to) => Some(to.server),
+            Self::Peer(_) => None,
+        }
+    }
+
+    fn first_output_timeout(self) -> Option<Duration> {
+        match self {
+            Self::Server(to) => to.first_output_timeout,
+            Self::Peer(to) => to.first_output_timeout,
+        }
+    }
+
+    fn inter_token_timeout(self) -> Option<Duration> {
+        match self {
+            Self::Server(to) => to.inter_token_timeout,
+            Self::Peer(to) => to.inter_token_timeout,
+        }
+    }
+}
+
 pub(crate) enum AttemptOutcome {
     /// No complete response was delivered; the router decides what follows.
     Ended(AttemptEnd),
@@ -113,6 +160,7 @@
         AttemptEnd::IdleTimeout => "silent",
         AttemptEnd::ConnectionLost => "broken",
         AttemptEnd::InvalidResponse => "unusable",
+        AttemptEnd::PeerRefused { .. } => "peer_refused",
     }
 }
 
@@ -135,33 +183,49 @@
     }
 }
 
-/// Waits for `future`, until the caller disconnects, the request's deadline passes or
-/// the server's idle timeout passes. The idle timeout ends the wait only if the request
-/// may be sent to another server.
+/// Resolves once the links to the service of `server` are known to be lost while nothing is
+/// received. Never resolves for a peer.
+async fn watch_link(shell: &Rc<Shell>, server: Option<ServerKey>) {
+    let Some(server) = server else {
+        return std::future::pending().await;
+    };
+    let since = shell.now();
+    monoio::time::sleep(SILENCE_BEFORE_CHECK).await;
+    loop {
+        shell.report_silence(server, since);
+        if shell.router.borrow().is_link_lost(server) {
+            return;
+        }
+        monoio::time::sleep(SILENCE_INTERVAL).await;
+    }
+}
+
+/// Waits for `future`, until the caller disconnects, the request's deadline passes, the
+/// server's idle timeout passes or the link to it is lost. The latter two end the wait only if
+/// the request may be sent elsewhere.
 async fn await_server<T>(
-    shell: &Shell,
+    shell: &Rc<Shell>,
     exchange: &mut Exchange,
     req: &ActiveRequest,
+    server: Option<ServerKey>,
     idle_timeout: Option<Duration>,
     future: impl std::future::Future<Output = T>,
 ) -> Awaited<T> {
     let mut future = std::pin::pin!(future);
+    let mut server = server;
     let mut idle_timeout = idle_timeout;
     loop {
         monoio::select! {
             done = &mut future => return Awaited::Done(done),
             () = exchange.peer_closed() => return Awaited::CallerDisconnected,
             () = shell.sleep_until(req.deadline) => return Awaited::DeadlinePassed,
-            () = sleep_idle_timeout(idle_timeout) => {}
+            () = sleep_idle_timeout(idle_timeout) => idle_timeout = None,
+            () = watch_link(shell, server) => server = None,
         }
-        if shell
-            .router
-            .borrow()
-            .may_retry_elsewhere(req.key, shell.now())
-        {
+        let now = shell.now();
+        if shell.router.borrow().may_retry_elsewhere(req.key, now) {
             return Awaited::ServerIdle;
         }
-        idle_timeout = None;
     }
 }
 
@@ -171,13 +235,15 @@
     exchange: &mut Exchange,
     req: &ActiveRequest,
     delivery: &mut Delivery,
-    to: &Assignment,
+    to: Destination<'_>,
 ) -> AttemptOutcome {
     delivery.attempts += 1;
-    let waited = shell.now().since(req.arrived_at);
-    delivery
-        .predicted_first_event
-        .get_or_insert(waited + to.predicted_first_event);
+    if let Destination::Server(to) = to {
+        let waited = shell.now().since(req.arrived_at);
+        delivery
+            .predicted_first_event
+            .get_or_insert(waited + to.predicted_first_event);
+    }
     let head = send_and_read_head(shell, req, delivery.last_event_id, to, exchange);
     let head = head.await;
     let response = match head {
@@ -195,6 +261,12 @@
         Awaited::CallerDisconnected => return AttemptOutcome::CallerDisconnected,
         Awaited::DeadlinePassed => return AttemptOutcome::DeadlinePassed,
     };
+    if matches!(to, Destination::Peer(_)) {
+        if let Some(end) = peer_refusal(&response) {
+            discard_body(response).await;
+            return AttemptOutcome::Ended(end);
+        }
+    }
     let facts = shell
         .dialect
         .backend_response(&req.caller.id, response.status, &response.headers);
@@ -215,11 +287,25 @@
             relay_stream(shell, exchange, req, delivery, to, response).await
         }
         ResponseKind::Success | ResponseKind::Failure => {
-            relay_buffered(shell, exchange, req, delivery, response, facts.kind).await
+            relay_buffered(shell, exchange, req, delivery, to, response, facts.kind).await
         }
     }
 }
 
+/// Returns how the attempt ended if the response is the refusal of a peer.
+fn peer_refusal(response: &StreamedResponse) -> Option<AttemptEnd> {
+    let reason = forwarding::refusal(&response.headers)?;
+    if matches!(reason, Refusal::Unknown | Refusal::TimedOut) {
+        return Some(AttemptEnd::ConnectionLost);
+    }
+    let retry_after = response.headers.get(header::RETRY_AFTER);
+    let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+    Some(AttemptEnd::PeerRefused {
+        reason,
+        retry_after: retry_after.and_then(|secs| Duration::try_from_secs_f64(secs).ok()),
+    })
+}
+
 /// Reads a short response to its end, so that the connection can be reused.
 async fn discard_body(response: StreamedResponse) {
     const TIMEOUT: Duration = Duration::from_millis(20);
@@ -227,39 +313,62 @@
     let _ = monoio::time::timeout(TIMEOUT, response.collect(MAX_BUFFERED_RESPONSE_BYTES)).await;
 }
 
-/// Returns whether a server still accepts the request that is about to be written:
+/// Returns whether the destination still accepts the request that is about to be written:
 /// another response may have changed that while the connection was being established.
-fn still_accepts_requests(shell: &Shell, to: &Assignment) -> bool {
+fn still_accepts_requests(shell: &Shell, to: Destination<'_>) -> bool {
+    let Some(server) = to.server() else {
+        return true;
+    };
     let router = shell.router.borrow();
-    let server = router.fleet().get(to.server);
+    let server = router.fleet().get(server);
     server.is_some_and(|server| server.accepts_requests(shell.now()))
 }
 
+/// Encodes the headers of a request for its destination.
+fn outgoing_headers(
+    shell: &Shell,
+    req: &ActiveRequest,
+    caller: &HeaderMap,
+    last_event_id: Option<u64>,
+    to: Destination<'_>,
+) -> HeaderMap {
+    let timeout = req.deadline.since(shell.now());
+    match to {
+        Destination::Server(assignment) => shell.dialect.backend_request(&BackendRequest {
+            caller,
+            assignment,
+            workspace: req.workspace.as_deref(),
+            timeout,
+            last_event_id,
+        }),
+        Destination::Peer(to) => {
+            let dialect = &shell.dialect;
+            let mut headers = dialect.forwarded_request(caller, timeout, last_event_id);
+            forwarding::add_head(&mut headers, &shell.settings.name, to);
+            headers
+        }
+    }
+}
+
 /// Sends a request and reads the response head; `None` if the server no longer accepts
 /// requests and nothing was sent.
 async fn send_and_read_head(
     shell: &Rc<Shell>,
     req: &ActiveRequest,
     last_event_id: Option<u64>,
-    to: &Assignment,
+    to: Destination<'_>,
     exchange: &mut Exchange,
 ) -> Awaited<Result<Option<StreamedResponse>, HttpError>> {
     let head = exchange.head.clone();
     let send = async {
         let mut conn = shell
             .client
-            .connection(to.addr, ConnectionReuse::Pooled)
+            .connection(to.addr(), ConnectionReuse::Pooled)
             .await?;
         if !still_accepts_requests(shell, to) {
             return Ok(None);
         }
-        let headers = shell.dialect.backend_request(&BackendRequest {
-            caller: &head.headers,
-            assignment: to,
-            workspace: req.workspace.as_deref(),
-            timeout: req.deadline.since(shell.now()),
-            last_event_id,
-        });
+        let headers = outgoing_headers(shell, req, &head.headers, last_event_id, to);
         let host = head.headers.get(header::HOST);
         let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -267,8 +376,8 @@
         let mut buf = encode_request_head(&head.method, path, host, &headers, length);
         buf.extend_from_slice(&req.body);
         let origin = ResponseOrigin {
-            server: Some(to.server),
-            addr: to.addr,
+            server: to.server(),
+            addr: to.addr(),
             sent_at: shell.now(),
         };
         let written = conn.write_all(&buf).await;
@@ -285,7 +394,8 @@
             _ => Err(e.into()),
         }
     };
-    await_server(shell, exchange, req, to.first_output_timeout, send).await
+    let idle_timeout = to.first_output_timeout();
+    await_server(shell, exchange, req, to.server(), idle_timeout, send).await
 }
 
 /// Reads the head of the response to `req`; skips responses to other requests.
@@ -305,7 +415,10 @@
         let facts = shell
             .dialect
             .backend_response(id, response.status, &response.headers);
-        server_notices::apply_notices(shell, origin, &facts);
+        if let Some(server) = origin.server {
+            shell.record_heard(server);
+            server_notices::apply_notices(shell, origin, &facts);
+        }
         if facts.kind != ResponseKind::Mismatched {
             break;
         }
@@ -335,13 +448,14 @@
     exchange: &mut Exchange,
     req: &ActiveRequest,
     delivery: &mut Delivery,
+    to: Destination<'_>,
     mut response: StreamedResponse,
     kind: ResponseKind,
 ) -> AttemptOutcome {
     let status = response.status;
     let headers = end_to_end_headers(&mut response.headers);
     let read = response.collect(MAX_BUFFERED_RESPONSE_BYTES);
-    let body = match await_server(shell, exchange, req, None, read).await {
+    let body = match await_server(shell, exchange, req, to.server(), None, read).await {
         Awaited::Done(Ok(response)) => response.body,
         Awaited::Done(Err(_)) | Awaited::ServerIdle => {
             return AttemptOutcome::Ended(AttemptEnd::ConnectionLost)
@@ -373,16 +487,17 @@
     exchange: &mut Exchange,
     req: &ActiveRequest,
     delivery: &mut Delivery,
-    to: &Assignment,
+    to: Destination<'_>,
     mut response: StreamedResponse,
 ) -> AttemptOutcome {
     let status = response.status;
     let headers = end_to_end_headers(&mut response.headers);
-    let mut idle_timeout = to.first_output_timeout;
+    let mut idle_timeout = to.first_output_timeout();
     let mut started = false;
     loop {
         let next = response.next();
-        let chunk = match await_server(shell, exchange, req, idle_timeout, next).await {
+        let awaited = await_server(shell, exchange, req, to.server(), idle_timeout, next).await;
+        let chunk = match awaited {
             Awaited::Done(Ok(chunk)) => chunk,
             Awaited::Done(Err(e)) => {
                 delivery.last_error = Some(e.to_string());
@@ -397,6 +512,9 @@
             Awaited::DeadlinePassed => return AttemptOutcome::DeadlinePassed,
         };
         let Some(chunk) = chunk else { break };
+        if let Some(server) = to.server() {
+            shell.record_heard(server);
+        }
         let mut events = delivery.splitter.push(&chunk).to_vec();
         while let Ok(Some(chunk)) = response.buffered() {
             events.extend_from_slice(&delivery.splitter.push(&chunk));
@@ -406,7 +524,7 @@
         }
         if !started {
             started = true;
-            idle_timeout = to.inter_token_timeout;
+            idle_timeout = to.inter_token_timeout();
             shell.step(Event::Started { request: req.key });
         }
         if write_events(exchange, delivery, status, &headers, &events)
--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -79,6 +79,8 @@
     directory: TcpListener,
     operator: TcpListener,
     peer: UdpSocket,
+    /// Listens for forwarded requests at the TCP port with the number of the peer port.
+    forwarded: TcpListener,
 }
 
 fn listen(addr: &mut SocketAddr) -> Result<TcpListener, DaemonError> {
@@ -88,20 +90,40 @@
 impl Listeners {
     /// Binds all addresses and updates `settings` with the assigned ports.
     fn bind(settings: &mut RelaySettings) -> Result<Self, DaemonError> {
-        let addr = settings.peer_addr;
-        let failed = |source| DaemonError::Listen { addr, source };
-        let peer = UdpSocket::bind(addr).map_err(failed)?;
-        settings.peer_addr = peer.local_addr().map_err(failed)?;
+        let (peer, forwarded) = bind_peer_ports(&mut settings.peer_addr)?;
         Ok(Self {
             caller: listen(&mut settings.caller_addr)?,
             ready: listen(&mut settings.ready_addr)?,
             directory: listen(&mut settings.directory_addr)?,
             operator: listen(&mut settings.operator_addr)?,
             peer,
+            forwarded,
         })
     }
 }
 
+/// Binds the UDP and the TCP port of the peer address, which have the same number. If the
+/// system chooses it, another program may have the TCP port: then further ones are tried.
+fn bind_peer_ports(addr: &mut SocketAddr) -> Result<(UdpSocket, TcpListener), DaemonError> {
+    const MAX_ATTEMPTS: u32 = 32;
+    let configured = *addr;
+    let failed = |source| DaemonError::Listen {
+        addr: configured,
+        source,
+    };
+    let mut attempts = 0;
+    loop {
+        attempts += 1;
+        let peer = UdpSocket::bind(configured).map_err(failed)?;
+        *addr = peer.local_addr().map_err(failed)?;
+        match listen(addr) {
+            Ok(forwarded) => return Ok((peer, forwarded)),
+            Err(_) if configured.port() == 0 && attempts < MAX_ATTEMPTS => continue,
+            Err(e) => return Err(e),
+        }
+    }
+}
+
 struct Daemon {
     shell: Rc<Shell>,
     socket: Rc<UdpSocket>,
@@ -144,7 +166,14 @@
             body_read_timeout: Duration::from_secs(5),
             write_timeout: Duration::from_secs(10),
         };
-        serve_at(listeners.caller, limits, Front::new(shell.clone()));
+        serve_at(listeners.caller, limits, Front::for_callers(shell.clone()));
+        let forward_limits = ServerLimits {
+            // Longer than connections stay in the pool of the peer that opened them.
+            idle_timeout: Duration::from_secs(60),
+            ..limits
+        };
+        let for_peers = Front::for_peers(shell.clone());
+        serve_at(listeners.forwarded, forward_limits, for_peers);
         serve_at(listeners.ready, limits, Directory::new(shell.clone()));
         serve_at(listeners.directory, limits, Directory::new(shell.clone()));
         serve_at(listeners.operator, limits, Operator::new(shell.clone()));
--- a/crates/notchwalk_relay/src/dialect.rs
+++ b/crates/notchwalk_relay/src/dialect.rs
@@ -64,6 +64,15 @@
     /// Encodes the head of a request to a backend server.
     fn backend_request(&self, req: &BackendRequest<'_>) -> HeaderMap;
 
+    /// Encodes the head of a request that a peer serves as if its caller had sent it there:
+    /// the end-to-end headers of the caller, the remaining time and the last event.
+    fn forwarded_request(
+        &self,
+        caller: &HeaderMap,
+        timeout: Duration,
+        last_event_id: Option<u64>,
+    ) -> HeaderMap;
+
     /// Decodes the head of a backend server's response to the request `id`.
     fn backend_response(
         &self,
--- a/crates/notchwalk_relay/src/effects.rs
+++ b/crates/notchwalk_relay/src/effects.rs
@@ -6,7 +6,7 @@
 use notchwalk_route::{Effect, ServerKey};
 
 use crate::{
-    engine_orders, quarantine, server_notices,
+    engine_orders, links, quarantine, server_notices,
     shell::{EffectDriver, Shell},
 };
 
@@ -25,6 +25,13 @@
             Effect::ProbePort { server, addr } => {
                 monoio::spawn(quarantine::probe(shell.clone(), server, addr));
             }
+            Effect::CheckLinks { service, servers } => {
+                monoio::spawn(links::check(shell.clone(), service, servers));
+            }
+            Effect::ReachabilityChanged {
+                service,
+                is_reachable,
+            } => links::handle_reachability(shell, &service, is_reachable),
             Effect::Finding(finding) => quarantine::handle_finding(shell, finding),
             Effect::NewNotice {
                 server,
@@ -35,6 +42,7 @@
             Effect::Ejected { server, duration } => log_circuit_opened(shell, server, duration),
             // Handled by the task of their request.
             Effect::Send { .. }
+            | Effect::Forward { .. }
             | Effect::RetryDecided { .. }
             | Effect::NoServer { .. }
             | Effect::Refuse { .. }
--- a/crates/notchwalk_relay/src/front/accept.rs
+++ b/crates/notchwalk_relay/src/front/accept.rs
@@ -10,7 +10,7 @@
 use notchwalk_route::{host_name, RequestFacts, RequestKey, RouteLookup, WorkspaceShortId};
 
 use super::Front;
-use crate::{active_request::ActiveRequest, CallerFacts};
+use crate::{active_request::ActiveRequest, forwarding::ForwardedHead, CallerFacts};
 
 /// Caller timeout of requests that give none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -65,6 +65,7 @@
         &self,
         exchange: &mut Exchange,
         arrived_at: Instant,
+        forwarded: Option<ForwardedHead>,
     ) -> Result<Accepted, Rejection> {
         let caller = self.shell.dialect.caller_request(&exchange.head.headers);
         let caller =
@@ -105,6 +106,7 @@
             (f64::from(caller.max_output_tokens) * DEFAULT_OUTPUT_FRACTION) as u32;
         let deadline = arrived_at.after(request_timeout);
         let facts = RequestFacts {
+            forwarded: forwarded.as_ref().map(|head| head.counts_as),
             workspace: workspace
                 .as_ref()
                 .map_or(WorkspaceShortId::default(), |(name, _)| {
@@ -131,6 +133,7 @@
             deadline,
             body,
             streaming: route.streaming,
+            forwarded_by: forwarded.map(|head| head.from),
         };
         Ok(Accepted { req, facts })
     }
--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -9,24 +9,40 @@
 use http::{header, HeaderMap, HeaderValue, StatusCode};
 use notchwalk_core::{LogEvent, LogEventKind};
 use notchwalk_http::prelude::*;
-use notchwalk_route::{Assignment, AttemptEnd, Effect, Event, Refusal};
+use notchwalk_route::{AttemptEnd, Effect, Event, Refusal};
 
 use crate::{
     active_request::ActiveRequest,
-    attempt::{self, AttemptOutcome, Delivery},
+    attempt::{self, AttemptOutcome, Delivery, Destination},
+    forwarding::{self, ForwardedHead, OpenForwardedGuard},
     shell::{Inbox, Shell, Stopping},
 };
 use accept::Rejection;
 use record::Outcome;
 
-/// The service for callers.
+/// Who sends the requests to a [`Front`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    Callers,
+    /// Peers that forward requests of their callers.
+    Peers,
+}
+
+/// The service for callers, and for peers that forward requests of their callers.
 pub(crate) struct Front {
     shell: Rc<Shell>,
+    source: Source,
 }
 
 impl Front {
-    pub fn new(shell: Rc<Shell>) -> Self {
-        Self { shell }
+    pub fn for_callers(shell: Rc<Shell>) -> Self {
+        let source = Source::Callers;
+        Self { shell, source }
+    }
+
+    pub fn for_peers(shell: Rc<Shell>) -> Self {
+        let source = Source::Peers;
+        Self { shell, source }
     }
 
     /// Responds to a request that was rejected before it reached the router.
@@ -53,17 +69,47 @@
         }
         let plain = HeaderValue::from_static("text/plain; charset=utf-8");
         headers.insert(header::CONTENT_TYPE, plain);
+        self.mark_refused(&mut headers, "rejected");
         exchange
             .respond(status, headers, format!("{reason}\n").as_bytes())
             .await;
     }
 
+    /// Marks a response of this node for the peer that forwarded the request.
+    fn mark_refused(&self, headers: &mut HeaderMap, label: &str) {
+        if self.source == Source::Peers {
+            forwarding::mark_refused(headers, label);
+        }
+    }
+
+    /// Serves a request of a caller or a peer. The headers of forwarded requests have no
+    /// meaning in requests of callers.
     async fn serve(&self, exchange: &mut Exchange) {
-        let arrived_at = self.shell.now();
         if self.shell.stopping.get() != Stopping::No {
             exchange.close_after();
         }
-        let accepted = match self.accept(exchange, arrived_at).await {
+        let head = ForwardedHead::take(&mut exchange.head.headers);
+        if self.source == Source::Callers {
+            return self.serve_request(exchange, None).await;
+        }
+        let guard = OpenForwardedGuard::try_new(&self.shell.open_forwarded);
+        let own_version = self.shell.router.borrow().version();
+        let refusal = match (&head, &guard) {
+            (None, _) => "rejected",
+            (_, None) => "peer_busy",
+            (Some(head), _) if head.config_version > own_version => "not_ready",
+            _ => return self.serve_request(exchange, head).await,
+        };
+        let mut headers = HeaderMap::new();
+        self.mark_refused(&mut headers, refusal);
+        exchange
+            .respond(StatusCode::SERVICE_UNAVAILABLE, headers, b"")
+            .await;
+    }
+
+    async fn serve_request(&self, exchange: &mut Exchange, forwarded: Option<ForwardedHead>) {
+        let arrived_at = self.shell.now();
+        let accepted = match self.accept(exchange, arrived_at, forwarded).await {
             Ok(accepted) => accepted,
             Err(Rejection::CallerDisconnected) => return exchange.abort(),
             Err(Rejection::Respond {
@@ -112,6 +158,15 @@
             };
             match effect {
                 Some(Effect::Send { to, .. }) => {
+                    self.log_sent(req, &to);
+                    let to = Destination::Server(&to);
+                    if let Some(outcome) = self.send(exchange, req, delivery, to).await {
+                        return outcome;
+                    }
+                }
+                Some(Effect::Forward { to, .. }) => {
+                    self.log_forwarded(req, &to);
+                    let to = Destination::Peer(&to);
                     if let Some(outcome) = self.send(exchange, req, delivery, to).await {
                         return outcome;
                     }
@@ -153,16 +208,15 @@
         }
     }
 
-    /// Sends a request to a server; returns the outcome if the request ended.
+    /// Sends a request to a server or a peer; returns the outcome if the request ended.
     async fn send(
         &self,
         exchange: &mut Exchange,
         req: &ActiveRequest,
         delivery: &mut Delivery,
-        to: Assignment,
+        to: Destination<'_>,
     ) -> Option<Outcome> {
-        self.log_sent(req, &to);
-        let attempted = attempt::run(&self.shell, exchange, req, delivery, &to).await;
+        let attempted = attempt::run(&self.shell, exchange, req, delivery, to).await;
         let (end, outcome) = match attempted {
             AttemptOutcome::Ended(end) => (end, None),
             AttemptOutcome::Delivered(end) => (end, Some(Outcome::Delivered)),
@@ -174,23 +228,7 @@
         if end == AttemptEnd::IdleTimeout {
             self.shell.client.close_idle();
         }
-        let label = attempt::end_label(end);
-        self.shell
-            .metrics
-            .attempts
-            .with_label_values(&[label])
-            .inc();
-        if outcome.is_none() {
-            let after = self.shell.now().since(req.arrived_at).as_millis();
-            let facts = format!(
-                "request={} content={} server={} end={label} after_ms={after} error={:?}",
-                req.id(),
-                req.content,
-                to.instance,
-                delivery.last_error.take().unwrap_or_default()
-            );
-            LogEvent::new(LogEventKind::AttemptFailed, facts).emit();
-        }
+        self.record_attempt(req, delivery, to, end);
         self.shell.step(Event::AttemptEnded {
             request: req.key,
             end,
@@ -241,6 +279,7 @@
             let (name, value) = self.shell.dialect.retry_after(after);
             headers.insert(name, value);
         }
+        self.mark_refused(&mut headers, Outcome::Refused(reason).label());
         let body = match reason {
             Refusal::Quarantined => quarantined_body(retry_after.unwrap_or_default()),
             _ => format!("{}\n", Outcome::Refused(reason).label()),
@@ -303,6 +342,9 @@
     }
 
     fn limits(&self, started_with: ServerLimits) -> ServerLimits {
+        if self.source == Source::Peers {
+            return started_with;
+        }
         let configured = self.shell.limits.get();
         ServerLimits {
             idle_timeout: configured.idle_timeout,
--- a/crates/notchwalk_relay/src/front/record.rs
+++ b/crates/notchwalk_relay/src/front/record.rs
@@ -1,12 +1,12 @@
 //! Log lines and metrics of requests.
 
 use notchwalk_core::{LogEvent, LogEventKind};
-use notchwalk_route::{Assignment, AttemptEnd, Refusal, RetryUsage, ServiceStatus};
+use notchwalk_route::{Assignment, AttemptEnd, Forwarding, Refusal, RetryUsage, ServiceStatus};
 
 use super::Front;
 use crate::{
     active_request::ActiveRequest,
-    attempt::{self, Delivery},
+    attempt::{self, Delivery, Destination},
 };
 
 /// How a request ended.
@@ -34,6 +34,7 @@
             Self::Refused(Refusal::TimedOut) => "timed_out",
             Self::Refused(Refusal::Suspected) => "suspected",
             Self::Refused(Refusal::Quarantined) => "quarantined",
+            Self::Refused(Refusal::PeerBusy) => "peer_busy",
         }
     }
 }
@@ -75,9 +76,56 @@
             req.caller.prompt_tokens,
             now.since(self.shell.servers_refreshed_at.get()).as_millis(),
         );
+        let facts = facts + &req.forwarded_by_fact();
         LogEvent::new(LogEventKind::RequestSent, facts).emit();
     }
 
+    pub(super) fn log_forwarded(&self, req: &ActiveRequest, to: &Forwarding) {
+        let waited = self.shell.now().since(req.arrived_at);
+        let facts = format!(
+            "request={} content={} route={} peer={} counts_as={:?} waited_ms={} config={}",
+            req.id(),
+            req.content,
+            req.route,
+            to.peer,
+            to.counts_as,
+            waited.as_millis(),
+            to.config_version,
+        );
+        LogEvent::new(LogEventKind::RequestForwarded, facts).emit();
+    }
+
+    /// Counts the end of an attempt, and logs it unless the response was delivered.
+    pub(super) fn record_attempt(
+        &self,
+        req: &ActiveRequest,
+        delivery: &mut Delivery,
+        to: Destination<'_>,
+        end: AttemptEnd,
+    ) {
+        let label = attempt::end_label(end);
+        let metrics = &self.shell.metrics;
+        let (counter, destination) = match to {
+            Destination::Server(to) => (&metrics.attempts, format!("server={}", to.instance)),
+            Destination::Peer(to) => (&metrics.forwarded, format!("peer={}", to.peer)),
+        };
+        counter.with_label_values(&[label]).inc();
+        if matches!(end, AttemptEnd::Delivered { .. }) {
+            return;
+        }
+        let after = self.shell.now().since(req.arrived_at).as_millis();
+        let error = match end {
+            AttemptEnd::PeerRefused { reason, .. } => Outcome::Refused(reason).label().to_owned(),
+            _ => delivery.last_error.take().unwrap_or_default(),
+        };
+        let facts = format!(
+            "request={} content={} {destination} end={label} after_ms={after} error={error:?}",
+            req.id(),
+            req.content,
+        );
+        LogEvent::new(LogEventKind::AttemptFailed, facts).emit();
+    }
+
     /// Logs and counts a decision of the retry budget.
     pub(super) fn record_retry_decision(
         &self,
@@ -142,6 +190,11 @@
             delivery.max_event_gap.as_millis(),
             total.as_millis(),
         );
+        if req.forwarded_by.is_some() {
+            let counter = metrics.served_for_peers.with_label_values(&[label]);
+            counter.inc();
+        }
+        let facts = facts + &req.forwarded_by_fact();
         LogEvent::new(LogEventKind::RequestEnded, facts).emit();
     }
 }
--- a/crates/notchwalk_relay/src/metrics.rs
+++ b/crates/notchwalk_relay/src/metrics.rs
@@ -30,6 +30,12 @@
     pub open_requests: IntGauge,
     /// Reachable peers.
     pub peers_alive: IntGauge,
+    /// Services that this node can't reach.
+    pub unreachable_services: IntGauge,
+    /// Requests forwarded to peers, by how the attempt ended.
+    pub forwarded: IntCounterVec,
+    /// Requests served for peers, by outcome.
+    pub served_for_peers: IntCounterVec,
     /// Registered backend servers.
     pub servers: IntGauge,
     /// Suspected crashes of servers while they executed a request of this node.
@@ -97,6 +103,20 @@
             ),
             open_requests: set.gauge("notchwalk_open_requests", "Requests being served"),
             peers_alive: set.gauge("notchwalk_peers_alive", "Peers that answer"),
+            unreachable_services: set.gauge(
+                "notchwalk_unreachable_services",
+                "Services that this node can't reach",
+            ),
+            forwarded: set.counter_vec(
+                "notchwalk_forwarded_total",
+                "Requests forwarded to peers",
+                &["end"],
+            ),
+            served_for_peers: set.counter_vec(
+                "notchwalk_served_for_peers_total",
+                "Requests that peers forwarded to this node",
+                &["outcome"],
+            ),
             suspected_crashes: set.counter(
                 "notchwalk_suspected_crashes_total",
                 "Servers that seem to have ended under a request",
--- a/crates/notchwalk_relay/src/operator.rs
+++ b/crates/notchwalk_relay/src/operator.rs
@@ -114,6 +114,8 @@
             "reservations": router.reservations(),
             "peers_alive": shell.peers.borrow().alive_count(now),
             "entries_sharing_limits": shell.peers.borrow().sharing_nodes(now),
+            "unreachable_services": router.unreachable_services().collect::<Vec<_>>(),
+            "serving_for_peers": shell.open_forwarded.get(),
             "retry_budgets": retry_budgets,
             "knows_own_retries": router.knows_own_retries(now),
             "servers_age_ms": now.since(shell.servers_refreshed_at.get()).as_millis() as u64,
--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -11,7 +11,9 @@
 use notchwalk_core::{LogEvent, LogEventKind};
 use notchwalk_platform::StoreVersion;
 use notchwalk_quarantine::QuarantineUpdate;
-use notchwalk_route::{Event, LimitScope, LimitUpdate, PeerWork, ProcessRetries, ServiceRetries};
+use notchwalk_route::{
+    Event, LimitScope, LimitUpdate, PeerStatus, PeerWork, ProcessRetries, ServiceRetries,
+};
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 use crate::{
@@ -71,6 +73,10 @@
     /// they are not all known.
     #[serde(default)]
     retry_history: Option<Vec<ProcessRetries>>,
+    /// The short ids of the services that the sender can't reach; `None` outside heartbeats and
+    /// updates about them.
+    #[serde(default)]
+    unreachable: Option<Vec<u32>>,
 }
 
 fn message(shell: &Shell, servers: Vec<u32>, work: Vec<PeerWork>) -> PeerMessage {
@@ -88,6 +94,7 @@
         limits: Vec::new(),
         retries: None,
         retry_history: None,
+        unreachable: None,
     }
 }
 
@@ -155,6 +162,12 @@
             let outgoing = message(&shell, Vec::new(), Vec::new());
             send(&socket, &group, vec![outgoing]).await;
         }
+        if shell.links_to_publish.take() {
+            let group = shell.peers.borrow().group_peers();
+            let mut outgoing = message(&shell, Vec::new(), Vec::new());
+            outgoing.unreachable = Some(shell.router.borrow().unreachable_service_ids());
+            send(&socket, &group, vec![outgoing]).await;
+        }
         let draining = shell.router.borrow_mut().take_draining_updates();
         for chunk in draining.chunks(MAX_DRAINING_PER_DATAGRAM) {
             let mut outgoing = message(&shell, Vec::new(), Vec::new());
@@ -231,6 +244,7 @@
             .fleet()
             .limit_updates(limits, MAX_LIMITS_PER_DATAGRAM, shell.now());
         first.retries = Some(router.own_retries(shell.now()));
+        first.unreachable = Some(router.unreachable_service_ids());
     }
     outgoing
 }
@@ -268,6 +282,7 @@
     let mut outgoing = message(shell, Vec::new(), Vec::new());
     outgoing.record = Some(shell.presence_record());
     outgoing.retries = Some(shell.router.borrow().own_retries(shell.now()));
+    outgoing.unreachable = Some(shell.router.borrow().unreachable_service_ids());
     let all = shell.peers.borrow().all_peers();
     send(socket, &all, vec![outgoing]).await;
 }
@@ -357,6 +372,21 @@
     if update.restarted {
         shell.step(Event::PeerExpired { peer: number });
     }
+    if let Some(unreachable_services) = message.unreachable {
+        let status = PeerStatus {
+            name: update.name.clone(),
+            addr: from,
+            is_in_group: update.in_same_group,
+            accepts_requests: message.ready,
+            config_version: message.config_version,
+            unreachable_services,
+            ttl: shell.peers.borrow().time_to_unreachable(),
+        };
+        shell.step(Event::PeerStatus {
+            peer: number,
+            status,
+        });
+    }
     if let Some(services) = message.retries.filter(|_| update.in_same_group) {
         shell.step(Event::PeerRetries {
             name: update.name.clone(),
--- a/crates/notchwalk_relay/src/peers.rs
+++ b/crates/notchwalk_relay/src/peers.rs
@@ -190,6 +190,11 @@
         HEARTBEAT_INTERVAL.mul_f64(factor)
     }
 
+    /// Returns the time without messages after which a peer counts as unreachable.
+    pub fn time_to_unreachable(&self) -> Duration {
+        self.heartbeat_interval() * MISSED_HEARTBEATS_UNTIL_UNREACHABLE
+    }
+
     /// Returns the time without messages after which a peer expires.
     pub fn time_to_expiry(&self) -> Duration {
         (self.heartbeat_interval() * MISSED_HEARTBEATS_UNTIL_EXPIRY).max(MIN_TIME_TO_EXPIRY)
@@ -202,7 +207,7 @@
 
     /// Returns the peers with recent messages.
     fn reachable(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        self.seen_since(now.before(self.heartbeat_interval() * MISSED_HEARTBEATS_UNTIL_UNREACHABLE))
+        self.seen_since(now.before(self.time_to_unreachable()))
     }
 
     /// Returns the caller addresses of reachable peers that accept requests.
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -68,6 +68,12 @@
     store_restores: std::cell::Cell<u64>,
     /// Whether a new epoch is to be published to peers.
     pub epoch_to_publish: std::cell::Cell<bool>,
+    /// Whether a change of the reachable services is to be published to peers.
+    pub links_to_publish: std::cell::Cell<bool>,
+    /// When a server last sent anything, for the servers that have.
+    heard_at: RefCell<SecondaryMap<ServerKey, Instant>>,
+    /// Number of requests that this node serves for peers.
+    pub open_forwarded: Rc<std::cell::Cell<usize>>,
     /// The store's clock in milliseconds, and when it was received.
     store_clock: std::cell::Cell<Option<(Instant, u64)>>,
     suspension: SuspensionWatch,
@@ -109,6 +115,9 @@
             store_epoch: std::cell::Cell::default(),
             store_restores: std::cell::Cell::new(0),
             epoch_to_publish: std::cell::Cell::new(false),
+            links_to_publish: std::cell::Cell::new(false),
+            heard_at: RefCell::default(),
+            open_forwarded: Rc::default(),
             servers_refreshed_at: std::cell::Cell::new(Instant::ZERO),
             store_clock: std::cell::Cell::default(),
             publish_wake: Wake::default(),
@@ -227,6 +236,32 @@
         self.stopping.get() == Stopping::No && self.router.borrow().version() > 0
     }
 
+    /// Records that a server sent something.
+    pub fn record_heard(&self, server: ServerKey) {
+        self.heard_at.borrow_mut().insert(server, self.now());
+    }
+
+    /// Returns when any server of the same service last sent something, if one has.
+    fn service_heard_at(&self, server: ServerKey) -> Option<Instant> {
+        let router = self.router.borrow();
+        let fleet = router.fleet();
+        let service = &fleet.get(server)?.record.service;
+        let heard_at = self.heard_at.borrow();
+        let of_service = fleet.of_service(service).iter();
+        of_service
+            .filter_map(|&key| heard_at.get(key))
+            .max()
+            .copied()
+    }
+
+    /// Reports to the router that a server is silent, unless another server of its service has
+    /// sent something since `since`.
+    pub fn report_silence(self: &Rc<Self>, server: ServerKey, since: Instant) {
+        if self.service_heard_at(server).is_none_or(|at| at < since) {
+            self.step(Event::ServiceSilent { server });
+        }
+    }
+
     /// Registers a request with the router and opens its inbox.
     pub fn open_request(&self) -> (RequestKey, Inbox) {
         let key = self.router.borrow_mut().new_request();
@@ -255,6 +290,7 @@
     fn execute(self: &Rc<Self>, effect: Effect) {
         match effect {
             Effect::Send { request, .. }
+            | Effect::Forward { request, .. }
             | Effect::RetryDecided { request, .. }
             | Effect::NoServer { request, .. } => self.deliver(request, effect),
             Effect::Refuse { request, .. } | Effect::DeliverFailure { request } => {
--- a/crates/notchwalk_route/src/effect.rs
+++ b/crates/notchwalk_route/src/effect.rs
@@ -5,7 +5,9 @@
 use notchwalk_core::Instant;
 use notchwalk_quarantine::QuarantineFinding;
 
-use crate::{AttemptEnd, RequestKey, RetryUsage, ServerKey, ServerNotice, ServiceStatus};
+use crate::{
+    AttemptEnd, ForwardedSend, RequestKey, RetryUsage, ServerKey, ServerNotice, ServiceStatus,
+};
 
 /// A prefill worker: an engine that prefills a segment of a prompt for the decoding engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,6 +62,23 @@
     pub inter_token_timeout: Option<Duration>,
 }
 
+/// The forwarding of a request to a peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Forwarding {
+    /// The name of the peer.
+    pub peer: String,
+    /// The address at which the peer accepts forwarded requests.
+    pub addr: SocketAddr,
+    /// How the peer counts its send to a server against the retry budget.
+    pub counts_as: ForwardedSend,
+    /// The version of this node's configuration. A peer with an older one refuses.
+    pub config_version: u64,
+    /// Timeout for the first output; `None` waits until the deadline.
+    pub first_output_timeout: Option<Duration>,
+    /// Timeout between two events; `None` waits until the deadline.
+    pub inter_token_timeout: Option<Duration>,
+}
+
 /// Why this node refuses a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Refusal {
@@ -83,6 +102,8 @@
     Suspected,
     /// Requests with the same content crash their servers and are refused for some time.
     Quarantined,
+    /// This node serves as many requests forwarded by peers as it may.
+    PeerBusy,
 }
 
 impl Refusal {
@@ -115,6 +136,13 @@
         /// The assignment.
         to: Assignment,
     },
+    /// Forward a request to a peer that reaches its service.
+    Forward {
+        /// The request.
+        request: RequestKey,
+        /// Where and how it is forwarded.
+        to: Forwarding,
+    },
     /// Refuse a request; the router drops its state.
     Refuse {
         /// The request.
@@ -172,6 +200,23 @@
         /// Its address.
         addr: SocketAddr,
     },
+    /// Open connections to servers of a service; the result is reported as
+    /// [`Event::LinksChecked`].
+    ///
+    /// [`Event::LinksChecked`]: crate::Event::LinksChecked
+    CheckLinks {
+        /// The service.
+        service: String,
+        /// The servers and their addresses.
+        servers: Vec<(ServerKey, SocketAddr)>,
+    },
+    /// Report that this node lost or regained its links to a service, and publish it.
+    ReachabilityChanged {
+        /// The service.
+        service: String,
+        /// Whether it is reachable now.
+        is_reachable: bool,
+    },
     /// Report a finding on requests during which servers crashed.
     Finding(QuarantineFinding),
     /// Report a new notice from a server.
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -5,8 +5,9 @@
 use notchwalk_quarantine::{Fingerprint, QuarantineUpdate};
 
 use crate::{
-    Group, LimitSharing, LimitUpdate, PeerWork, ProcessRetries, RequestFacts, RequestKey,
-    ReservationOrder, ServerChange, ServerKey, ServerNotice, ServiceRetries, SiteConfig,
+    Group, LimitSharing, LimitUpdate, PeerStatus, PeerWork, ProcessRetries, Refusal, RequestFacts,
+    RequestKey, ReservationOrder, ServerChange, ServerKey, ServerNotice, ServiceRetries,
+    SiteConfig,
 };
 
 /// How an attempt to send a request to a server ended.
@@ -37,6 +38,13 @@
     ConnectionLost,
     /// The server's response was invalid. The request may have run.
     InvalidResponse,
+    /// The peer that the request was forwarded to refused it; it has not run.
+    PeerRefused {
+        /// The peer's reason.
+        reason: Refusal,
+        /// Time after which the peer would accept it.
+        retry_after: Option<Duration>,
+    },
 }
 
 /// A failed reservation on an engine.
@@ -101,6 +109,25 @@
         /// The peer's number on this node.
         peer: u32,
     },
+    /// A peer published its status.
+    PeerStatus {
+        /// The peer's number on this node.
+        peer: u32,
+        /// Its status.
+        status: PeerStatus,
+    },
+    /// No server of a service sent anything for a while, although requests wait for one.
+    ServiceSilent {
+        /// A server of the service.
+        server: ServerKey,
+    },
+    /// Connections to servers of a service were opened, to check the links.
+    LinksChecked {
+        /// The service.
+        service: String,
+        /// How many servers accepted the connection.
+        opened: u32,
+    },
     /// A peer published servers that announced to it that they are draining.
     DrainingReported {
         /// The short ids of the servers' incarnations.
--- a/crates/notchwalk_route/src/fleet/mod.rs
+++ b/crates/notchwalk_route/src/fleet/mod.rs
@@ -215,7 +215,7 @@
                 status.draining += 1;
             } else if !server.accepts_requests(now) {
                 status.backing_off += 1;
-            } else if server.time_until_available(now) != Some(Duration::ZERO) {
+            } else if server.is_ejected(now) {
                 status.ejected += 1;
             }
         }
--- a/crates/notchwalk_route/src/fleet/server.rs
+++ b/crates/notchwalk_route/src/fleet/server.rs
@@ -157,6 +157,12 @@
         !self.is_draining() && now >= self.backoff_until
     }
 
+    /// Returns whether the server would accept requests, but this node ejected it for its
+    /// failures.
+    pub(crate) fn is_ejected(&self, now: Instant) -> bool {
+        self.accepts_requests(now) && self.time_until_available(now) != Some(Duration::ZERO)
+    }
+
     /// Returns whether the server is draining. Every send to a server checks this.
     pub fn is_draining(&self) -> bool {
         self.draining != Draining::No
--- a/crates/notchwalk_route/src/lib.rs
+++ b/crates/notchwalk_route/src/lib.rs
@@ -11,6 +11,8 @@
 //! | `routes` | lookup of the route and the workspace of a request |
 //! | `first_attempt` | time since a caller's first attempt |
 //! | `fleet` | backend servers and their availability |
+//! | `links` | which services this node reaches |
+//! | `forward_peers` | peers that requests are forwarded to |
 //! | `server_notice` | notices from servers in response headers |
 //! | `groups` | the subset of servers that a node uses in a large deployment |
 //! | `load_view` | load of each server from this node and its peers |
@@ -28,7 +30,9 @@
 mod event;
 mod first_attempt;
 mod fleet;
+mod forward_peers;
 mod groups;
+mod links;
 mod load_view;
 mod placement;
 mod request;
@@ -44,16 +48,19 @@
 
 pub mod prelude;
 
-pub use effect::{Assignment, Effect, PlacementReason, PrefillWorker, Refusal, ReservationOrder};
+pub use effect::{
+    Assignment, Effect, Forwarding, PlacementReason, PrefillWorker, Refusal, ReservationOrder,
+};
 pub use engine_cost::EngineCost;
 pub use event::{AttemptEnd, Event, FailedReservation};
 pub use fleet::{
     Availability, Fleet, LimitScope, LimitSharing, LimitUpdate, ObservedLimit, Server,
     ServerChange, ServerKey, ServerRecord, ServerStage, ServiceStatus,
 };
+pub use forward_peers::PeerStatus;
 pub use groups::{node_order, Group};
 pub use load_view::{LoadView, PeerWork, WorkPhase};
-pub use request::{RequestFacts, RequestKey};
+pub use request::{ForwardedSend, RequestFacts, RequestKey};
 pub use retry_budget::{RetryBudget, RetryShare, RetryUsage};
 pub use retry_history::{ProcessRetries, ServiceRetries};
 pub use router::{Router, RouterConfig};
--- a/crates/notchwalk_route/src/request.rs
+++ b/crates/notchwalk_route/src/request.rs
@@ -10,6 +10,9 @@
     retry_budget::SendCount, Assignment, Repeatability, Route, ServerKey, WorkspaceShortId,
 };
 
+/// Maximum number of tokens of a short prompt.
+pub(crate) const LONG_PROMPT_TOKENS: u32 = 24_000;
+
 new_key_type! {
     /// Identifies a request in the router.
     pub struct RequestKey;
@@ -45,6 +48,19 @@
     pub prompt_tokens: u32,
     /// Expected number of response tokens.
     pub output_tokens: u32,
+    /// How its send counts, if a peer forwarded it.
+    pub forwarded: Option<ForwardedSend>,
+}
+
+/// How the send of a forwarded request to a server counts at the node that sends it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ForwardedSend {
+    /// As the first attempt of the request.
+    FirstAttempt,
+    /// As a retry, which the sending node's budget must allow.
+    Retry,
+    /// Not at all: the node that forwards it has counted it.
+    Counted,
 }
 
 /// The state of a request until its response has ended.
@@ -66,6 +82,12 @@
     pub next_send: SendCount,
     /// Number of sends that failed because of a prefill worker.
     pub prefill_worker_failures: u32,
+    /// The peer that it is forwarded to now.
+    pub current_peer: Option<u32>,
+    /// All peers that it was forwarded to.
+    pub forwarded_to: Vec<u32>,
+    /// The peers that refused it or could not be connected to.
+    pub refused_by: Vec<u32>,
     /// The server that it is assigned to.
     pub server: Option<ServerKey>,
     /// Servers that prefill segments of its prompt.
@@ -98,6 +120,9 @@
             sends: 0,
             next_send: SendCount::FirstAttempt,
             prefill_worker_failures: 0,
+            current_peer: None,
+            forwarded_to: Vec::new(),
+            refused_by: Vec::new(),
             server: None,
             prefill_workers: Vec::new(),
             pending_assignment: None,
@@ -111,6 +136,15 @@
         self.facts.route.repeatability != Repeatability::AtMostOnce
     }
 
+    /// Returns on how many servers this node may start it. A peer that forwarded it decides
+    /// about further attempts itself.
+    pub fn max_attempts(&self) -> u32 {
+        match self.facts.forwarded {
+            Some(_) => 1,
+            None => self.facts.route.max_attempts.max(1),
+        }
+    }
+
     /// Returns when its latency objective ends, counted from the caller's first attempt.
     pub fn objective_at(&self) -> Instant {
         self.first_attempt_at.after(self.facts.route.objective)
@@ -153,4 +187,52 @@
     pub fn time_left(&self, now: Instant) -> Duration {
         self.facts.deadline.since(now)
     }
+
+    /// Returns the timeout for the first event, after which the request is sent to another
+    /// server; `None` if the request may run only once.
+    pub fn first_output_timeout(&self, now: Instant) -> Option<Duration> {
+        if !self.may_repeat() {
+            return None;
+        }
+        let min_timeout = self.min_first_output_timeout();
+        // Repeating a long prefill is expensive, and an engine with a long prompt is more
+        // likely busy than broken.
+        let min_timeout = match self.facts.prompt_tokens > LONG_PROMPT_TOKENS {
+            true => min_timeout * 2,
+            false => min_timeout,
+        };
+        Some((self.predicted_first_event.since(now) * 2).max(min_timeout))
+    }
+
+    /// Returns the timeout for the first output of a peer that the request is forwarded to;
+    /// `None` if it may run only once, or if the peer may queue its long prompt.
+    pub fn forwarded_output_timeout(&self) -> Option<Duration> {
+        let may_time_out = self.may_repeat() && self.facts.prompt_tokens <= LONG_PROMPT_TOKENS;
+        may_time_out.then(|| self.min_first_output_timeout())
+    }
+
+    fn min_first_output_timeout(&self) -> Duration {
+        /// For streams. Leaves time for another attempt: callers of streams time out after
+        /// 2 s at the earliest.
+        const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
+        /// For responses that are not streamed.
+        const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
+        match self.facts.route.streaming {
+            true => MIN_FIRST_EVENT_TIMEOUT.max(self.facts.route.objective),
+            false => MIN_RESPONSE_TIMEOUT,
+        }
+    }
+
+    /// Returns the timeout between two events of a stream, after which it is resumed on
+    /// another server; `None` if the route has no inter-token objective or the request may run
+    /// only once.
+    pub fn inter_token_timeout(&self) -> Option<Duration> {
+        /// Callers of streams time out after 2 s at the earliest.
+        const MIN_TIMEOUT: Duration = Duration::from_millis(1_200);
+        if !self.may_repeat() {
+            return None;
+        }
+        let objective = self.facts.route.inter_token_objective?;
+        Some((objective * 4).max(MIN_TIMEOUT))
+    }
 }
--- a/crates/notchwalk_route/src/retry_budget.rs
+++ b/crates/notchwalk_route/src/retry_budget.rs
@@ -194,6 +194,9 @@
     FirstAttempt,
     /// As a retry that is reserved in the budget.
     Retry,
+    /// As a retry in the budget of the peer that it is forwarded to. That of this node does not
+    /// allow one.
+    PeerRetry,
     /// Not at all, since the last send reached no server.
     Nothing,
 }
@@ -293,7 +296,7 @@
         match counts_as {
             SendCount::FirstAttempt => budget.record_first_attempt(now),
             SendCount::Retry => budget.record_retry(now),
-            SendCount::Nothing => {}
+            SendCount::PeerRetry | SendCount::Nothing => {}
         }
     }
 
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -4,7 +4,7 @@
 
 use notchwalk_core::Instant;
 
-use super::{Router, MIN_TIME_LEFT};
+use super::{forwarding::may_try_other_peer, Router, MIN_TIME_LEFT};
 use crate::{
     retry_budget::SendCount, AttemptEnd, Availability, Effect, Refusal, RequestKey, ServerKey,
     WorkPhase,
@@ -83,6 +83,18 @@
         reason: Refusal,
         now: Instant,
         out: &mut Vec<Effect>,
+    ) {
+        self.refuse_with(key, reason, None, now, out);
+    }
+
+    /// Like [`Self::refuse`], with the retry delay that a peer requested, if any.
+    fn refuse_with(
+        &mut self,
+        key: RequestKey,
+        reason: Refusal,
+        peer_retry_after: Option<Duration>,
+        now: Instant,
+        out: &mut Vec<Effect>,
     ) {
         let request = self.requests.get(key).and_then(Option::as_ref);
         let may_have_run = request.is_some_and(|request| request.started_on > 0);
@@ -99,9 +111,12 @@
             Refusal::Overloaded => Some(RETRY_AFTER_OVERLOAD),
             Refusal::Suspected => Some(RETRY_AFTER_SUSPECTED),
             Refusal::Quarantined => quarantine_left,
-            Refusal::NoServer | Refusal::NotRun | Refusal::Limited => Some(server_retry_after),
+            Refusal::NoServer | Refusal::NotRun | Refusal::Limited | Refusal::PeerBusy => {
+                Some(server_retry_after)
+            }
             Refusal::Unknown | Refusal::TimedOut => None,
         };
+        let retry_after = peer_retry_after.or(retry_after);
         out.push(Effect::Refuse {
             request: key,
             reason,
@@ -138,6 +153,7 @@
             return;
         };
         request.waiting_since = now;
+        self.end_forwarding(key, Some(end), now);
         self.record_content_outcome(key, end, now);
         let Some(Some(request)) = self.requests.get_mut(key) else {
             return;
@@ -173,6 +189,10 @@
         if matches!(end, AttemptEnd::Delivered { .. }) {
             return self.remove_request(key, now, out);
         }
+        if matches!(end, AttemptEnd::NotConnected | AttemptEnd::ConnectionLost) {
+            self.suspect_link(server);
+            self.start_link_checks(now, out);
+        }
         if self.may_retry(key, end, now, out) {
             self.restrict_suspect(key, now);
             return self.enqueue_and_dispatch(key, now, out);
@@ -216,7 +236,7 @@
                 ..
             } => Some(server),
             AttemptEnd::NotRun { .. } => return,
-            AttemptEnd::NotSent => return,
+            AttemptEnd::NotSent | AttemptEnd::PeerRefused { .. } => return,
             AttemptEnd::ServerError => None,
             AttemptEnd::NotConnected => {
                 self.fleet.record_unreachable(server, now);
@@ -256,10 +276,9 @@
         let Some(Some(request)) = self.requests.get_mut(key) else {
             return false;
         };
-        let attempts = request.facts.route.max_attempts;
-        if request.time_left(now) < MIN_TIME_LEFT
-            || request.sends >= attempts * MAX_SENDS_PER_ATTEMPT
-        {
+        let attempts = request.max_attempts();
+        let has_sends_left = request.sends < attempts * MAX_SENDS_PER_ATTEMPT;
+        if request.time_left(now) < MIN_TIME_LEFT {
             return false;
         }
         if request.started_on > 0 && !request.may_repeat() {
@@ -268,15 +287,35 @@
         if request.started_on >= attempts {
             return false;
         }
-        // The attempt put no load on a server, so it does not count as a retry.
-        if matches!(end, AttemptEnd::NotConnected | AttemptEnd::NotSent) {
-            return true;
+        let Some(Some(request)) = self.requests.get(key) else {
+            return false;
+        };
+        let can_forward = self.peer_to_pay_retry(request, now).is_some();
+        if !has_sends_left && !can_forward {
+            return false;
+        }
+        match end {
+            // The attempt put no load on a server, so it does not count as a retry.
+            AttemptEnd::NotConnected | AttemptEnd::NotSent => return true,
+            AttemptEnd::PeerRefused { reason, .. } if !may_try_other_peer(reason) => return false,
+            // The servers that the peer chose rejected the request.
+            AttemptEnd::PeerRefused {
+                reason: Refusal::NotRun,
+                ..
+            } => {}
+            AttemptEnd::PeerRefused { .. } => return true,
+            _ => {}
         }
         let service = request.service.clone();
         let usage = self.retry_budgets.usage(&service, now);
-        let allowed = self.retry_budgets.try_reserve(&service, now);
-        if allowed {
-            request.next_send = SendCount::Retry;
+        let is_own_retry = self.retry_budgets.try_reserve(&service, now);
+        let allowed = is_own_retry || can_forward;
+        if let Some(Some(request)) = self.requests.get_mut(key) {
+            request.next_send = match (is_own_retry, can_forward) {
+                (true, _) => SendCount::Retry,
+                (false, true) => SendCount::PeerRetry,
+                (false, false) => request.next_send,
+            };
         }
         out.push(Effect::RetryDecided {
             request: key,
@@ -301,6 +340,13 @@
             out.push(Effect::DeliverFailure { request: key });
             return;
         }
+        if let AttemptEnd::PeerRefused {
+            reason,
+            retry_after,
+        } = end
+        {
+            return self.refuse_with(key, reason, retry_after, now, out);
+        }
         let reason = match self.quarantine_left(key, now) {
             Some(_) => Refusal::Quarantined,
             None => Refusal::NotRun,
--- /dev/null
+++ b/crates/notchwalk_route/src/router/forwarding.rs
@@ -0,0 +1,258 @@
+//! Forwards requests to peers while this node can't reach their service.
+//!
+//! A forwarded request is one attempt of this node, like a send to a server. The peer starts
+//! it on at most one server and never forwards it, so that this node alone decides about
+//! further attempts.
+
+use notchwalk_core::Instant;
+use rand::seq::SliceRandom;
+
+use super::Router;
+use crate::{
+    forward_peers::WantedPeer, request::Request, retry_budget::SendCount, shares::short_id_of,
+    AttemptEnd, Effect, ForwardedSend, Forwarding, PeerStatus, Refusal, RequestKey, ServerKey,
+};
+
+/// Maximum number of peers that a request is forwarded to, refusals included.
+const MAX_FORWARDS: usize = 4;
+/// Number of servers to which a check of a service opens connections.
+const SERVERS_PER_CHECK: usize = 3;
+
+impl Router {
+    /// Returns the services that this node can't reach.
+    pub fn unreachable_services(&self) -> impl Iterator<Item = &str> {
+        self.links.unreachable()
+    }
+
+    /// Returns the short ids of the services that this node can't reach, to publish to peers.
+    pub fn unreachable_service_ids(&self) -> Vec<u32> {
+        self.links.unreachable().map(short_id_of).collect()
+    }
+
+    /// Returns whether the service of a server is unreachable from this node.
+    pub fn is_link_lost(&self, server: ServerKey) -> bool {
+        self.fleet
+            .get(server)
+            .is_some_and(|server| self.links.is_unreachable(&server.record.service))
+    }
+
+    /// Requests a check of the links to the service of a server.
+    pub(super) fn suspect_link(&mut self, server: Option<ServerKey>) {
+        let server = server.and_then(|server| self.fleet.get(server));
+        if let Some(server) = server {
+            self.links.request_check(&server.record.service);
+        }
+    }
+
+    /// Starts the checks of links that are due.
+    pub(super) fn start_link_checks(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        for service in self.links.take_due_checks(now) {
+            let servers = self.servers_to_check(&service, now);
+            if servers.is_empty() {
+                self.links.record_check(&service, true);
+                continue;
+            }
+            let addr = |key: &ServerKey| Some((*key, self.fleet.get(*key)?.record.addr));
+            let servers = servers.iter().filter_map(addr).collect();
+            out.push(Effect::CheckLinks { service, servers });
+        }
+    }
+
+    /// Returns servers of a service in different failure domains if possible. Servers that
+    /// are not ejected go first, since they are more probably up.
+    fn servers_to_check(&mut self, service: &str, now: Instant) -> Vec<ServerKey> {
+        let mut servers: Vec<ServerKey> = self.fleet.servers_in_use(service, now).to_vec();
+        servers.retain(|&key| self.fleet.get(key).is_some_and(|s| !s.is_draining()));
+        servers.shuffle(&mut self.rng);
+        servers.sort_by_key(|&key| self.fleet.get(key).is_none_or(|s| !s.is_available(now)));
+        let domain = |key: ServerKey| self.fleet.get(key).map(|s| &s.record.failure_domain);
+        let mut chosen: Vec<ServerKey> = Vec::with_capacity(SERVERS_PER_CHECK);
+        for &key in &servers {
+            let is_new_domain = chosen.iter().all(|&other| domain(other) != domain(key));
+            if chosen.len() < SERVERS_PER_CHECK && is_new_domain {
+                chosen.push(key);
+            }
+        }
+        for &key in &servers {
+            if chosen.len() < SERVERS_PER_CHECK && !chosen.contains(&key) {
+                chosen.push(key);
+            }
+        }
+        chosen
+    }
+
+    pub(super) fn handle_links_checked(
+        &mut self,
+        service: String,
+        opened: u32,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let is_reachable = opened > 0;
+        if !self.links.record_check(&service, is_reachable) {
+            return;
+        }
+        if !is_reachable {
+            // The same loss probably affects the other services.
+            for other in self.services.keys().filter(|&other| *other != service) {
+                self.links.request_check(other);
+            }
+        }
+        out.push(Effect::ReachabilityChanged {
+            service,
+            is_reachable,
+        });
+        self.start_link_checks(now, out);
+        self.dispatch_queued(now, out);
+    }
+
+    pub(super) fn handle_peer_status(&mut self, peer: u32, status: PeerStatus, now: Instant) {
+        self.forward_peers.record_status(peer, status, now);
+    }
+
+    /// Returns the peer that a request is to be forwarded to; `None` if this node sends it
+    /// itself, or if no peer reaches its service.
+    pub(super) fn peer_to_forward_to(&self, request: &Request, now: Instant) -> Option<u32> {
+        let needs_peer = request.next_send == SendCount::PeerRetry
+            || self.links.is_unreachable(&request.service)
+            || self.has_ejected_all(request, now);
+        match needs_peer {
+            true => self.choose_peer(request, now),
+            false => None,
+        }
+    }
+
+    /// Returns the peer whose retry budget may pay for a retry that the budget of this node
+    /// does not allow. That is for the retries after a lost link only.
+    pub(super) fn peer_to_pay_retry(&self, request: &Request, now: Instant) -> Option<u32> {
+        match self.links.is_suspect(&request.service) {
+            true => self.choose_peer(request, now),
+            false => self.peer_to_forward_to(request, now),
+        }
+    }
+
+    fn choose_peer(&self, request: &Request, now: Instant) -> Option<u32> {
+        if request.facts.forwarded.is_some() || request.forwarded_to.len() >= MAX_FORWARDS {
+            return None;
+        }
+        let wanted = WantedPeer {
+            service: &request.service,
+            refused_by: &request.refused_by,
+            tried: &request.forwarded_to,
+            config_version: self.version,
+            salt: short_id_of(&request.facts.content.to_string()),
+        };
+        self.forward_peers.choose(&wanted, now)
+    }
+
+    /// Returns whether no server is left for a request because this node ejected some. A peer
+    /// may reach them; servers that are draining or reject requests treat all nodes alike.
+    fn has_ejected_all(&self, request: &Request, now: Instant) -> bool {
+        let servers = self.fleet.of_service(&request.service).iter();
+        let servers = servers.filter_map(|&key| Some((key, self.fleet.get(key)?)));
+        let mut has_ejected = false;
+        for (key, server) in servers {
+            if server.is_ejected(now) {
+                has_ejected = true;
+            } else if server.accepts_requests(now) && !request.attempted.contains(&key) {
+                return false;
+            }
+        }
+        has_ejected
+    }
+
+    /// Forwards a request to a peer.
+    pub(super) fn forward(
+        &mut self,
+        key: RequestKey,
+        peer: u32,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(status) = self.forward_peers.status(peer) else {
+            return;
+        };
+        let (name, addr) = (status.name.clone(), status.addr);
+        let Some(Some(request)) = self.requests.get_mut(key) else {
+            return;
+        };
+        let counts_as = match request.next_send {
+            SendCount::FirstAttempt => ForwardedSend::FirstAttempt,
+            SendCount::PeerRetry => ForwardedSend::Retry,
+            SendCount::Retry | SendCount::Nothing => ForwardedSend::Counted,
+        };
+        if request.next_send == SendCount::Retry {
+            self.retry_budgets
+                .record_send(&request.service, SendCount::Retry, now);
+            request.next_send = SendCount::Nothing;
+        }
+        request.sent_at = now;
+        request.started = false;
+        request.current_peer = Some(peer);
+        request.forwarded_to.push(peer);
+        let to = Forwarding {
+            peer: name,
+            addr,
+            counts_as,
+            config_version: self.version,
+            first_output_timeout: request.forwarded_output_timeout(),
+            inter_token_timeout: request.inter_token_timeout(),
+        };
+        self.forward_peers.record_forwarded(peer);
+        out.push(Effect::Forward { request: key, to });
+    }
+
+    /// Records that the attempt of a request at a peer ended, if there is one.
+    pub(super) fn end_forwarding(
+        &mut self,
+        key: RequestKey,
+        end: Option<AttemptEnd>,
+        now: Instant,
+    ) {
+        let Some(Some(request)) = self.requests.get_mut(key) else {
+            return;
+        };
+        let Some(peer) = request.current_peer.take() else {
+            return;
+        };
+        if matches!(
+            end,
+            Some(AttemptEnd::PeerRefused { .. } | AttemptEnd::NotConnected)
+        ) {
+            request.refused_by.push(peer);
+        }
+        self.forward_peers.record_end(peer, end, now);
+    }
+
+    /// Charges a forwarded retry to the budget of this node; returns whether it is allowed.
+    pub(super) fn charge_forwarded(&mut self, key: RequestKey, now: Instant) -> bool {
+        let Some(Some(request)) = self.requests.get_mut(key) else {
+            return false;
+        };
+        request.next_send = match request.facts.forwarded {
+            None | Some(ForwardedSend::FirstAttempt) => SendCount::FirstAttempt,
+            Some(ForwardedSend::Counted) => SendCount::Nothing,
+            Some(ForwardedSend::Retry) => {
+                if !self.retry_budgets.try_reserve(&request.service, now) {
+                    request.next_send = SendCount::Nothing;
+                    return false;
+                }
+                SendCount::Retry
+            }
+        };
+        true
+    }
+}
+
+/// Returns whether a request that a peer refused may go to another peer. Other refusals apply
+/// at all nodes.
+pub(super) fn may_try_other_peer(reason: Refusal) -> bool {
+    matches!(
+        reason,
+        Refusal::NotReady
+            | Refusal::Draining
+            | Refusal::NoServer
+            | Refusal::NotRun
+            | Refusal::PeerBusy
+    )
+}
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -7,10 +7,12 @@
 //! | `waiting` | decides whether a request is sent, queued or refused |
 //! | `reserving` | reserves engine memory for oversized prompts |
 //! | `ending` | handles the end of attempts and requests |
+//! | `forwarding` | forwards requests to peers that reach their service |
 //! | `limits` | queues requests for rate-limited servers |
 //! | `suspects` | attributes crashes to request contents and quarantines them |
 
 mod ending;
+mod forwarding;
 mod limits;
 mod reserving;
 mod sending;
@@ -26,11 +28,12 @@
 use slotmap::SlotMap;
 
 use crate::{
-    first_attempt::FirstAttempts, placement::EnginePlacement, request::Request,
-    reservations::Reservations, retry_budget::RetryBudgets, retry_history::RetryHistory,
-    shares::Shares, wait_queue::WaitQueue, Effect, Event, Fleet, LimitUpdate, LoadView,
-    ProcessRetries, RequestKey, RetryBudget, RetryUsage, RouteTable, ServerChange, ServerKey,
-    ServerNotice, Service, ServiceRetries, SiteConfig,
+    first_attempt::FirstAttempts, forward_peers::ForwardPeers, links::Links,
+    placement::EnginePlacement, request::Request, reservations::Reservations,
+    retry_budget::RetryBudgets, retry_history::RetryHistory, shares::Shares, wait_queue::WaitQueue,
+    Effect, Event, Fleet, LimitUpdate, LoadView, ProcessRetries, RequestKey, RetryBudget,
+    RetryUsage, RouteTable, ServerChange, ServerKey, ServerNotice, Service, ServiceRetries,
+    SiteConfig,
 };
 
 /// Time without updates after which a peer's work expires.
@@ -80,6 +83,8 @@
     shares_updated_at: Instant,
     first_attempts: FirstAttempts,
     quarantine: Quarantine,
+    links: Links,
+    forward_peers: ForwardPeers,
     reservation_number: u64,
     draining_from: Option<Instant>,
     rng: Pcg64Mcg,
@@ -109,6 +114,8 @@
             shares_updated_at: Instant::ZERO,
             first_attempts: FirstAttempts::default(),
             quarantine: Quarantine::default(),
+            links: Links::default(),
+            forward_peers: ForwardPeers::default(),
             reservation_number: 0,
             draining_from: None,
         }
@@ -193,13 +200,14 @@
             return false;
         };
         request.may_repeat()
-            && request.started_on + 1 < request.facts.route.max_attempts
+            && request.started_on + 1 < request.max_attempts()
             && request.time_left(now) >= MIN_TIME_LEFT
-            && self
-                .retry_budgets
-                .usage(&request.service, now)
-                .allows_retry()
-            && self.has_alternative(request, now)
+            && (self.peer_to_pay_retry(request, now).is_some()
+                || self
+                    .retry_budgets
+                    .usage(&request.service, now)
+                    .allows_retry()
+                    && self.has_alternative(request, now))
     }
 
     /// Returns the usage of the retry budgets of all services that had requests.
@@ -273,7 +281,16 @@
                 servers,
                 work,
             } => self.apply_peer_work(peer, &servers, work, now),
+            Event::PeerStatus { peer, status } => self.handle_peer_status(peer, status, now),
+            Event::ServiceSilent { server } => {
+                self.suspect_link(Some(server));
+                self.start_link_checks(now, out);
+            }
+            Event::LinksChecked { service, opened } => {
+                self.handle_links_checked(service, opened, now, out)
+            }
             Event::PeerExpired { peer } => {
+                self.forward_peers.remove(peer);
                 self.load_view.remove_peer(peer);
                 self.fleet.remove_peer_sends(peer);
                 self.quarantine.remove_peer(peer);
@@ -342,6 +359,7 @@
         self.first_attempts.retain(is_route);
         let services = site.services.iter().cloned();
         self.services = services.map(|s| (s.name.clone(), s)).collect();
+        self.links.retain(|name| self.services.contains_key(name));
     }
 
     fn apply_server_change(&mut self, change: ServerChange, now: Instant, out: &mut Vec<Effect>) {
@@ -393,6 +411,7 @@
         self.load_view.remove_stale_peers(now.before(PEER_WORK_TTL));
         self.quarantine.tick(now);
         self.probe_servers(now, out);
+        self.start_link_checks(now, out);
         self.fleet.remove_ended_limits(now);
         for server in self.fleet.exhausted_limits(now) {
             out.push(Effect::LimitExhausted { server });
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -1,7 +1,5 @@
 //! Assigns requests to servers and sends them.
 
-use std::time::Duration;
-
 use notchwalk_core::Instant;
 use rand::Rng;
 
@@ -9,7 +7,7 @@
 use crate::{
     load_view::{Owner, Work, DEFAULT_INTER_TOKEN_MS},
     placement::{place_call, Plan, RequestDemand},
-    request::Request,
+    request::{Request, LONG_PROMPT_TOKENS},
     retry_budget::SendCount,
     Assignment, Effect, PrefillWorker, Refusal, RequestFacts, RequestKey, WorkPhase,
 };
@@ -18,8 +16,6 @@
 const SHORT_PRIORITY: u8 = 2;
 /// Priority of a request with a long prompt on its server; 0 is the highest.
 const LONG_PRIORITY: u8 = 5;
-/// Maximum number of tokens of a short prompt.
-const LONG_PROMPT_TOKENS: u32 = 24_000;
 
 impl Router {
     pub(super) fn handle_arrived(
@@ -41,6 +37,9 @@
         if self.version == 0 {
             return self.refuse(key, Refusal::NotReady, now, out);
         }
+        if !self.charge_forwarded(key, now) {
+            return self.refuse(key, Refusal::NotRun, now, out);
+        }
         self.restrict_suspect(key, now);
         if self.draining_from.is_some_and(|from| now >= from) {
             return self.refuse(key, Refusal::Draining, now, out);
@@ -160,7 +159,7 @@
             "non-repeatable request sent again after it may have run"
         );
         debug_assert!(
-            request.started_on < request.facts.route.max_attempts.max(1),
+            request.started_on < request.max_attempts(),
             "request sent to more servers than its route allows"
         );
         debug_assert!(
@@ -213,8 +212,8 @@
             previous_sends: request.sends - 1,
             predicted_first_event: request.predicted_first_event.since(now),
             since_first_attempt: request.facts.arrived_at.since(request.first_attempt_at),
-            first_output_timeout: first_output_timeout(request, now),
-            inter_token_timeout: inter_token_timeout(request),
+            first_output_timeout: request.first_output_timeout(now),
+            inter_token_timeout: request.inter_token_timeout(),
         };
         self.load_view.add(plan.primary.server, work);
         self.fleet.record_send(plan.primary.server, now);
@@ -254,41 +253,3 @@
     };
     (by_size + facts.workspace_priority.min(2)).min(9)
 }
-
-/// Returns the timeout for the first event, after which the request is sent to another
-/// server; `None` if the request may run only once.
-fn first_output_timeout(request: &Request, now: Instant) -> Option<Duration> {
-    /// For streams. Leaves time for another attempt: callers of streams time out after 2 s
-    /// at the earliest.
-    const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
-    /// For responses that are not streamed.
-    const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
-    if !request.may_repeat() {
-        return None;
-    }
-    let route = &request.facts.route;
-    let min_timeout = match route.streaming {
-        true => MIN_FIRST_EVENT_TIMEOUT.max(route.objective),
-        false => MIN_RESPONSE_TIMEOUT,
-    };
-    // Repeating a long prefill is expensive, and an engine with a long prompt is more
-    // likely busy than broken.
-    let min_timeout = match request.facts.prompt_tokens > LONG_PROMPT_TOKENS {
-        true => min_timeout * 2,
-        false => min_timeout,
-    };
-    Some((request.predicted_first_event.since(now) * 2).max(min_timeout))
-}
-
-/// Returns the timeout between two events of a stream, after which it is resumed on another
-/// server; `None` if the route has no inter-token objective or the request may run only
-/// once.
-fn inter_token_timeout(request: &Request) -> Option<Duration> {
-    /// Callers of streams time out after 2 s at the earliest.
-    const MIN_TIMEOUT: Duration = Duration::from_millis(1_200);
-    if !request.may_repeat() {
-        return None;
-    }
-    let objective = request.facts.route.inter_token_objective?;
-    Some((objective * 4).max(MIN_TIMEOUT))
-}
--- a/crates/notchwalk_route/src/router/suspects.rs
+++ b/crates/notchwalk_route/src/router/suspects.rs
@@ -253,6 +253,7 @@
         if request.pending_assignment.is_some() {
             self.roll_back_sends(key, now);
         }
+        self.end_forwarding(key, None, now);
         self.remove_request(key, now, out);
     }
 
--- a/crates/notchwalk_route/src/router/waiting.rs
+++ b/crates/notchwalk_route/src/router/waiting.rs
@@ -13,6 +13,7 @@
 use crate::{
     placement::{EnginePlacement, Plan, RequestDemand},
     request::Request,
+    retry_budget::SendCount,
     wait_queue::QueuedRequest,
     Availability, Effect, PlacementReason, Refusal, RequestKey,
 };
@@ -55,6 +56,8 @@
     Wait,
     /// Send it; `None` if no server is available.
     Send(Option<Plan>),
+    /// Forward it to this peer.
+    Forward(u32),
     /// Refuse it.
     Refuse(Refusal),
 }
@@ -75,6 +78,10 @@
             match self.decide(request, &mut ahead, now) {
                 Decision::Wait => {}
                 Decision::Refuse(reason) => self.refuse(key, reason, now, out),
+                Decision::Forward(peer) => {
+                    self.queue.remove(key);
+                    self.forward(key, peer, now, out);
+                }
                 Decision::Send(plan) => {
                     self.queue.remove(key);
                     self.send_planned(key, plan, now, out);
@@ -99,6 +106,12 @@
             ContentCheck::Wait => return Decision::Wait,
             ContentCheck::Refuse(reason) => return Decision::Refuse(reason),
         }
+        if let Some(peer) = self.peer_to_forward_to(request, now) {
+            return Decision::Forward(peer);
+        }
+        if request.next_send == SendCount::PeerRetry {
+            return Decision::Refuse(Refusal::NotRun);
+        }
         // Don't queue a request if all servers are draining or requested a backoff.
         match self
             .fleet
@@ -245,7 +258,7 @@
     /// Returns whether a request could be sent to another server immediately.
     pub(super) fn has_alternative(&self, request: &Request, now: Instant) -> bool {
         let decision = self.decide(request, &mut QueuedAhead::default(), now);
-        matches!(decision, Decision::Send(Some(_)))
+        matches!(decision, Decision::Send(Some(_)) | Decision::Forward(_))
     }
 
     /// Returns a plan that meets the objective although it makes other requests late, if
--- a/crates/notchwalk_route/tests/decisions/common.rs
+++ b/crates/notchwalk_route/tests/decisions/common.rs
@@ -202,6 +202,7 @@
         self.arrivals += 1;
         let default_content = content(&self.arrivals.to_string());
         let facts = RequestFacts {
+            forwarded: None,
             workspace: self.workspace,
             workspace_priority: 0,
             arrived_at: self.now,
--- a/crates/notchwalk_route/tests/decisions/random_runs.rs
+++ b/crates/notchwalk_route/tests/decisions/random_runs.rs
@@ -114,6 +114,9 @@
                 Effect::SendReservationOrder(_)
                 | Effect::RetryDecided { .. }
                 | Effect::NoServer { .. }
+                | Effect::CheckLinks { .. }
+                | Effect::ReachabilityChanged { .. }
+                | Effect::Forward { .. }
                 | Effect::Ejected { .. }
                 | Effect::NewNotice { .. }
                 | Effect::ProbePort { .. }
--- a/crates/notchwalk_standin/src/routed/limits.rs
+++ b/crates/notchwalk_standin/src/routed/limits.rs
@@ -431,6 +431,7 @@
             target: &target,
         });
         let facts = RequestFacts {
+            forwarded: None,
             route,
             content: content.finish(),
             workspace: WorkspaceShortId::default(),
--- a/crates/notchwalk_standin/src/routed/simulation.rs
+++ b/crates/notchwalk_standin/src/routed/simulation.rs
@@ -243,6 +243,7 @@
         request.events_left = arrival.events.max(1);
         self.by_key.insert((node, key), index);
         let facts = RequestFacts {
+            forwarded: None,
             route: self.routes[arrival.kind].clone(),
             content: content_of(index),
             workspace: WorkspaceShortId::default(),
@@ -357,6 +358,10 @@
             | Effect::LimitExhausted { .. }
             | Effect::RetryDecided { .. }
             | Effect::NoServer { .. }
+            // Links are never lost, and no peer publishes its status.
+            | Effect::CheckLinks { .. }
+            | Effect::ReachabilityChanged { .. }
+            | Effect::Forward { .. }
             | Effect::Finding(_) => {}
         }
     }
