Decision tests of forwarding to peers; random runs forward as well

The random runs lose and regain links and receive statuses of peers, and check that a forwarded request is never under way twice, never repeated after it may have run if it must run once, and within the attempts of its route and the retry budget.

--- a/crates/notchwalk_route/tests/decisions/common.rs
+++ b/crates/notchwalk_route/tests/decisions/common.rs
@@ -5,10 +5,10 @@
 use notchwalk_core::Instant;
 use notchwalk_quarantine::{Fingerprint, FingerprintBuilder, RequestHead};
 use notchwalk_route::{
-    Assignment, AttemptEnd, Backend, Effect, EngineParameters, Event, LimitSharing, Refusal,
-    Repeatability, RequestFacts, RequestKey, Route, RouteLookup, Router, RouterConfig,
-    ServerChange, ServerKey, ServerRecord, ServerStage, Service, SiteConfig, Workspace,
-    WorkspaceShortId,
+    Assignment, AttemptEnd, Backend, Effect, EngineParameters, Event, ForwardedSend, Forwarding,
+    LimitSharing, PeerStatus, Refusal, Repeatability, RequestFacts, RequestKey, Route, RouteLookup,
+    Router, RouterConfig, ServerChange, ServerKey, ServerRecord, ServerStage, Service, SiteConfig,
+    Workspace, WorkspaceShortId,
 };
 
 pub const ENGINES: &str = "engines";
@@ -119,6 +119,8 @@
     pub workspace: WorkspaceShortId,
     /// Content of the requests that arrive; `None` gives each request different content.
     pub content: Option<Fingerprint>,
+    /// How the sends of the requests that arrive count, if peers forward them.
+    pub forwarded: Option<ForwardedSend>,
     arrivals: u64,
 }
 
@@ -156,6 +158,7 @@
             effects: Vec::new(),
             workspace: WorkspaceShortId::default(),
             content: None,
+            forwarded: None,
             arrivals: 0,
         };
         node.step(Event::NodeCount { count: 1 });
@@ -202,7 +205,7 @@
         self.arrivals += 1;
         let default_content = content(&self.arrivals.to_string());
         let facts = RequestFacts {
-            forwarded: None,
+            forwarded: self.forwarded,
             workspace: self.workspace,
             workspace_priority: 0,
             arrived_at: self.now,
@@ -241,6 +244,44 @@
         sends.remove(0).1
     }
 
+    /// Takes the forwardings to peers emitted since the last call.
+    pub fn take_forwards(&mut self) -> Vec<(RequestKey, Forwarding)> {
+        let mut forwards = Vec::new();
+        self.effects.retain(|effect| match effect {
+            Effect::Forward { request, to } => {
+                forwards.push((*request, to.clone()));
+                false
+            }
+            _ => true,
+        });
+        forwards
+    }
+
+    /// Receives the status of a peer that does not reach these services.
+    pub fn receive_status(&mut self, peer: u32, unreachable_services: &[u32]) {
+        let status = PeerStatus {
+            name: format!("entry-{peer}"),
+            addr: format!("10.1.0.{peer}:7000").parse().unwrap(),
+            is_in_group: true,
+            accepts_requests: true,
+            config_version: 1,
+            unreachable_services: unreachable_services.to_vec(),
+            ttl: Duration::from_secs(1),
+        };
+        self.step(Event::PeerStatus { peer, status });
+    }
+
+    /// Checks the links to a service, after a silence; `opened` servers accept a connection.
+    pub fn check_links(&mut self, service: &str, opened: u32) {
+        let server = self.router.fleet().of_service(service)[0];
+        self.advance(Duration::from_millis(500));
+        self.step(Event::ServiceSilent { server });
+        self.step(Event::LinksChecked {
+            service: service.to_owned(),
+            opened,
+        });
+    }
+
     pub fn refusals(&self) -> Vec<Refusal> {
         let reasons = self.effects.iter().filter_map(|effect| match effect {
             Effect::Refuse { reason, .. } => Some(*reason),
--- a/crates/notchwalk_route/tests/decisions/main.rs
+++ b/crates/notchwalk_route/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod common;
 mod draining;
 mod engine_cost;
+mod forwarding;
 mod groups;
 mod limits;
 mod placement;
--- a/crates/notchwalk_route/tests/decisions/random_runs.rs
+++ b/crates/notchwalk_route/tests/decisions/random_runs.rs
@@ -4,8 +4,9 @@
 
 use notchwalk_core::Instant;
 use notchwalk_route::{
-    Assignment, AttemptEnd, Effect, Event, FailedReservation, PeerWork, Refusal, Repeatability,
-    RequestKey, ServerChange, ServerKey, ServerNotice, ServerStage, SiteConfig, WorkPhase,
+    Assignment, AttemptEnd, Effect, Event, FailedReservation, ForwardedSend, Forwarding, PeerWork,
+    Refusal, Repeatability, RequestKey, ServerChange, ServerKey, ServerNotice, ServerStage,
+    SiteConfig, WorkPhase,
 };
 use proptest::{
     prelude::*,
@@ -26,6 +27,8 @@
     Notify(u8, Option<u16>),
     Configure(u8),
     PeerWork(u8, u8),
+    PeerStatus(u8, bool),
+    CheckLinks(bool, u8),
     Advance(u16),
 }
 
@@ -43,6 +46,10 @@
             .prop_map(|(server, backoff)| Action::Notify(server, backoff)),
         1 => any::<u8>().prop_map(Action::Configure),
         1 => (0..7u8, 0..12u8).prop_map(|(server, count)| Action::PeerWork(server, count)),
+        2 => (1..4u8, any::<bool>())
+            .prop_map(|(peer, reaches_all)| Action::PeerStatus(peer, reaches_all)),
+        2 => (any::<bool>(), 0..2u8)
+            .prop_map(|(engines, opened)| Action::CheckLinks(engines, opened)),
         3 => (1..2_000u16).prop_map(Action::Advance),
     ]
 }
@@ -51,6 +58,8 @@
 struct RequestState {
     may_have_run: u32,
     open_send: Option<Assignment>,
+    /// Whether it is forwarded to a peer now.
+    open_forward: bool,
     /// Whether it has been sent.
     sent_before: bool,
     /// Whether its last attempt reached a server.
@@ -59,6 +68,25 @@
     ended: bool,
 }
 
+impl RequestState {
+    /// Checks that the request may be sent to a server or forwarded to a peer now.
+    fn check_attempt(&self, repeatability: Repeatability, attempts: u32) {
+        assert!(!self.ended, "sent after the request ended");
+        assert!(
+            self.open_send.is_none() && !self.open_forward,
+            "two concurrent sends of a request"
+        );
+        assert!(
+            self.may_have_run == 0 || repeatability != Repeatability::AtMostOnce,
+            "non-repeatable request sent again after it may have run"
+        );
+        assert!(
+            self.may_have_run < attempts,
+            "more attempts than the route allows"
+        );
+    }
+}
+
 struct Harness {
     node: TestRouter,
     states: HashMap<RequestKey, (RequestState, Repeatability, u32)>,
@@ -99,6 +127,7 @@
         for effect in std::mem::take(&mut self.node.effects) {
             match effect {
                 Effect::Send { request, to } => self.check_send(request, to),
+                Effect::Forward { request, to } => self.check_forward(request, &to),
                 Effect::Refuse {
                     request, reason, ..
                 } => self.check_refusal(request, reason),
@@ -116,7 +145,6 @@
                 | Effect::NoServer { .. }
                 | Effect::CheckLinks { .. }
                 | Effect::ReachabilityChanged { .. }
-                | Effect::Forward { .. }
                 | Effect::Ejected { .. }
                 | Effect::NewNotice { .. }
                 | Effect::ProbePort { .. }
@@ -149,19 +177,7 @@
         assert!(to.prefill_workers.len() <= 17);
         let (state, repeatability, attempts) =
             self.states.get_mut(&request).expect("request arrived");
-        assert!(!state.ended, "sent after the request ended");
-        assert!(
-            state.open_send.is_none(),
-            "two concurrent sends of a request"
-        );
-        assert!(
-            state.may_have_run == 0 || *repeatability != Repeatability::AtMostOnce,
-            "non-repeatable request sent again after it may have run"
-        );
-        assert!(
-            state.may_have_run < *attempts,
-            "more attempts than the route allows"
-        );
+        state.check_attempt(*repeatability, *attempts);
         state.open_send = Some(to);
         state.reserving = false;
         let now = self.node.now;
@@ -173,6 +189,18 @@
         self.check_budget();
     }
 
+    fn check_forward(&mut self, request: RequestKey, to: &Forwarding) {
+        let (state, repeatability, attempts) =
+            self.states.get_mut(&request).expect("request arrived");
+        state.check_attempt(*repeatability, *attempts);
+        state.open_forward = true;
+        state.reserving = false;
+        if to.counts_as == ForwardedSend::Counted && state.reached {
+            self.retries.push(self.node.now);
+        }
+        self.check_budget();
+    }
+
     /// Checks that the retries within the window stay within the configured budget.
     fn check_budget(&self) {
         const WINDOW: Duration = Duration::from_secs(10);
@@ -216,7 +244,8 @@
             Action::End(which, end) => self.end(which, end),
             Action::Start(which) => {
                 if let Some(request) = self.pick(which) {
-                    if self.states[&request].0.open_send.is_some() {
+                    let state = &self.states[&request].0;
+                    if state.open_send.is_some() || state.open_forward {
                         self.node.step(Event::Started { request });
                     }
                 }
@@ -269,6 +298,19 @@
                 );
             }
             Action::PeerWork(server, count) => self.broadcast_peer_work(server, count),
+            Action::PeerStatus(peer, reaches_all) => {
+                let unreachable = match reaches_all {
+                    true => Vec::new(),
+                    false => self.node.router.unreachable_service_ids(),
+                };
+                self.node.receive_status(peer.into(), &unreachable);
+            }
+            Action::CheckLinks(engines, opened) => {
+                let service = if engines { ENGINES } else { PLAIN_SERVICE };
+                if !self.node.router.fleet().of_service(service).is_empty() {
+                    self.node.check_links(service, opened.into());
+                }
+            }
             Action::Advance(ms) => self.node.advance(Duration::from_millis(ms.into())),
         }
     }
@@ -308,10 +350,17 @@
             return;
         };
         let (state, _, _) = self.states.get_mut(&request).expect("request arrived");
-        if state.open_send.take().is_none() {
+        let is_forwarded = std::mem::take(&mut state.open_forward);
+        if state.open_send.take().is_none() && !is_forwarded {
             return;
         }
+        let peer_refused = |reason| AttemptEnd::PeerRefused {
+            reason,
+            retry_after: None,
+        };
         let end = match end {
+            1 if is_forwarded => peer_refused(Refusal::NoServer),
+            2 if is_forwarded => peer_refused(Refusal::Overloaded),
             0 => AttemptEnd::NotConnected,
             1 => AttemptEnd::NotRun {
                 faulty_server: None,
@@ -328,7 +377,10 @@
         if matches!(end, AttemptEnd::ServerError | AttemptEnd::ConnectionLost) {
             state.may_have_run += 1;
         }
-        state.reached = end != AttemptEnd::NotConnected;
+        state.reached = !matches!(
+            end,
+            AttemptEnd::NotConnected | AttemptEnd::PeerRefused { .. }
+        );
         state.ended = matches!(end, AttemptEnd::Delivered { .. });
         self.node.end_attempt(request, end);
     }
