Refused connections over a lost link confirm no crash

What callers could see: content quarantined for ten minutes, though no server crashed. A node whose connections are reset suspects a crash of each server that ran a request, and takes refused connections for the proof. Three cuts at separate moments suffice if the content ran on other servers each time. The same cause as the refusals of cut nodes: a node concludes alone what its peers know better.

While the links to a service are lost, a refused port probe is no evidence; while they are being checked, neither is a failed connection of a request.

--- a/crates/notchwalk_route/src/router/forwarding.rs
+++ b/crates/notchwalk_route/src/router/forwarding.rs
@@ -36,6 +36,13 @@
             .is_some_and(|server| self.links.is_unreachable(&server.record.service))
     }
 
+    /// Returns whether the links to the service of a server are lost or being checked.
+    pub(super) fn is_link_suspect(&self, server: ServerKey) -> bool {
+        self.fleet
+            .get(server)
+            .is_some_and(|server| self.links.is_suspect(&server.record.service))
+    }
+
     /// Requests a check of the links to the service of a server.
     pub(super) fn suspect_link(&mut self, server: Option<ServerKey>) {
         let server = server.and_then(|server| self.fleet.get(server));
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -298,9 +298,7 @@
             Event::QuarantineUpdates { peer, updates } => {
                 self.apply_quarantine_updates(peer, &updates, now)
             }
-            Event::PortClosed { server } => {
-                self.quarantine.record_server_ended(server, true, now);
-            }
+            Event::PortClosed { server } => self.handle_port_closed(server, now),
             Event::QuarantineRestored {
                 content,
                 left,
--- a/crates/notchwalk_route/src/router/suspects.rs
+++ b/crates/notchwalk_route/src/router/suspects.rs
@@ -113,7 +113,8 @@
                 ..
             } => {
                 self.quarantine.record_run_ended(content);
-                if let Some(short_id) = short_id {
+                let is_evidence = end != AttemptEnd::NotConnected || !self.is_link_suspect(server);
+                if let Some(short_id) = short_id.filter(|_| is_evidence) {
                     self.quarantine.record_server_ended(short_id, true, now);
                 }
             }
@@ -257,6 +258,16 @@
         self.remove_request(key, now, out);
     }
 
+    /// Records that no process listens at a server's address. While the links to its service
+    /// are lost, a refused connection says nothing about the server.
+    pub(super) fn handle_port_closed(&mut self, server: u32, now: Instant) {
+        let key = self.fleet.by_short_id(server);
+        if key.is_some_and(|key| self.is_link_lost(key)) {
+            return;
+        }
+        self.quarantine.record_server_ended(server, true, now);
+    }
+
     /// Emits port probes of servers whose connections broke, to confirm crashes.
     pub(super) fn probe_servers(&mut self, now: Instant, out: &mut Vec<Effect>) {
         for server in self.quarantine.take_probes(now) {
--- a/crates/notchwalk_route/tests/decisions/suspects.rs
+++ b/crates/notchwalk_route/tests/decisions/suspects.rs
@@ -450,3 +450,17 @@
         "{most} of {NODES} retried on the same server: {next:?}"
     );
 }
+
+/// Guards against quarantines of harmless contents by nodes that lose their links repeatedly.
+#[test]
+fn refused_connections_over_a_lost_link_confirm_no_crash() {
+    let mut node = TestRouter::new();
+    let request = arrive(&mut node, "/once/", 0, crashing_content());
+    let server = node.take_only_send().server;
+    let short_id = node.router.fleet().get(server).unwrap().short_id;
+    node.end_attempt(request, AttemptEnd::ConnectionLost);
+    node.check_links(PLAIN_SERVICE, 0);
+    node.step(Event::PortClosed { server: short_id });
+    let suspects = node.router.quarantine().suspect_views(node.now);
+    assert!(suspects[0].crashes.iter().all(|crash| !crash.confirmed));
+}
