--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -168,6 +168,7 @@
         };
         serve_at(listeners.caller, limits, Front::for_callers(shell.clone()));
         let forward_limits = ServerLimits {
+            max_connections: shell.settings.max_descriptors / 8,
             // Longer than connections stay in the pool of the peer that opened them.
             idle_timeout: Duration::from_secs(60),
             ..limits
