Connections that check links are closed, not pooled

Servers bound the connections of all nodes together (96 on some). The checks now close theirs. After a silence the next check waits 500 ms from the last that passed, as a node with a single long request is often silent.

--- a/crates/notchwalk_http/src/client.rs
+++ b/crates/notchwalk_http/src/client.rs
@@ -20,9 +20,6 @@
 const MAX_IDLE_CONNECTIONS: usize = 256;
 /// How long a connection stays in the pool; shorter than the idle timeout of our servers.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// How long a connection without any request stays in the pool. The idle timeout of its server
-/// is not known yet.
-const UNUSED_TIMEOUT: Duration = Duration::from_secs(2);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum size of a chunk of a response.
 const MAX_CHUNK_BYTES: usize = 16 << 20;
@@ -272,18 +269,6 @@
         })
     }
 
-    /// Adds an unused connection to the pool.
-    pub fn add_idle(&self, addr: SocketAddr, conn: Connection) {
-        let mut pool = self.pool.borrow_mut();
-        let idle = pool.entry(addr).or_default();
-        if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(IdleConnection {
-                conn,
-                expires_at: Instant::now() + UNUSED_TIMEOUT,
-            });
-        }
-    }
-
     /// Closes all idle connections. Call this when a request got no response: a network
     /// failure can break many connections at once without a reset, and only a new connection
     /// shows whether a server is reachable.
--- a/crates/notchwalk_relay/src/links.rs
+++ b/crates/notchwalk_relay/src/links.rs
@@ -27,18 +27,14 @@
     shell.step(Event::LinksChecked { service, opened });
 }
 
-/// Returns whether a connection to `addr` can be opened; it goes to the pool.
+/// Returns whether a connection to `addr` can be opened.
 async fn opens(shell: &Shell, addr: SocketAddr) -> bool {
     let connection = shell.client.connection(addr, ConnectionReuse::Fresh);
     let Ok(Ok(mut conn)) = timeout(CONNECT_TIMEOUT, connection).await else {
         return false;
     };
     monoio::time::sleep(MIN_OPEN_TIME).await;
-    if conn.is_stale().await {
-        return false;
-    }
-    shell.client.add_idle(addr, conn);
-    true
+    !conn.is_stale().await
 }
 
 /// Logs a change of the reachability of a service and has it published. The idle connections
--- a/crates/notchwalk_route/src/links.rs
+++ b/crates/notchwalk_route/src/links.rs
@@ -10,6 +10,9 @@
 
 /// Minimum interval between checks of a reachable service.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Minimum interval between a passed check and the next one after a silence. A node with a
+/// single long request is often silent.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval between checks of an unreachable service.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(400);
 /// Consecutive checks that must pass until an unreachable service is reachable again. One may
@@ -23,6 +26,8 @@
     is_check_requested: bool,
     is_checking: bool,
     next_check_at: Instant,
+    /// When a check last passed.
+    passed_at: Option<Instant>,
     /// Consecutive checks that passed while the service is unreachable.
     passed_checks: u32,
 }
@@ -35,7 +40,15 @@
 }
 
 impl Links {
-    /// Requests a check of a service, after a failure or a silence.
+    /// Requests a check of a service whose servers are silent.
+    pub fn request_check_after_silence(&mut self, service: &str, now: Instant) {
+        let passed_at = self.by_service.get(service).and_then(|link| link.passed_at);
+        if passed_at.is_none_or(|at| now.since(at) >= SILENCE_CHECK_INTERVAL) {
+            self.request_check(service);
+        }
+    }
+
+    /// Requests a check of a service after a failure.
     pub fn request_check(&mut self, service: &str) {
         match self.by_service.get_mut(service) {
             Some(link) => link.is_check_requested = true,
@@ -70,16 +83,18 @@
 
     /// Records the result of a check; returns whether it changed the reachability of the
     /// service.
-    pub fn record_check(&mut self, service: &str, passed: bool) -> bool {
+    pub fn record_check(&mut self, service: &str, passed: bool, now: Instant) -> bool {
         let Some(link) = self.by_service.get_mut(service) else {
             return false;
         };
         link.is_checking = false;
         let was_unreachable = link.is_unreachable;
-        link.passed_checks = match passed {
-            true => link.passed_checks + 1,
-            false => 0,
-        };
+        if passed {
+            link.passed_checks += 1;
+            link.passed_at = Some(now);
+        } else {
+            link.passed_checks = 0;
+        }
         link.is_unreachable =
             !passed || (was_unreachable && link.passed_checks < CHECKS_TO_RECOVER);
         was_unreachable != link.is_unreachable
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -190,8 +190,7 @@
             return self.remove_request(key, now, out);
         }
         if matches!(end, AttemptEnd::NotConnected | AttemptEnd::ConnectionLost) {
-            self.suspect_link(server);
-            self.start_link_checks(now, out);
+            self.check_links_after_failure(server, now, out);
         }
         if self.may_retry(key, end, now, out) {
             self.restrict_suspect(key, now);
--- a/crates/notchwalk_route/src/router/forwarding.rs
+++ b/crates/notchwalk_route/src/router/forwarding.rs
@@ -43,11 +43,30 @@
             .is_some_and(|server| self.links.is_suspect(&server.record.service))
     }
 
-    /// Requests a check of the links to the service of a server.
-    pub(super) fn suspect_link(&mut self, server: Option<ServerKey>) {
+    /// Checks the links to the service of a server after a failure.
+    pub(super) fn check_links_after_failure(
+        &mut self,
+        server: Option<ServerKey>,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
         let server = server.and_then(|server| self.fleet.get(server));
         if let Some(server) = server {
             self.links.request_check(&server.record.service);
+            self.start_link_checks(now, out);
+        }
+    }
+
+    pub(super) fn handle_service_silent(
+        &mut self,
+        server: ServerKey,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        if let Some(server) = self.fleet.get(server) {
+            let service = &server.record.service;
+            self.links.request_check_after_silence(service, now);
+            self.start_link_checks(now, out);
         }
     }
 
@@ -56,7 +75,7 @@
         for service in self.links.take_due_checks(now) {
             let servers = self.servers_to_check(&service, now);
             if servers.is_empty() {
-                self.links.record_check(&service, true);
+                self.links.record_check(&service, true, now);
                 continue;
             }
             let addr = |key: &ServerKey| Some((*key, self.fleet.get(*key)?.record.addr));
@@ -96,7 +115,7 @@
         out: &mut Vec<Effect>,
     ) {
         let is_reachable = opened > 0;
-        if !self.links.record_check(&service, is_reachable) {
+        if !self.links.record_check(&service, is_reachable, now) {
             return;
         }
         if !is_reachable {
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -282,10 +282,7 @@
                 work,
             } => self.apply_peer_work(peer, &servers, work, now),
             Event::PeerStatus { peer, status } => self.handle_peer_status(peer, status, now),
-            Event::ServiceSilent { server } => {
-                self.suspect_link(Some(server));
-                self.start_link_checks(now, out);
-            }
+            Event::ServiceSilent { server } => self.handle_service_silent(server, now, out),
             Event::LinksChecked { service, opened } => {
                 self.handle_links_checked(service, opened, now, out)
             }
