--- a/crates/notchwalk_cli/src/explain/request_log.rs
+++ b/crates/notchwalk_cli/src/explain/request_log.rs
@@ -11,6 +11,8 @@
 const SERVER_EVENTS: [u16; 9] = [4002, 4101, 4102, 4103, 4104, 4105, 4106, 4107, 4108];
 /// Numbers of limit events, shown for a rejected request even if it was sent to no server.
 const LIMIT_EVENTS: [u16; 3] = [4106, 4107, 4108];
+/// Numbers of events about lost links, shown for a request without a server.
+const LINK_EVENTS: [u16; 2] = [4109, 4110];
 /// Numbers of events about contents that are suspected of crashing servers.
 const CONTENT_EVENTS: [u16; 3] = [5201, 5202, 5203];
 
@@ -49,8 +51,12 @@
         let is_end = |line: &LogLine| matches!(line.event, 5103 | 5104);
         let end = own_lines().map(|(_, line)| line).rfind(|line| is_end(line));
         let end = end.cloned();
-        if end.as_ref().and_then(|end| end.fact("outcome")) == Some("limited") {
-            shown.extend(latest(lines_to_end, &LIMIT_EVENTS, |_| true));
+        match end.as_ref().and_then(|end| end.fact("outcome")) {
+            Some("limited") => shown.extend(latest(lines_to_end, &LIMIT_EVENTS, |_| true)),
+            Some("no_server" | "not_run") => {
+                shown.extend(latest(lines_to_end, &LINK_EVENTS, |_| true));
+            }
+            _ => {}
         }
         let lines = lines_to_end
             .iter()
@@ -81,8 +87,9 @@
             "not_ready" => "The node had no configuration yet.".to_owned(),
             "draining" => "The node had been draining for more than three seconds.".to_owned(),
             "no_server" => {
-                "No server of the service was available: removed, draining (NW4103), with an \
-                 open circuit (NW4002), or within a backoff that it requested (NW4104)."
+                "No server of the service was available (NW5106 counts them): removed, draining \
+                 (NW4103), with an open circuit (NW4002), within a backoff that it requested \
+                 (NW4104), or behind lost links (NW4109) with no peer that reaches them."
                     .to_owned()
             }
             "limited" => {
@@ -104,6 +111,11 @@
                  sends: {sends}."
             ),
             "timed_out" => format!("The request timed out; sends: {sends}."),
+            "peer_busy" => {
+                "The node serves as many requests for its peers as it may; the peer that \
+                 forwarded this one logs what followed."
+                    .to_owned()
+            }
             "suspected" => {
                 "Its content is suspected of crashing servers; this is not confirmed yet."
                     .to_owned()
--- a/crates/notchwalk_cli/tests/explain.rs
+++ b/crates/notchwalk_cli/tests/explain.rs
@@ -82,3 +82,16 @@
     );
     assert!(request_log.cause().contains("report rate limits (NW4106)"));
 }
+
+const LOST_LINKS: &str = "\
+level=WARN NW4109 a service is unreachable from this node; its requests are forwarded to peers service=desk
+level=INFO NW5106 no backend server is available for a request request=ff service=desk servers=3 ejected=3 draining=0 backing_off=0 excluded=0
+level=INFO NW5103 a request ended request=ff content=c1 route=hold outcome=no_server tokens=0 sends=0 first_ms=-1 passes=0 longest_pause_ms=0 total_ms=0
+";
+
+#[test]
+fn request_without_a_server_is_shown_with_the_lost_links() {
+    let request_log = RequestLog::for_request("ff", LOST_LINKS).expect("the request");
+    assert_eq!(request_log.lines.len(), 3);
+    assert!(request_log.cause().contains("lost links (NW4109)"));
+}
