A request that no peer serves is tried on the remaining servers

What callers would see: 503 while one server of many is left. When 15 of 16 servers are lost, the three servers of a check may all be lost ones; nodes then take the service for unreachable, and with no peer left a request was refused after its first failed connection.

--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -293,9 +293,7 @@
         if !has_sends_left && !can_forward {
             return false;
         }
-        let is_cut_off = self.links.is_unreachable(&request.service) && !can_forward;
         match end {
-            AttemptEnd::NotConnected if is_cut_off => return false,
             // The attempt put no load on a server, so it does not count as a retry.
             AttemptEnd::NotConnected | AttemptEnd::NotSent => return true,
             AttemptEnd::PeerRefused { reason, .. } if !may_try_other_peer(reason) => return false,
