Checks of links try more servers before they take the links for lost

What callers saw: requests went through peers, and the evidence on crashed servers was dropped, while only servers had crashed. Cause: a check opened connections to three servers; when most of 12 or 16 have crashed, all three may be dead, and the node took its links for lost.

--- a/crates/notchwalk_route/src/effect.rs
+++ b/crates/notchwalk_route/src/effect.rs
@@ -200,15 +200,15 @@
         /// Its address.
         addr: SocketAddr,
     },
-    /// Open connections to servers of a service; the result is reported as
+    /// Open connections to servers of a service until one accepts; the result is reported as
     /// [`Event::LinksChecked`].
     ///
     /// [`Event::LinksChecked`]: crate::Event::LinksChecked
     CheckLinks {
         /// The service.
         service: String,
-        /// The servers and their addresses.
-        servers: Vec<(ServerKey, SocketAddr)>,
+        /// The addresses of the servers; those that are more probably up come first.
+        servers: Vec<SocketAddr>,
     },
     /// Report that this node lost or regained its links to a service, and publish it.
     ReachabilityChanged {
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -125,8 +125,8 @@
     LinksChecked {
         /// The service.
         service: String,
-        /// How many servers accepted the connection.
-        opened: u32,
+        /// Whether a server accepted the connection.
+        passed: bool,
     },
     /// A peer published servers that announced to it that they are draining.
     DrainingReported {
--- a/crates/notchwalk_route/src/links.rs
+++ b/crates/notchwalk_route/src/links.rs
@@ -1,8 +1,8 @@
 //! Which services this node reaches.
 //!
 //! Only a new connection shows whether a link is lost: a silent server may be busy, and open
-//! connections may outlive the loss. After a failure or a silence, connections to a few
-//! servers of the service are opened. The service is unreachable if none of them opens.
+//! connections may outlive the loss. After a failure or a silence, connections to servers of
+//! the service are opened. The service is unreachable if none of them opens.
 
 use std::{collections::BTreeMap, time::Duration};
 
--- a/crates/notchwalk_route/src/router/forwarding.rs
+++ b/crates/notchwalk_route/src/router/forwarding.rs
@@ -15,8 +15,9 @@
 
 /// Maximum number of peers that a request is forwarded to, refusals included.
 const MAX_FORWARDS: usize = 4;
-/// Number of servers to which a check of a service opens connections.
-const SERVERS_PER_CHECK: usize = 3;
+/// Maximum number of servers to which a check of a service opens connections. Most of the
+/// servers may have crashed together while the links are intact.
+const SERVERS_PER_CHECK: usize = 12;
 
 impl Router {
     /// Returns the services that this node can't reach.
@@ -78,14 +79,14 @@
                 self.links.record_check(&service, true, now);
                 continue;
             }
-            let addr = |key: &ServerKey| Some((*key, self.fleet.get(*key)?.record.addr));
+            let addr = |&key: &ServerKey| Some(self.fleet.get(key)?.record.addr);
             let servers = servers.iter().filter_map(addr).collect();
             out.push(Effect::CheckLinks { service, servers });
         }
     }
 
-    /// Returns servers of a service in different failure domains if possible. Servers that
-    /// are not ejected go first, since they are more probably up.
+    /// Returns servers of a service, the first ones in different failure domains if possible.
+    /// Servers that are not ejected go first, since they are more probably up.
     fn servers_to_check(&mut self, service: &str, now: Instant) -> Vec<ServerKey> {
         let mut servers: Vec<ServerKey> = self.fleet.servers_in_use(service, now).to_vec();
         servers.retain(|&key| self.fleet.get(key).is_some_and(|s| !s.is_draining()));
@@ -110,14 +111,14 @@
     pub(super) fn handle_links_checked(
         &mut self,
         service: String,
-        opened: u32,
+        passed: bool,
         now: Instant,
         out: &mut Vec<Effect>,
     ) {
-        let is_reachable = opened > 0;
-        if !self.links.record_check(&service, is_reachable, now) {
+        if !self.links.record_check(&service, passed, now) {
             return;
         }
+        let is_reachable = !self.links.is_unreachable(&service);
         if !is_reachable {
             // The same loss probably affects the other services.
             for other in self.services.keys().filter(|&other| *other != service) {
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -285,8 +285,8 @@
             } => self.apply_peer_work(peer, &servers, work, now),
             Event::PeerStatus { peer, status } => self.handle_peer_status(peer, status, now),
             Event::ServiceSilent { server } => self.handle_service_silent(server, now, out),
-            Event::LinksChecked { service, opened } => {
-                self.handle_links_checked(service, opened, now, out)
+            Event::LinksChecked { service, passed } => {
+                self.handle_links_checked(service, passed, now, out)
             }
             Event::PeerExpired { peer } => {
                 self.forward_peers.remove(peer);
--- a/crates/notchwalk_route/tests/decisions/common.rs
+++ b/crates/notchwalk_route/tests/decisions/common.rs
@@ -278,7 +278,7 @@
         self.step(Event::ServiceSilent { server });
         self.step(Event::LinksChecked {
             service: service.to_owned(),
-            opened,
+            passed: opened > 0,
         });
     }
 
--- a/crates/notchwalk_route/tests/decisions/forwarding.rs
+++ b/crates/notchwalk_route/tests/decisions/forwarding.rs
@@ -97,7 +97,7 @@
 }
 
 #[test]
-fn failed_attempts_and_silence_start_a_check_of_three_servers() {
+fn failed_attempt_starts_a_check_of_many_servers() {
     let mut node = TestRouter::new();
     let request = node.arrive("/short/", 5_000);
     node.take_only_send();
@@ -106,7 +106,7 @@
         Effect::CheckLinks { service, servers } => Some((service.as_str(), servers.len())),
         _ => None,
     });
-    assert_eq!(checked, Some((ENGINES, 3)));
+    assert_eq!(checked, Some((ENGINES, 12)));
 }
 
 #[test]
