Checks of links after failures follow each other after 100 ms

A refused connection that arrives during a check waits for the next one, so the interval bounds how late the end of a server is known.

--- a/crates/notchwalk_route/src/links.rs
+++ b/crates/notchwalk_route/src/links.rs
@@ -9,7 +9,7 @@
 use notchwalk_core::Instant;
 
 /// Minimum interval between checks of a reachable service.
-const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum interval between a passed check and the next one after a silence. A node with a
 /// single long request is often silent.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
