Refused connections count as crashes once the check of the links passes

What callers saw: contents that crash servers were quarantined later, so that more servers crashed. Cause: every crash starts a check of the links, and connections refused while a check was requested or under way were dropped as evidence, as were refused port probes while the links seemed lost. The end of the server then stayed unconfirmed until a later probe, or until its registration expired.

The node now keeps such servers until the check ends: if it passes, they have ended; if it fails, the links explain the refusals.

--- a/crates/notchwalk_route/src/links.rs
+++ b/crates/notchwalk_route/src/links.rs
@@ -19,7 +19,7 @@
 /// pass by chance on a link that loses packets.
 const CHECKS_TO_RECOVER: u32 = 2;
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct ServiceLink {
     is_unreachable: bool,
     /// Whether a check was requested and has not started.
@@ -30,6 +30,17 @@
     passed_at: Option<Instant>,
     /// Consecutive checks that passed while the service is unreachable.
     passed_checks: u32,
+    /// The servers that refused a connection since the last check, by their short ids.
+    refusing_servers: Vec<u32>,
+}
+
+/// What the result of a check shows.
+#[derive(Debug, Default)]
+pub(crate) struct CheckOutcome {
+    /// Whether the reachability of the service changed.
+    pub is_change: bool,
+    /// The servers that refused a connection although the links are intact.
+    pub ended_servers: Vec<u32>,
 }
 
 /// The links of this node to the services.
@@ -50,18 +61,30 @@
 
     /// Requests a check of a service after a failure.
     pub fn request_check(&mut self, service: &str) {
-        match self.by_service.get_mut(service) {
-            Some(link) => link.is_check_requested = true,
-            None => {
-                let link = ServiceLink {
-                    is_check_requested: true,
-                    ..ServiceLink::default()
-                };
-                self.by_service.insert(service.to_owned(), link);
-            }
+        self.link_mut(service).is_check_requested = true;
+    }
+
+    /// Records that a server refused a connection, and requests the check that shows whether
+    /// the server or the link is the cause. While the service is unreachable, it is the link.
+    pub fn record_refused_connection(&mut self, service: &str, server: u32) {
+        let link = self.link_mut(service);
+        if link.is_unreachable {
+            return;
+        }
+        link.is_check_requested = true;
+        if !link.refusing_servers.contains(&server) {
+            link.refusing_servers.push(server);
         }
     }
 
+    fn link_mut(&mut self, service: &str) -> &mut ServiceLink {
+        if !self.by_service.contains_key(service) {
+            self.by_service
+                .insert(service.to_owned(), ServiceLink::default());
+        }
+        self.by_service.get_mut(service).expect("just inserted")
+    }
+
     /// Takes the services whose check starts now.
     pub fn take_due_checks(&mut self, now: Instant) -> Vec<String> {
         let mut due = Vec::new();
@@ -81,14 +104,14 @@
         due
     }
 
-    /// Records the result of a check; returns whether it changed the reachability of the
-    /// service.
-    pub fn record_check(&mut self, service: &str, passed: bool, now: Instant) -> bool {
+    /// Records the result of a check.
+    pub fn record_check(&mut self, service: &str, passed: bool, now: Instant) -> CheckOutcome {
         let Some(link) = self.by_service.get_mut(service) else {
-            return false;
+            return CheckOutcome::default();
         };
         link.is_checking = false;
         let was_unreachable = link.is_unreachable;
+        let refusing_servers = std::mem::take(&mut link.refusing_servers);
         if passed {
             link.passed_checks += 1;
             link.passed_at = Some(now);
@@ -97,7 +120,10 @@
         }
         link.is_unreachable =
             !passed || (was_unreachable && link.passed_checks < CHECKS_TO_RECOVER);
-        was_unreachable != link.is_unreachable
+        CheckOutcome {
+            is_change: was_unreachable != link.is_unreachable,
+            ended_servers: if passed { refusing_servers } else { Vec::new() },
+        }
     }
 
     /// Returns whether a service is unreachable from this node.
--- a/crates/notchwalk_route/src/router/forwarding.rs
+++ b/crates/notchwalk_route/src/router/forwarding.rs
@@ -37,13 +37,6 @@
             .is_some_and(|server| self.links.is_unreachable(&server.record.service))
     }
 
-    /// Returns whether the links to the service of a server are lost or being checked.
-    pub(super) fn is_link_suspect(&self, server: ServerKey) -> bool {
-        self.fleet
-            .get(server)
-            .is_some_and(|server| self.links.is_suspect(&server.record.service))
-    }
-
     /// Checks the links to the service of a server after a failure.
     pub(super) fn check_links_after_failure(
         &mut self,
@@ -76,7 +69,7 @@
         for service in self.links.take_due_checks(now) {
             let servers = self.servers_to_check(&service, now);
             if servers.is_empty() {
-                self.links.record_check(&service, true, now);
+                self.record_link_check(&service, true, now);
                 continue;
             }
             let addr = |&key: &ServerKey| Some(self.fleet.get(key)?.record.addr);
@@ -115,7 +108,7 @@
         now: Instant,
         out: &mut Vec<Effect>,
     ) {
-        if !self.links.record_check(&service, passed, now) {
+        if !self.record_link_check(&service, passed, now) {
             return;
         }
         let is_reachable = !self.links.is_unreachable(&service);
@@ -133,6 +126,17 @@
         self.dispatch_queued(now, out);
     }
 
+    /// Records the result of a check; returns whether it changed the reachability of the
+    /// service. A server that refused connections has ended if the check passes; over a lost
+    /// link, all servers seem to refuse them.
+    fn record_link_check(&mut self, service: &str, passed: bool, now: Instant) -> bool {
+        let outcome = self.links.record_check(service, passed, now);
+        for server in outcome.ended_servers {
+            self.quarantine.record_server_ended(server, true, now);
+        }
+        outcome.is_change
+    }
+
     pub(super) fn handle_peer_status(&mut self, peer: u32, status: PeerStatus, now: Instant) {
         self.forward_peers.record_status(peer, status, now);
     }
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -297,7 +297,7 @@
             Event::QuarantineUpdates { peer, updates } => {
                 self.apply_quarantine_updates(peer, &updates, now)
             }
-            Event::PortClosed { server } => self.handle_port_closed(server, now),
+            Event::PortClosed { server } => self.handle_port_closed(server, now, out),
             Event::QuarantineRestored {
                 content,
                 left,
--- a/crates/notchwalk_route/src/router/suspects.rs
+++ b/crates/notchwalk_route/src/router/suspects.rs
@@ -114,9 +114,12 @@
                 ..
             } => {
                 self.quarantine.record_run_ended(content);
-                let is_evidence = end != AttemptEnd::NotConnected || !self.is_link_suspect(server);
-                if let Some(short_id) = short_id.filter(|_| is_evidence) {
-                    self.quarantine.record_server_ended(short_id, true, now);
+                match short_id {
+                    Some(short_id) if end == AttemptEnd::NotConnected => {
+                        self.record_refused_connection(server, short_id);
+                    }
+                    Some(short_id) => self.quarantine.record_server_ended(short_id, true, now),
+                    None => {}
                 }
             }
             AttemptEnd::NotRun {
@@ -259,14 +262,24 @@
         self.remove_request(key, now, out);
     }
 
-    /// Records that no process listens at a server's address. While the links to its service
-    /// are lost, a refused connection says nothing about the server.
-    pub(super) fn handle_port_closed(&mut self, server: u32, now: Instant) {
-        let key = self.fleet.by_short_id(server);
-        if key.is_some_and(|key| self.is_link_lost(key)) {
-            return;
+    /// Records that no process listens at a server's address.
+    pub(super) fn handle_port_closed(&mut self, server: u32, now: Instant, out: &mut Vec<Effect>) {
+        match self.fleet.by_short_id(server) {
+            Some(key) => {
+                self.record_refused_connection(key, server);
+                self.start_link_checks(now, out);
+            }
+            None => self.quarantine.record_server_ended(server, true, now),
+        }
+    }
+
+    /// Records that a server refused a connection; the next check of the links shows whether
+    /// it ended.
+    fn record_refused_connection(&mut self, server: ServerKey, short_id: u32) {
+        if let Some(known) = self.fleet.get(server) {
+            let service = &known.record.service;
+            self.links.record_refused_connection(service, short_id);
         }
-        self.quarantine.record_server_ended(server, true, now);
     }
 
     /// Emits port probes of servers whose connections broke, to confirm crashes.
--- a/crates/notchwalk_route/tests/decisions/suspects.rs
+++ b/crates/notchwalk_route/tests/decisions/suspects.rs
@@ -5,7 +5,8 @@
 use notchwalk_core::Instant;
 use notchwalk_quarantine::{Fingerprint, QuarantineFinding, QuarantineUpdate, Verdict};
 use notchwalk_route::{
-    AttemptEnd, Effect, Event, Refusal, RequestKey, ServerChange, ServerRecord, ServerStage,
+    AttemptEnd, Effect, Event, Refusal, RequestKey, ServerChange, ServerKey, ServerRecord,
+    ServerStage,
 };
 
 use crate::common::{content, count_by_server, record, TestRouter, ENGINES, PLAIN_SERVICE};
@@ -464,3 +465,34 @@
     let suspects = node.router.quarantine().suspect_views(node.now);
     assert!(suspects[0].crashes.iter().all(|crash| !crash.confirmed));
 }
+
+/// Guards against quarantines that come late because each crash starts a check of the links.
+#[test]
+fn connections_refused_during_a_passed_check_confirm_crashes() {
+    for is_probe in [true, false] {
+        let mut node = TestRouter::new();
+        let request = arrive(&mut node, "/once/", 0, crashing_content());
+        let server = node.take_only_send().server;
+        let other = send_to(&mut node, server);
+        node.end_attempt(request, AttemptEnd::ConnectionLost);
+        if is_probe {
+            let short_id = node.router.fleet().get(server).unwrap().short_id;
+            node.step(Event::PortClosed { server: short_id });
+        } else {
+            node.end_attempt(other, AttemptEnd::NotConnected);
+        }
+        node.check_links(PLAIN_SERVICE, 2);
+        let suspects = node.router.quarantine().suspect_views(node.now);
+        assert!(suspects[0].crashes[0].confirmed, "{is_probe}");
+    }
+}
+
+/// Returns a request that is sent to this plain server.
+fn send_to(node: &mut TestRouter, server: ServerKey) -> RequestKey {
+    let mut requests = (0..10).map(|_| {
+        let request = node.arrive("/once/", 0);
+        (request, node.take_only_send().server)
+    });
+    let found = requests.find(|&(_, sent_to)| sent_to == server);
+    found.expect("a request is sent to the server").0
+}
