Suspected requests are not forwarded because of ejected servers

Cause: a suspected request may run on a few servers only, and the others count as attempted. Once the few are ejected, no server seemed to be left because of ejections, and the node forwarded the request to a peer. The peer ran it on another server; the trace shows three such requests at three servers within 4 ms, where one run at a time is allowed. Ejections are no reason to forward suspected content now; lost links still are, and the peer applies its own restrictions.

The new test fails on the code before.

--- a/crates/notchwalk_route/src/router/forwarding.rs
+++ b/crates/notchwalk_route/src/router/forwarding.rs
@@ -178,7 +178,11 @@
 
     /// Returns whether no server is left for a request because this node ejected some. A peer
     /// may reach them; servers that are draining or reject requests treat all nodes alike.
+    /// Suspected content may run on some of the servers only, which holds at the peers as well.
     fn has_ejected_all(&self, request: &Request, now: Instant) -> bool {
+        if self.is_suspected(request.facts.content, now) {
+            return false;
+        }
         let servers = self.fleet.of_service(&request.service).iter();
         let servers = servers.filter_map(|&key| Some((key, self.fleet.get(key)?)));
         let mut has_ejected = false;
--- a/crates/notchwalk_route/src/router/suspects.rs
+++ b/crates/notchwalk_route/src/router/suspects.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Returns whether content is suspected of crashing its servers, or quarantined.
+    pub(super) fn is_suspected(&self, content: Fingerprint, now: Instant) -> bool {
+        self.quarantine.verdict(content, now) != Verdict::Allowed
+    }
+
     /// Returns the probability that a request crashes its server.
     pub(super) fn crash_risk(&self, request: &Request, now: Instant) -> f64 {
         match self.quarantine.verdict(request.facts.content, now) {
@@ -193,7 +198,7 @@
         let needs_reservation = self
             .engine_placement(&request.service, now)
             .is_some_and(|placement| placement.exceeds_engine(&self.demand(request, now)));
-        if needs_reservation || self.quarantine.verdict(content, now) == Verdict::Allowed {
+        if needs_reservation || !self.is_suspected(content, now) {
             return;
         }
         let servers = self.fleet.servers_in_use(&request.service, now).iter();
--- a/crates/notchwalk_route/tests/decisions/forwarding.rs
+++ b/crates/notchwalk_route/tests/decisions/forwarding.rs
@@ -4,7 +4,7 @@
 
 use notchwalk_route::{AttemptEnd, Effect, ForwardedSend, Refusal, RequestKey};
 
-use crate::common::{TestRouter, ENGINES, PLAIN_SERVICE};
+use crate::common::{content, TestRouter, ENGINES, PLAIN_SERVICE};
 
 const PEER: u32 = 1;
 const OTHER_PEER: u32 = 2;
@@ -70,6 +70,23 @@
     assert!(node.refusals().is_empty());
 }
 
+/// Guards against requests that crash servers and go from peer to peer.
+#[test]
+fn suspected_request_is_not_forwarded_because_of_ejected_servers() {
+    let mut node = TestRouter::new();
+    node.receive_status(PEER, &[]);
+    node.content = Some(content("this one crashes its servers"));
+    let request = node.arrive("/short/", 5_000);
+    node.take_only_send();
+    node.end_attempt(request, AttemptEnd::ConnectionLost);
+    for _ in 0..4 {
+        node.take_only_send();
+        node.end_attempt(request, AttemptEnd::NotConnected);
+    }
+    assert!(node.take_forwards().is_empty());
+    assert_eq!(node.refusals(), [Refusal::Unknown]);
+}
+
 #[test]
 fn rejections_by_servers_are_not_forwarded() {
     let mut node = TestRouter::new();
