Draining nodes serve forwarded requests longer than callers

What callers saw: 503 (no_server, not_run) at cut nodes while the nodes restart in turn.

Cause: a draining node refuses new requests after three seconds, as its own callers have found other nodes by then. Requests of peers are refused alike, but the callers of a cut node can't go elsewhere; the draining peers were the only ones that reached the servers.

Forwarded requests are now accepted until 1.5 s before the exit, 6.1 s after SIGTERM with the grace of 8 s. The test fails on the code before.

--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -31,6 +31,10 @@
 /// How long a stopping node still accepts requests: callers cache the directory's
 /// response, some beyond its TTL.
 const ACCEPT_WHILE_STOPPING: Duration = Duration::from_millis(3_000);
+/// How long before its exit a stopping node refuses requests that peers forward. Callers of
+/// these peers can't go elsewhere. Calls end within this time; streams that don't are resumed
+/// by the peer.
+const REFUSE_PEERS_BEFORE_EXIT: Duration = Duration::from_millis(1_500);
 /// How long before the end of the stop grace period the process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Minimum time for which a stopping process stays reachable, for callers that hold its
@@ -254,8 +258,13 @@
         let now = shell.now();
         let Stopping::Since(since) = shell.stopping.get() else {
             shell.stopping.set(Stopping::Since(now));
-            let after = ACCEPT_WHILE_STOPPING;
-            shell.step(Event::NodeDraining { after });
+            shell.step(Event::NodeDraining {
+                after: ACCEPT_WHILE_STOPPING,
+                after_for_peers: self
+                    .max_stop_time()
+                    .saturating_sub(REFUSE_PEERS_BEFORE_EXIT)
+                    .max(ACCEPT_WHILE_STOPPING),
+            });
             peer_link::publish_stopping(shell, &self.socket).await;
             let open = shell.router.borrow().open_requests();
             let facts = format!("open_requests={open}");
@@ -264,7 +273,12 @@
         };
         let stopping_for = now.since(since);
         let idle = shell.router.borrow().open_requests() == 0;
-        let max_stop_time = shell.settings.stop_grace.saturating_sub(EXIT_MARGIN);
-        (idle && stopping_for >= MIN_STOP_TIME) || stopping_for >= max_stop_time
+        (idle && stopping_for >= MIN_STOP_TIME) || stopping_for >= self.max_stop_time()
+    }
+
+    /// Returns the time after which a stopping process exits although requests are open.
+    fn max_stop_time(&self) -> Duration {
+        let stop_grace = self.shell.settings.stop_grace;
+        stop_grace.saturating_sub(EXIT_MARGIN)
     }
 }
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -209,7 +209,9 @@
     Tick,
     /// This node is shutting down.
     NodeDraining {
-        /// Time after which new requests are refused.
+        /// Time after which new requests of callers are refused.
         after: Duration,
+        /// Time after which requests that peers forward are refused.
+        after_for_peers: Duration,
     },
 }
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -45,6 +45,13 @@
 /// Time after start until all peers have broadcast their work, which they do once a second.
 const PEER_SYNC_TIME: Duration = Duration::from_millis(1_000);
 
+/// When this node refuses requests because it is shutting down.
+#[derive(Clone, Copy, Debug)]
+struct Draining {
+    refuses_callers_from: Instant,
+    refuses_peers_from: Instant,
+}
+
 /// Settings of a [`Router`].
 #[derive(Clone, Debug)]
 pub struct RouterConfig {
@@ -88,7 +95,7 @@
     links: Links,
     forward_peers: ForwardPeers,
     reservation_number: u64,
-    draining_from: Option<Instant>,
+    draining: Option<Draining>,
     rng: Pcg64Mcg,
 }
 
@@ -119,7 +126,7 @@
             links: Links::default(),
             forward_peers: ForwardPeers::default(),
             reservation_number: 0,
-            draining_from: None,
+            draining: None,
         }
     }
 
@@ -338,7 +345,15 @@
             Event::Reserved { request, failed } => self.handle_reserved(request, &failed, now, out),
             Event::ReservationUnanswered(order) => self.reservations.record_unanswered(&order, now),
             Event::Tick => self.tick(now, out),
-            Event::NodeDraining { after } => self.draining_from = Some(now.after(after)),
+            Event::NodeDraining {
+                after,
+                after_for_peers,
+            } => {
+                self.draining = Some(Draining {
+                    refuses_callers_from: now.after(after),
+                    refuses_peers_from: now.after(after_for_peers),
+                });
+            }
         }
         self.emit_findings(out);
     }
--- a/crates/notchwalk_route/tests/decisions/forwarding.rs
+++ b/crates/notchwalk_route/tests/decisions/forwarding.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use notchwalk_route::{AttemptEnd, Effect, ForwardedSend, Refusal, RequestKey};
+use notchwalk_route::{AttemptEnd, Effect, Event, ForwardedSend, Refusal, RequestKey};
 
 use crate::common::{content, TestRouter, ENGINES, PLAIN_SERVICE};
 
@@ -246,6 +246,26 @@
     assert!(node.take_forwards().is_empty());
 }
 
+/// Guards against 503 while all peers that reach the service restart in turn.
+#[test]
+fn draining_node_serves_peers_longer_than_callers() {
+    let mut node = peer(ForwardedSend::FirstAttempt);
+    node.step(Event::NodeDraining {
+        after: Duration::from_secs(3),
+        after_for_peers: Duration::from_secs(6),
+    });
+    node.advance(Duration::from_secs(4));
+    node.arrive("/again/", 0);
+    assert_eq!(node.take_sends().len(), 1);
+    node.forwarded = None;
+    node.arrive("/again/", 0);
+    assert_eq!(node.refusals(), [Refusal::Draining]);
+    node.forwarded = Some(ForwardedSend::FirstAttempt);
+    node.advance(Duration::from_secs(3));
+    node.arrive("/again/", 0);
+    assert_eq!(node.refusals(), [Refusal::Draining; 2]);
+}
+
 #[test]
 fn forwarded_requests_are_spread_over_the_peers() {
     let mut node = cut_node();
