Peers that restarted are asked again by waiting requests

Cause: a request remembers the peers that refused it by their numbers on the node, which outlive a restart; a refusal as draining thus excluded the new process too.

When a peer expires or restarts, open requests forget its refusals. The new test fails on the code before.

--- a/crates/notchwalk_route/src/router/forwarding.rs
+++ b/crates/notchwalk_route/src/router/forwarding.rs
@@ -141,6 +141,15 @@
         self.forward_peers.record_status(peer, status, now);
     }
 
+    /// Forgets a peer that expired or restarted. What its former process refused or failed to
+    /// serve says nothing about a new one.
+    pub(super) fn forget_forward_peer(&mut self, peer: u32) {
+        self.forward_peers.remove(peer);
+        for request in self.requests.values_mut().flatten() {
+            request.refused_by.retain(|&by| by != peer);
+        }
+    }
+
     /// Returns the peer that a request is to be forwarded to; `None` if this node sends it
     /// itself, or if no peer reaches its service.
     pub(super) fn peer_to_forward_to(&self, request: &Request, now: Instant) -> Option<u32> {
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -296,7 +296,7 @@
                 self.handle_links_checked(service, passed, now, out)
             }
             Event::PeerExpired { peer } => {
-                self.forward_peers.remove(peer);
+                self.forget_forward_peer(peer);
                 self.load_view.remove_peer(peer);
                 self.fleet.remove_peer_sends(peer);
                 self.quarantine.remove_peer(peer);
--- a/crates/notchwalk_route/tests/decisions/forwarding.rs
+++ b/crates/notchwalk_route/tests/decisions/forwarding.rs
@@ -246,6 +246,26 @@
     assert!(node.take_forwards().is_empty());
 }
 
+/// Guards against streams that break off although a peer that refused them has restarted.
+#[test]
+fn peer_that_restarted_is_asked_again() {
+    let mut node = cut_node();
+    let request = node.arrive("/again/", 0);
+    let first = node.take_forwards().remove(0).1;
+    node.end_attempt(request, refused_by_peer(Refusal::Draining));
+    let second = node.take_forwards().remove(0).1;
+    assert_ne!(first.addr, second.addr);
+    let restarted = if first.peer == "entry-1" {
+        PEER
+    } else {
+        OTHER_PEER
+    };
+    node.step(Event::PeerExpired { peer: restarted });
+    node.receive_status(restarted, &[]);
+    node.end_attempt(request, refused_by_peer(Refusal::Draining));
+    assert_eq!(node.take_forwards().remove(0).1, first);
+}
+
 /// Guards against 503 while all peers that reach the service restart in turn.
 #[test]
 fn draining_node_serves_peers_longer_than_callers() {
