Further attempts wait for the check of the links that is under way

What callers saw: streams broken off at the start of a cut that resets connections. Cause: the retry went to another server over a connection that was reset in the same millisecond; both attempts of the route and the node's share of the retry budget were used up before the check of the links had ended.

A further attempt now waits until the check under way ends, 40 ms at most; a check that passes takes about 12 ms, one over refused connections less. Decision tests: TestRouter answers checks as passed unless the test reports results itself, as the daemon always answers them; both new tests fail on the code before.

--- a/crates/notchwalk_route/src/links.rs
+++ b/crates/notchwalk_route/src/links.rs
@@ -139,6 +139,13 @@
         link.is_some_and(|link| link.is_unreachable || link.is_checking || link.is_check_requested)
     }
 
+    /// Returns whether a check of the links to a service is under way.
+    pub fn is_checking(&self, service: &str) -> bool {
+        self.by_service
+            .get(service)
+            .is_some_and(|link| link.is_checking)
+    }
+
     /// Returns the unreachable services.
     pub fn unreachable(&self) -> impl Iterator<Item = &str> {
         let links = self.by_service.iter();
--- a/crates/notchwalk_route/src/router/forwarding.rs
+++ b/crates/notchwalk_route/src/router/forwarding.rs
@@ -4,6 +4,8 @@
 //! it on at most one server and never forwards it, so that this node alone decides about
 //! further attempts.
 
+use std::time::Duration;
+
 use notchwalk_core::Instant;
 use rand::seq::SliceRandom;
 
@@ -15,6 +17,9 @@
 
 /// Maximum number of peers that a request is forwarded to, refusals included.
 const MAX_FORWARDS: usize = 4;
+/// Maximum time that a further attempt waits for a check of the links. A check that passes
+/// takes less.
+const MAX_CHECK_WAIT: Duration = Duration::from_millis(40);
 /// Maximum number of servers to which a check of a service opens connections. Most of the
 /// servers may have crashed together while the links are intact.
 const SERVERS_PER_CHECK: usize = 12;
@@ -109,7 +114,7 @@
         out: &mut Vec<Effect>,
     ) {
         if !self.record_link_check(&service, passed, now) {
-            return;
+            return self.dispatch_queued(now, out);
         }
         let is_reachable = !self.links.is_unreachable(&service);
         if !is_reachable {
@@ -162,6 +167,14 @@
         }
     }
 
+    /// Returns whether a further attempt waits until the links to the service are checked.
+    /// Over a lost link it would be wasted.
+    pub(super) fn awaits_link_check(&self, request: &Request, now: Instant) -> bool {
+        request.sends > 0
+            && self.links.is_checking(&request.service)
+            && now.since(request.waiting_since) < MAX_CHECK_WAIT
+    }
+
     /// Returns the peer whose retry budget may pay for a retry that the budget of this node
     /// does not allow. That is for the retries after a lost link only.
     pub(super) fn peer_to_pay_retry(&self, request: &Request, now: Instant) -> Option<u32> {
--- a/crates/notchwalk_route/src/router/waiting.rs
+++ b/crates/notchwalk_route/src/router/waiting.rs
@@ -106,6 +106,9 @@
             ContentCheck::Wait => return Decision::Wait,
             ContentCheck::Refuse(reason) => return Decision::Refuse(reason),
         }
+        if self.awaits_link_check(request, now) {
+            return Decision::Wait;
+        }
         if let Some(peer) = self.peer_to_forward_to(request, now) {
             return Decision::Forward(peer);
         }
--- a/crates/notchwalk_route/tests/decisions/common.rs
+++ b/crates/notchwalk_route/tests/decisions/common.rs
@@ -121,6 +121,8 @@
     pub content: Option<Fingerprint>,
     /// How the sends of the requests that arrive count, if peers forward them.
     pub forwarded: Option<ForwardedSend>,
+    /// Whether each check of links passes at once. Otherwise the test reports the results.
+    pub passes_link_checks: bool,
     arrivals: u64,
 }
 
@@ -159,6 +161,7 @@
             workspace: WorkspaceShortId::default(),
             content: None,
             forwarded: None,
+            passes_link_checks: true,
             arrivals: 0,
         };
         node.step(Event::NodeCount { count: 1 });
@@ -174,7 +177,16 @@
     pub fn step(&mut self, event: Event) {
         let mut out = Vec::new();
         self.router.step(self.now, event, &mut out);
+        let checks = out.iter().filter_map(|effect| match effect {
+            Effect::CheckLinks { service, .. } if self.passes_link_checks => Some(service.clone()),
+            _ => None,
+        });
+        let checks: Vec<String> = checks.collect();
         self.effects.extend(out);
+        for service in checks {
+            let passed = true;
+            self.step(Event::LinksChecked { service, passed });
+        }
     }
 
     pub fn advance(&mut self, time: Duration) {
@@ -272,7 +284,9 @@
     }
 
     /// Checks the links to a service, after a silence; `opened` servers accept a connection.
+    /// From then on, no check passes by itself.
     pub fn check_links(&mut self, service: &str, opened: u32) {
+        self.passes_link_checks = false;
         let server = self.router.fleet().of_service(service)[0];
         self.advance(Duration::from_millis(500));
         self.step(Event::ServiceSilent { server });
--- a/crates/notchwalk_route/tests/decisions/forwarding.rs
+++ b/crates/notchwalk_route/tests/decisions/forwarding.rs
@@ -126,6 +126,36 @@
     assert_eq!(checked, Some((ENGINES, 12)));
 }
 
+/// Guards against streams that use up their attempts before the node knows that its links are
+/// lost.
+#[test]
+fn retry_waits_for_the_check_of_the_links() {
+    for passed in [true, false] {
+        let mut node = TestRouter::new();
+        node.passes_link_checks = false;
+        node.receive_status(PEER, &[]);
+        let request = node.arrive("/short/", 5_000);
+        node.take_only_send();
+        node.end_attempt(request, AttemptEnd::ConnectionLost);
+        assert!(node.take_sends().is_empty());
+        let service = ENGINES.to_owned();
+        node.step(Event::LinksChecked { service, passed });
+        assert_eq!(node.take_sends().len(), usize::from(passed));
+        assert_eq!(node.take_forwards().len(), usize::from(!passed));
+    }
+}
+
+#[test]
+fn retry_waits_only_briefly_for_the_check_of_the_links() {
+    let mut node = TestRouter::new();
+    node.passes_link_checks = false;
+    let request = node.arrive("/short/", 5_000);
+    node.take_only_send();
+    node.end_attempt(request, AttemptEnd::ConnectionLost);
+    node.advance(Duration::from_millis(40));
+    assert_eq!(node.take_sends().len(), 1);
+}
+
 #[test]
 fn service_is_reachable_again_after_two_passed_checks() {
     let mut node = cut_node();
--- a/crates/notchwalk_route/tests/decisions/suspects.rs
+++ b/crates/notchwalk_route/tests/decisions/suspects.rs
@@ -471,6 +471,7 @@
 fn connections_refused_during_a_passed_check_confirm_crashes() {
     for is_probe in [true, false] {
         let mut node = TestRouter::new();
+        node.passes_link_checks = false;
         let request = arrive(&mut node, "/once/", 0, crashing_content());
         let server = node.take_only_send().server;
         let other = send_to(&mut node, server);
