Nodes that lose their links publish their retries at once

What callers could see: more retries at the servers than the budget allows. A lost link may use up a node's share of the retry budget within milliseconds. If the process is killed before its next heartbeat (250 ms), its successor learns from the peers that nothing was used, and uses the share again. The message on lost links now carries the retries.

No test of its own: the interval is shorter than what a test between processes can hit reliably.

--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -66,7 +66,7 @@
     /// Updates on servers with rate limits: the limits, and the sender's use of them.
     #[serde(default)]
     limits: Vec<LimitUpdate>,
-    /// The sender's recent retries; `None` outside heartbeats.
+    /// The sender's recent retries; `None` outside heartbeats and changes of links.
     #[serde(default)]
     retries: Option<Vec<ServiceRetries>>,
     /// The recent retries of other processes, for a node that has just started; `None` if
@@ -166,6 +166,8 @@
             let group = shell.peers.borrow().group_peers();
             let mut outgoing = message(&shell, Vec::new(), Vec::new());
             outgoing.unreachable = Some(shell.router.borrow().unreachable_service_ids());
+            // A lost link may use up the retry budget, which a restarted process must know.
+            outgoing.retries = Some(shell.router.borrow().own_retries(now));
             send(&socket, &group, vec![outgoing]).await;
         }
         let draining = shell.router.borrow_mut().take_draining_updates();
