Checks of links are a module of their own

Moved out of router/forwarding.rs, which had two jobs: forwarding requests, and finding out whether the links to a service are lost.

--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -7,6 +7,7 @@
 //! | `waiting` | decides whether a request is sent, queued or refused |
 //! | `reserving` | reserves engine memory for oversized prompts |
 //! | `ending` | handles the end of attempts and requests |
+//! | `link_checks` | checks the links to the servers of a service |
 //! | `forwarding` | forwards requests to peers that reach their service |
 //! | `limits` | queues requests for rate-limited servers |
 //! | `suspects` | attributes crashes to request contents and quarantines them |
@@ -14,6 +15,7 @@
 mod ending;
 mod forwarding;
 mod limits;
+mod link_checks;
 mod reserving;
 mod sending;
 mod suspects;
