--- a/crates/notchwalk_route/tests/decisions/main.rs
+++ b/crates/notchwalk_route/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod engine_cost;
 mod forwarding;
 mod groups;
+mod limit_sharing;
 mod limits;
 mod placement;
 mod random_runs;
