Peers exclude servers that requested a backoff from the node that forwards

What servers saw: requests of a node's callers within the backoff that they had requested from that node, sent by a peer.

Cause: the peer that a request is forwarded to knows only the backoffs requested from itself. The users' rule speaks of the machine that sends, so it was kept; but the servers asked for less of exactly these requests, and forwarding must not evade it.

The forwarded request now names the servers that are within a backoff at the forwarding node, and the peer does not use them. The new decision test does not compile on the code before.

--- a/crates/notchwalk_relay/src/forwarding.rs
+++ b/crates/notchwalk_relay/src/forwarding.rs
@@ -15,6 +15,9 @@
 const COUNTS_AS: HeaderName = HeaderName::from_static("notchwalk-counts-as");
 /// The version of the configuration of the node that forwards the request.
 const CONFIG_VERSION: HeaderName = HeaderName::from_static("notchwalk-config-version");
+/// The short ids of the servers that the peer must not use, separated by commas. Absent if
+/// there are none.
+const EXCLUDED_SERVERS: HeaderName = HeaderName::from_static("notchwalk-excluded-servers");
 /// Set on a response of the node itself: why it refused the request.
 const REFUSED: HeaderName = HeaderName::from_static("notchwalk-refused");
 
@@ -46,6 +49,7 @@
     pub from: String,
     pub counts_as: ForwardedSend,
     pub config_version: u64,
+    pub excluded_servers: Vec<u32>,
 }
 
 impl ForwardedHead {
@@ -54,6 +58,10 @@
         let mut take = |name| headers.remove(name);
         let (from, counts_as, version) =
             (take(FORWARDED_BY), take(COUNTS_AS), take(CONFIG_VERSION));
+        let excluded_servers = match take(EXCLUDED_SERVERS) {
+            Some(value) => parse_short_ids(value.to_str().ok()?)?,
+            None => Vec::new(),
+        };
         let counts_as = match counts_as?.as_bytes() {
             b"first" => ForwardedSend::FirstAttempt,
             b"retry" => ForwardedSend::Retry,
@@ -64,6 +72,7 @@
             from: from?.to_str().ok()?.to_owned(),
             counts_as,
             config_version: version?.to_str().ok()?.parse().ok()?,
+            excluded_servers,
         })
     }
 }
@@ -80,6 +89,18 @@
     headers.insert(FORWARDED_BY, name);
     headers.insert(COUNTS_AS, HeaderValue::from_static(counts_as));
     headers.insert(CONFIG_VERSION, HeaderValue::from(to.config_version));
+    if to.excluded_servers.is_empty() {
+        return;
+    }
+    let ids: Vec<String> = to.excluded_servers.iter().map(u32::to_string).collect();
+    if let Ok(value) = HeaderValue::from_str(&ids.join(",")) {
+        headers.insert(EXCLUDED_SERVERS, value);
+    }
+}
+
+/// Parses short ids that are separated by commas; `None` if one is invalid.
+fn parse_short_ids(text: &str) -> Option<Vec<u32>> {
+    text.split(',').map(|id| id.parse().ok()).collect()
 }
 
 /// Marks a response as this node's refusal of a forwarded request.
--- a/crates/notchwalk_relay/src/front/accept.rs
+++ b/crates/notchwalk_relay/src/front/accept.rs
@@ -108,6 +108,9 @@
         let deadline = arrived_at.after(request_timeout);
         let facts = RequestFacts {
             forwarded: forwarded.as_ref().map(|head| head.counts_as),
+            excluded_servers: forwarded
+                .as_ref()
+                .map_or_else(Vec::new, |head| head.excluded_servers.clone()),
             workspace: workspace
                 .as_ref()
                 .map_or(WorkspaceShortId::default(), |(name, _)| {
--- a/crates/notchwalk_route/src/effect.rs
+++ b/crates/notchwalk_route/src/effect.rs
@@ -73,6 +73,9 @@
     pub counts_as: ForwardedSend,
     /// The version of this node's configuration. A peer with an older one refuses.
     pub config_version: u64,
+    /// The short ids of the servers that requested a backoff from this node. The peer must not
+    /// send the request there either.
+    pub excluded_servers: Vec<u32>,
     /// Timeout for the first output; `None` waits until the deadline.
     pub first_output_timeout: Option<Duration>,
     /// Timeout between two events; `None` waits until the deadline.
--- a/crates/notchwalk_route/src/request.rs
+++ b/crates/notchwalk_route/src/request.rs
@@ -51,6 +51,8 @@
     pub output_tokens: u32,
     /// How its send counts, if a peer forwarded it.
     pub forwarded: Option<ForwardedSend>,
+    /// The short ids of the servers that the peer excludes: they requested a backoff from it.
+    pub excluded_servers: Vec<u32>,
 }
 
 /// How the send of a forwarded request to a server counts at the node that sends it.
--- a/crates/notchwalk_route/src/router/forwarding.rs
+++ b/crates/notchwalk_route/src/router/forwarding.rs
@@ -96,6 +96,7 @@
             return;
         };
         let (name, addr) = (status.name.clone(), status.addr);
+        let excluded_servers = self.servers_backing_off(key, now);
         let Some(Some(request)) = self.requests.get_mut(key) else {
             return;
         };
@@ -118,6 +119,7 @@
             addr,
             counts_as,
             config_version: self.version,
+            excluded_servers,
             first_output_timeout: request.forwarded_output_timeout(),
             inter_token_timeout: request.inter_token_timeout(),
         };
@@ -125,6 +127,26 @@
         out.push(Effect::Forward { request: key, to });
     }
 
+    /// Returns the servers of a request's service that requested a backoff from this node.
+    fn servers_backing_off(&self, key: RequestKey, now: Instant) -> Vec<u32> {
+        let Some(Some(request)) = self.requests.get(key) else {
+            return Vec::new();
+        };
+        let servers = self.fleet.of_service(&request.service).iter();
+        let servers = servers.filter_map(|&key| self.fleet.get(key));
+        let backing_off = servers.filter(|server| !server.backoff_remaining(now).is_zero());
+        backing_off.map(|server| server.short_id).collect()
+    }
+
+    /// Excludes the servers that requested a backoff from the peer that forwarded a request.
+    pub(super) fn exclude_servers_of_peer(&mut self, key: RequestKey) {
+        if let Some(Some(request)) = self.requests.get_mut(key) {
+            let excluded = request.facts.excluded_servers.iter();
+            let excluded = excluded.filter_map(|&server| self.fleet.by_short_id(server));
+            request.attempted.extend(excluded);
+        }
+    }
+
     /// Records that the attempt of a request at a peer ended, if there is one.
     pub(super) fn end_forwarding(
         &mut self,
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -40,6 +40,7 @@
         if !self.charge_forwarded(key, now) {
             return self.refuse(key, Refusal::NotRun, now, out);
         }
+        self.exclude_servers_of_peer(key);
         self.restrict_suspect(key, now);
         if self.refuses_because_draining(key, now) {
             return self.refuse(key, Refusal::Draining, now, out);
--- a/crates/notchwalk_route/tests/decisions/common.rs
+++ b/crates/notchwalk_route/tests/decisions/common.rs
@@ -121,6 +121,8 @@
     pub content: Option<Fingerprint>,
     /// How the sends of the requests that arrive count, if peers forward them.
     pub forwarded: Option<ForwardedSend>,
+    /// The servers that the peers that forward them exclude.
+    pub excluded_servers: Vec<u32>,
     /// Whether each check of links passes at once. Otherwise the test reports the results.
     pub passes_link_checks: bool,
     arrivals: u64,
@@ -161,6 +163,7 @@
             workspace: WorkspaceShortId::default(),
             content: None,
             forwarded: None,
+            excluded_servers: Vec::new(),
             passes_link_checks: true,
             arrivals: 0,
         };
@@ -218,6 +221,7 @@
         let default_content = content(&self.arrivals.to_string());
         let facts = RequestFacts {
             forwarded: self.forwarded,
+            excluded_servers: self.excluded_servers.clone(),
             workspace: self.workspace,
             workspace_priority: 0,
             arrived_at: self.now,
--- a/crates/notchwalk_route/tests/decisions/forwarding.rs
+++ b/crates/notchwalk_route/tests/decisions/forwarding.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use notchwalk_route::{AttemptEnd, Effect, Event, ForwardedSend, Refusal, RequestKey};
+use notchwalk_route::{
+    AttemptEnd, Effect, Event, ForwardedSend, Refusal, RequestKey, ServerNotice,
+};
 
-use crate::common::{content, TestRouter, ENGINES, PLAIN_SERVICE};
+use crate::common::{content, server_key, TestRouter, ENGINES, PLAIN_SERVICE};
 
 const PEER: u32 = 1;
 const OTHER_PEER: u32 = 2;
@@ -296,6 +298,26 @@
     assert_eq!(node.take_forwards().remove(0).1, first);
 }
 
+/// Guards against requests that reach a server through a peer although it requested a backoff.
+#[test]
+fn peer_excludes_servers_that_requested_a_backoff() {
+    let mut node = cut_node();
+    let server = server_key(&node, PLAIN_SERVICE, 0);
+    let short_id = node.router.fleet().get(server).unwrap().short_id;
+    let notice = ServerNotice::Backoff(Duration::from_secs(5));
+    node.step(Event::NoticeReceived { server, notice });
+    node.arrive("/again/", 0);
+    let to = node.take_forwards().remove(0).1;
+    assert_eq!(to.excluded_servers, [short_id]);
+
+    let mut peer = peer(to.counts_as);
+    peer.excluded_servers = to.excluded_servers;
+    for _ in 0..10 {
+        peer.arrive("/again/", 0);
+        assert_ne!(peer.take_only_send().server, server);
+    }
+}
+
 /// Guards against 503 while all peers that reach the service restart in turn.
 #[test]
 fn draining_node_serves_peers_longer_than_callers() {
--- a/crates/notchwalk_standin/src/routed/limits.rs
+++ b/crates/notchwalk_standin/src/routed/limits.rs
@@ -432,6 +432,7 @@
         });
         let facts = RequestFacts {
             forwarded: None,
+            excluded_servers: Vec::new(),
             route,
             content: content.finish(),
             workspace: WorkspaceShortId::default(),
--- a/crates/notchwalk_standin/src/routed/simulation.rs
+++ b/crates/notchwalk_standin/src/routed/simulation.rs
@@ -244,6 +244,7 @@
         self.by_key.insert((node, key), index);
         let facts = RequestFacts {
             forwarded: None,
+            excluded_servers: Vec::new(),
             route: self.routes[arrival.kind].clone(),
             content: content_of(index),
             workspace: WorkspaceShortId::default(),
