--- a/crates/notchwalk_standin/src/soak/mod.rs
+++ b/crates/notchwalk_standin/src/soak/mod.rs
@@ -8,6 +8,7 @@
 mod arrivals;
 mod callers;
 mod delivery;
+mod effects;
 mod fakes;
 mod faults;
 mod simulation;
