Log the framing and the unfinished event of a stream

Callers of falaj got two streams that were broken off as complete answers. The logs could not tell the hypotheses apart: a body without length or chunks whose end is the end of the connection, a truncated chunked body, or a second response joined on.

NW5102 and NW5103 now report framing= (length, chunked, until_close) and partial_bytes=. No decision uses them. Timeline and hypotheses: docs/incidents/2026-12-03-streams-broken-off-without-framing.md. The tests of the crates changed pass.

--- a/crates/notchwalk_http/src/body.rs
+++ b/crates/notchwalk_http/src/body.rs
@@ -7,6 +7,17 @@
 
 use crate::HttpError;
 
+/// How the end of a message body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// By its length; bodies of messages that have none count as empty.
+    Length,
+    /// By the last chunk.
+    Chunked,
+    /// By the end of the connection, which does not tell a complete body from a truncated one.
+    UntilClose,
+}
+
 /// Decoder state of one message body.
 #[derive(Default)]
 pub enum BodyReader {
@@ -69,6 +80,15 @@
         }
     }
 
+    /// Returns how the end of the body is marked. Call this before the body is read.
+    pub fn framing(&self) -> BodyFraming {
+        match self {
+            Self::Done | Self::Fixed(_) => BodyFraming::Length,
+            Self::Chunked(_) => BodyFraming::Chunked,
+            Self::UntilClose => BodyFraming::UntilClose,
+        }
+    }
+
     /// Returns the number of bytes that remain, if `Content-Length` declares the length.
     pub fn remaining_length(&self) -> Option<u64> {
         match self {
--- a/crates/notchwalk_http/src/client.rs
+++ b/crates/notchwalk_http/src/client.rs
@@ -14,7 +14,7 @@
 use monoio::net::TcpStream;
 use serde::{de::DeserializeOwned, Serialize};
 
-use crate::{encode_request_head, BodyReader, Connection, HttpError};
+use crate::{encode_request_head, BodyFraming, BodyReader, Connection, HttpError};
 
 /// Maximum number of idle connections per address.
 const MAX_IDLE_CONNECTIONS: usize = 256;
@@ -263,6 +263,7 @@
             idle_timeout: idle_timeout(&head.headers),
             headers: head.headers,
             conn,
+            framing: body.framing(),
             body,
             addr,
             pool: self.pool.clone(),
@@ -343,6 +344,7 @@
     /// The headers.
     pub headers: HeaderMap,
     conn: Connection,
+    framing: BodyFraming,
     body: BodyReader,
     addr: SocketAddr,
     pool: Pool,
@@ -351,6 +353,11 @@
 }
 
 impl StreamedResponse {
+    /// Returns how the end of the body is marked.
+    pub fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
     /// Reads the next piece of the body; `None` at its end.
     ///
     /// # Errors
--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -108,6 +108,10 @@
     pub attempts: u32,
     /// Why the connection of the last attempt failed, for logs.
     pub last_error: Option<String>,
+    /// How the body of the last response was framed, for logs.
+    pub framing: Option<BodyFraming>,
+    /// Number of bytes that the last stream held after its last complete event, for logs.
+    pub partial_event_bytes: usize,
     /// The last error that a server returned.
     pub server_error: Option<RetainedError>,
     /// Splits the stream at event boundaries.
@@ -129,6 +133,8 @@
             predicted_first_event: None,
             attempts: 0,
             last_error: None,
+            framing: None,
+            partial_event_bytes: 0,
             server_error: None,
             splitter: EventSplitter::default(),
             last_event_id,
@@ -261,6 +267,8 @@
         Awaited::CallerDisconnected => return AttemptOutcome::CallerDisconnected,
         Awaited::DeadlinePassed => return AttemptOutcome::DeadlinePassed,
     };
+    delivery.framing = Some(response.framing());
+    delivery.partial_event_bytes = 0;
     if matches!(to, Destination::Peer(_)) {
         if let Some(end) = peer_refusal(&response) {
             discard_body(response).await;
@@ -537,6 +545,7 @@
         delivery.record_write(shell.now());
     }
     let rest = delivery.splitter.take_rest();
+    delivery.partial_event_bytes = rest.len();
     if (!rest.is_empty() || !delivery.head_sent)
         && write_events(exchange, delivery, status, &headers, &rest)
             .await
--- a/crates/notchwalk_relay/src/front/record.rs
+++ b/crates/notchwalk_relay/src/front/record.rs
@@ -1,6 +1,7 @@
 //! Log lines and metrics of requests.
 
 use notchwalk_core::{LogEvent, LogEventKind};
+use notchwalk_http::BodyFraming;
 use notchwalk_route::{Assignment, AttemptEnd, Forwarding, Refusal, RetryUsage, ServiceStatus};
 
 use super::Front;
@@ -39,6 +40,16 @@
     }
 }
 
+/// Returns the label of the framing of the last response in logs.
+fn framing_label(framing: Option<BodyFraming>) -> &'static str {
+    match framing {
+        None => "none",
+        Some(BodyFraming::Length) => "length",
+        Some(BodyFraming::Chunked) => "chunked",
+        Some(BodyFraming::UntilClose) => "until_close",
+    }
+}
+
 /// Logs why no server is available for a request.
 pub(super) fn log_no_server(
     req: &ActiveRequest,
@@ -119,9 +130,11 @@
             _ => delivery.last_error.take().unwrap_or_default(),
         };
         let facts = format!(
-            "request={} content={} {destination} end={label} after_ms={after} error={error:?}",
+            "request={} content={} {destination} end={label} after_ms={after} framing={} partial_bytes={} error={error:?}",
             req.id(),
             req.content,
+            framing_label(delivery.framing),
+            delivery.partial_event_bytes,
         );
         LogEvent::new(LogEventKind::AttemptFailed, facts).emit();
     }
@@ -179,7 +192,7 @@
             }
         }
         let facts = format!(
-            "request={} content={} route={} outcome={label} tokens={} sends={} first_ms={} passes={} longest_pause_ms={} total_ms={}",
+            "request={} content={} route={} outcome={label} tokens={} sends={} first_ms={} passes={} longest_pause_ms={} total_ms={} framing={} partial_bytes={}",
             req.id(),
             req.content,
             req.route,
@@ -189,6 +202,8 @@
             delivery.event_writes,
             delivery.max_event_gap.as_millis(),
             total.as_millis(),
+            framing_label(delivery.framing),
+            delivery.partial_event_bytes,
         );
         if req.forwarded_by.is_some() {
             let counter = metrics.served_for_peers.with_label_values(&[label]);
