--- a/crates/notchwalk_standin/src/bench/once.rs
+++ b/crates/notchwalk_standin/src/bench/once.rs
@@ -80,6 +80,7 @@
             slow_ms: 5,
             dead: false,
             drop_response_every: 17,
+            ..ServiceFault::default()
         };
         fleet.post_control(service.addr, "/standin/fault", &fault);
     }
--- a/crates/notchwalk_standin/src/fleet.rs
+++ b/crates/notchwalk_standin/src/fleet.rs
@@ -22,7 +22,7 @@
     node::NodeHandle,
     operators::{BundleSpec, Operators, WorkspaceSpec},
     platform::{serve_platform, PlatformConfig, PlatformFault},
-    service::serve_service,
+    service::{serve_service, ServiceFault},
     thread::{block_on, ServingThread},
     workload::{self, MeasuredCall, PlannedCall},
 };
@@ -340,6 +340,11 @@
         self.post_control(self.engines[i].addr, "/standin/fault", &fault);
     }
 
+    /// Injects a fault into a server of the plain service.
+    pub fn set_service_fault(&self, i: usize, fault: ServiceFault) {
+        self.post_control(self.services[i].addr, "/standin/fault", &fault);
+    }
+
     /// Injects a fault into the platform.
     pub fn set_platform_fault(&self, fault: PlatformFault) {
         self.post_control(self.platform, "/standin/fault", &fault);
--- a/crates/notchwalk_standin/src/service.rs
+++ b/crates/notchwalk_standin/src/service.rs
@@ -27,8 +27,16 @@
     /// Every nth call is executed, but its response is dropped; 0 disables.
     #[serde(rename = "lose_every")]
     pub drop_response_every: u64,
+    /// Responses are event streams without a length or chunks; the connection is closed
+    /// inside their second event.
+    #[serde(default)]
+    pub truncate_streams: bool,
 }
 
+/// An event stream without a length or chunks that ends inside its second event.
+const TRUNCATED_STREAM: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+    connection: close\r\n\r\ndata: first\n\ndata: sec";
+
 /// Execution counts of calls, keyed by the `x-call` header or by path.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceRuns {
@@ -102,6 +110,11 @@
         {
             return exchange.abort();
         }
+        if fault.truncate_streams {
+            // A failed write closes the connection as well.
+            let _ = exchange.write_chunks(TRUNCATED_STREAM).await;
+            return exchange.abort();
+        }
         let response = serde_json::json!({
             "service": state.name, "method": exchange.head.method.as_str(),
             "path": path, "body_bytes": body.len(), "run": run,
