Event streams that end inside an event are truncated, not complete

Cause: a response with neither a length nor chunks ends with its connection, and the relay took that end for the end of the message: it passed the rest of its buffer on and finished the response. A chunked body whose last chunk comes inside an event passed the same way. Class: the end of a connection taken for the end of a message. The same in notchwalkd's calls of services, which also stored the cut response as the call's outcome, and for a peer that serves a forwarded request.

Ruled out: truncated chunked bodies (they fail as they should) and responses joined by resumption or forwarding (the record shows one send).

Fix: the HTTP client follows the events of each event stream, all line endings included, and returns an error if the body ends inside one, or an unframed one before its first. Every reader gets it: the relay resumes the stream or breaks the caller's response off, the server's failure counts, and the crash no longer clears the content of suspicion. Complete streams pass, also with CRLF, with the blank line in a read of its own and with trailing comments.

--- a/crates/notchwalk_http/src/client.rs
+++ b/crates/notchwalk_http/src/client.rs
@@ -14,7 +14,7 @@
 use monoio::net::TcpStream;
 use serde::{de::DeserializeOwned, Serialize};
 
-use crate::{encode_request_head, BodyFraming, BodyReader, Connection, HttpError};
+use crate::{encode_request_head, BodyFraming, BodyReader, Connection, EventScanner, HttpError};
 
 /// Maximum number of idle connections per address.
 const MAX_IDLE_CONNECTIONS: usize = 256;
@@ -261,6 +261,7 @@
                 && !close
                 && !matches!(body, BodyReader::UntilClose),
             idle_timeout: idle_timeout(&head.headers),
+            events: is_event_stream(&head.headers).then(EventStreamCheck::default),
             headers: head.headers,
             conn,
             framing: body.framing(),
@@ -337,6 +338,26 @@
     }
 }
 
+/// Progress of the check that an event stream is complete.
+#[derive(Default)]
+struct EventStreamCheck {
+    scanner: EventScanner,
+    has_bytes: bool,
+}
+
+impl EventStreamCheck {
+    fn scan(&mut self, piece: &[u8]) {
+        self.has_bytes |= !piece.is_empty();
+        self.scanner.scan(piece);
+    }
+
+    /// Returns whether a body with this framing may end here.
+    fn may_end(&self, framing: BodyFraming) -> bool {
+        let has_end_mark = framing != BodyFraming::UntilClose;
+        !self.scanner.is_inside_event() && (has_end_mark || self.has_bytes)
+    }
+}
+
 /// A response whose body has not been read completely.
 pub struct StreamedResponse {
     /// The status.
@@ -345,6 +366,8 @@
     pub headers: HeaderMap,
     conn: Connection,
     framing: BodyFraming,
+    /// Checks that the body ends between events; `None` if it is no event stream.
+    events: Option<EventStreamCheck>,
     body: BodyReader,
     addr: SocketAddr,
     pool: Pool,
@@ -358,20 +381,48 @@
         self.framing
     }
 
+    /// Treats the body as an event stream even if the response has no `Content-Type`. Call
+    /// this before the body is read.
+    pub fn expect_event_stream(&mut self) {
+        if !self.headers.contains_key(header::CONTENT_TYPE) {
+            self.events.get_or_insert_default();
+        }
+    }
+
     /// Reads the next piece of the body; `None` at its end.
     ///
     /// # Errors
     ///
-    /// Fails on malformed framing and when the connection closes early.
+    /// Fails on malformed framing, when the connection closes early and when an event stream
+    /// ends inside an event.
     pub async fn next(&mut self) -> Result<Option<Bytes>, HttpError> {
         if self.body.is_done() {
-            return Ok(None);
+            return self.check_end().map(|()| None);
         }
         let piece = self
             .conn
             .read_piece(&mut self.body, MAX_CHUNK_BYTES)
             .await?;
-        Ok((!piece.is_empty()).then_some(piece))
+        if piece.is_empty() {
+            return self.check_end().map(|()| None);
+        }
+        self.scan(&piece);
+        Ok(Some(piece))
+    }
+
+    fn scan(&mut self, piece: &[u8]) {
+        if let Some(events) = &mut self.events {
+            events.scan(piece);
+        }
+    }
+
+    /// Checks that an event stream may end here. The end of an unframed body is the end of
+    /// the connection, which a crash of the sender causes as well.
+    fn check_end(&self) -> Result<(), HttpError> {
+        match &self.events {
+            Some(events) if !events.may_end(self.framing) => Err(HttpError::TruncatedEvent),
+            _ => Ok(()),
+        }
     }
 
     /// Returns the next piece of the body if it is already buffered.
@@ -381,16 +432,22 @@
     /// Fails on malformed framing.
     pub fn buffered(&mut self) -> Result<Option<Bytes>, HttpError> {
         let piece = self.conn.buffered_piece(&mut self.body)?;
-        Ok(piece.filter(|p| !p.is_empty()))
+        let piece = piece.filter(|piece| !piece.is_empty());
+        if let Some(piece) = &piece {
+            self.scan(piece);
+        }
+        Ok(piece)
     }
 
     /// Reads the rest of the body, at most `limit` bytes.
     ///
     /// # Errors
     ///
-    /// Fails on connection errors.
+    /// Fails on connection errors, and like [`Self::next`] at the end of an event stream.
     pub async fn collect(mut self, limit: usize) -> Result<BufferedResponse, HttpError> {
         let body = self.conn.read_body(&mut self.body, limit).await?;
+        self.scan(&body);
+        self.check_end()?;
         let (status, headers) = (self.status, std::mem::take(&mut self.headers));
         self.release();
         Ok(BufferedResponse {
@@ -449,6 +506,13 @@
     }
 }
 
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    const EVENT_STREAM: &[u8] = b"text/event-stream";
+    let content_type = headers.get(header::CONTENT_TYPE);
+    let media_type = content_type.and_then(|v| v.as_bytes().split(|&b| b == b';').next());
+    media_type.is_some_and(|m| m.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM))
+}
+
 /// Returns how long a connection may stay in the pool after a response with these headers:
 /// less than the `Keep-Alive` timeout, so that the server does not close it first.
 fn idle_timeout(headers: &HeaderMap) -> Duration {
--- a/crates/notchwalk_http/src/error.rs
+++ b/crates/notchwalk_http/src/error.rs
@@ -13,6 +13,10 @@
     /// The peer closed the connection before the message was complete.
     #[display("the connection closed before the message was whole")]
     Closed,
+    /// The body ended inside an event, or an unframed event stream ended without one: the
+    /// sender broke it off.
+    #[display("the event stream ended inside an event")]
+    TruncatedEvent,
     /// The head is malformed.
     #[display("malformed head: {_0}")]
     #[from(ignore)]
--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -498,6 +498,9 @@
     to: Destination<'_>,
     mut response: StreamedResponse,
 ) -> AttemptOutcome {
+    if response.framing() == BodyFraming::UntilClose {
+        response.expect_event_stream();
+    }
     let status = response.status;
     let headers = end_to_end_headers(&mut response.headers);
     let mut idle_timeout = to.first_output_timeout();
@@ -509,11 +512,11 @@
             Awaited::Done(Ok(chunk)) => chunk,
             Awaited::Done(Err(e)) => {
                 delivery.last_error = Some(e.to_string());
-                delivery.splitter.drop_partial();
+                delivery.partial_event_bytes = delivery.splitter.drop_partial();
                 return AttemptOutcome::Ended(AttemptEnd::ConnectionLost);
             }
             Awaited::ServerIdle => {
-                delivery.splitter.drop_partial();
+                delivery.partial_event_bytes = delivery.splitter.drop_partial();
                 return AttemptOutcome::Ended(AttemptEnd::IdleTimeout);
             }
             Awaited::CallerDisconnected => return AttemptOutcome::CallerDisconnected,
@@ -545,7 +548,6 @@
         delivery.record_write(shell.now());
     }
     let rest = delivery.splitter.take_rest();
-    delivery.partial_event_bytes = rest.len();
     if (!rest.is_empty() || !delivery.head_sent)
         && write_events(exchange, delivery, status, &headers, &rest)
             .await
--- a/crates/notchwalk_relay/src/stream_events.rs
+++ b/crates/notchwalk_relay/src/stream_events.rs
@@ -2,7 +2,7 @@
 //! events are delivered and a stream can be resumed after the last of them.
 
 use bytes::{Bytes, BytesMut};
-use memchr::memmem;
+use notchwalk_http::EventScanner;
 
 /// Maximum buffered bytes of an incomplete event; the bytes of a larger one are passed
 /// through as they arrive, to bound memory.
@@ -11,6 +11,7 @@
 /// Buffers bytes and returns complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
+    scanner: EventScanner,
     buf: BytesMut,
     last_id: Option<u64>,
     oversized: bool,
@@ -20,14 +21,18 @@
     /// Appends bytes of the stream; returns the events that are now complete, empty if
     /// there are none.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        let end = match self.scanner.scan(bytes) {
+            0 => 0,
+            end => self.buf.len() + end,
+        };
         self.buf.extend_from_slice(bytes);
-        let Some(end) = end_of_last_event(&self.buf) else {
+        if end == 0 {
             if self.buf.len() > MAX_EVENT_BYTES {
                 self.oversized = true;
                 return self.buf.split().freeze();
             }
             return Bytes::new();
-        };
+        }
         let events = self.buf.split_to(end).freeze();
         if let Some(id) = last_event_id(&events) {
             self.last_id = Some(id);
@@ -45,9 +50,10 @@
         !self.oversized
     }
 
-    /// Drops an incomplete event whose rest will not arrive.
-    pub fn drop_partial(&mut self) {
-        self.buf.clear();
+    /// Drops an incomplete event whose rest will not arrive; returns its size in bytes.
+    pub fn drop_partial(&mut self) -> usize {
+        self.scanner = EventScanner::default();
+        self.buf.split().len()
     }
 
     /// Removes and returns the bytes after the last complete event.
@@ -56,12 +62,6 @@
     }
 }
 
-fn end_of_last_event(buf: &[u8]) -> Option<usize> {
-    let lf = memmem::rfind(buf, b"\n\n").map(|at| at + 2);
-    let crlf = memmem::rfind(buf, b"\r\n\r\n").map(|at| at + 4);
-    lf.max(crlf)
-}
-
 /// Returns the number in the last `id:` line.
 fn last_event_id(events: &[u8]) -> Option<u64> {
     let mut lines = events.rsplit(|&byte| byte == b'\n');
