Streams that are cut inside a partly delivered event are not resumed

Callers of a stream with an event over 256 KB, whose server ended inside it, got the part of that event, joined with the events of the next server's run, framed as complete.

Cause: events over the buffer's limit are passed through as they arrive; when the rest was lost, the stream was resumed after the last complete event all the same (EventSplitter::is_resumable was never asked). Fix: such a response is broken off; the end of the attempt is reported first, so that the server's failure still counts.

--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -233,6 +233,11 @@
             request: req.key,
             end,
         });
+        if outcome.is_none() && !delivery.splitter.is_resumable() {
+            self.shell.step(Event::Abandoned { request: req.key });
+            exchange.abort();
+            return Some(Outcome::StreamAborted);
+        }
         outcome
     }
 
--- a/crates/notchwalk_relay/src/stream_events.rs
+++ b/crates/notchwalk_relay/src/stream_events.rs
@@ -14,7 +14,10 @@
     scanner: EventScanner,
     buf: BytesMut,
     last_id: Option<u64>,
-    oversized: bool,
+    /// Whether a part of the current event was returned.
+    passed_partial: bool,
+    /// Whether the rest of an event of which a part was returned was dropped.
+    lost_rest: bool,
 }
 
 impl EventSplitter {
@@ -28,11 +31,12 @@
         self.buf.extend_from_slice(bytes);
         if end == 0 {
             if self.buf.len() > MAX_EVENT_BYTES {
-                self.oversized = true;
+                self.passed_partial = true;
                 return self.buf.split().freeze();
             }
             return Bytes::new();
         }
+        self.passed_partial = false;
         let events = self.buf.split_to(end).freeze();
         if let Some(id) = last_event_id(&events) {
             self.last_id = Some(id);
@@ -47,11 +51,12 @@
 
     /// Returns whether an interrupted stream can be resumed without gaps or duplicates.
     pub fn is_resumable(&self) -> bool {
-        !self.oversized
+        !self.lost_rest
     }
 
     /// Drops an incomplete event whose rest will not arrive; returns its size in bytes.
     pub fn drop_partial(&mut self) -> usize {
+        self.lost_rest |= std::mem::take(&mut self.passed_partial);
         self.scanner = EventScanner::default();
         self.buf.split().len()
     }
