Log the shared parts of prompts

The logs name whole contents only, of which no two are alike, so they can't tell whether a part, a bystander or the load is the cause.

NW5101 and NW5103 list the fingerprints of a prompt's parts but the last, at most eight. No decision uses them.

--- a/crates/notchwalk_quarantine/src/fingerprint.rs
+++ b/crates/notchwalk_quarantine/src/fingerprint.rs
@@ -14,7 +14,10 @@
 /// fingerprint of another workspace's request.
 const FINGERPRINT_BYTES: usize = 16;
 
-/// Identifies a request's content across nodes (a truncated BLAKE3 hash).
+/// Separates fingerprints of part ids from those of contents.
+const PART_ID_CONTEXT: &str = "notchwalk prompt part id";
+
+/// Identifies a request's content, or a part of its prompt, across nodes (a truncated BLAKE3 hash).
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -27,6 +30,25 @@
     }
 }
 
+impl Fingerprint {
+    /// Returns the fingerprint of the id of a prompt part.
+    pub fn of_part_id(id: &str) -> Self {
+        Self::of_hash(blake3::Hasher::new_derive_key(PART_ID_CONTEXT).update(id.as_bytes()))
+    }
+
+    fn of_hash(hasher: &blake3::Hasher) -> Self {
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        hasher.finalize_xof().fill(&mut bytes);
+        Self(bytes)
+    }
+
+    /// Returns the first characters of its text, for lists in logs.
+    pub fn short(&self) -> String {
+        const BYTES: usize = 4;
+        hex::encode(&self.0[..BYTES])
+    }
+}
+
 impl From<u128> for Fingerprint {
     fn from(number: u128) -> Self {
         Self(number.to_be_bytes())
@@ -92,8 +114,6 @@
 
     /// Returns the fingerprint of the head and the body so far.
     pub fn finish(&self) -> Fingerprint {
-        let mut bytes = [0; FINGERPRINT_BYTES];
-        self.0.finalize_xof().fill(&mut bytes);
-        Fingerprint(bytes)
+        Fingerprint::of_hash(&self.0)
     }
 }
--- a/crates/notchwalk_relay/src/active_request.rs
+++ b/crates/notchwalk_relay/src/active_request.rs
@@ -39,6 +39,15 @@
         name.map_or_else(String::new, |name| format!(" forwarded_by={name}"))
     }
 
+    /// Returns the parts of its prompt that other requests may share as text, for logs.
+    pub fn parts(&self) -> String {
+        /// Maximum number of parts in a line.
+        const MAX_LOGGED: usize = 8;
+        let parts = self.caller.shared_parts.iter().take(MAX_LOGGED);
+        let parts: Vec<String> = parts.map(|part| part.short()).collect();
+        parts.join(",")
+    }
+
     /// Returns the request id as text, for logs.
     pub fn id(&self) -> &str {
         self.caller.id.to_str().unwrap_or("unreadable")
--- a/crates/notchwalk_relay/src/front/record.rs
+++ b/crates/notchwalk_relay/src/front/record.rs
@@ -73,9 +73,10 @@
         let now = self.shell.now();
         let version = self.shell.router.borrow().version();
         let facts = format!(
-            "request={} content={} route={} server={} helpers={} grounds={:?} resent={} since_first_ms={} waited_ms={} predicted_ms={:.0} tokens={} config={version} servers_age_ms={}",
+            "request={} content={} parts={} route={} server={} helpers={} grounds={:?} resent={} since_first_ms={} waited_ms={} predicted_ms={:.0} tokens={} config={version} servers_age_ms={}",
             req.id(),
             req.content,
+            req.parts(),
             req.route,
             to.instance,
             to.prefill_workers.len(),
@@ -192,9 +193,10 @@
             }
         }
         let facts = format!(
-            "request={} content={} route={} outcome={label} tokens={} sends={} first_ms={} passes={} longest_pause_ms={} total_ms={} framing={} partial_bytes={}",
+            "request={} content={} parts={} route={} outcome={label} tokens={} sends={} first_ms={} passes={} longest_pause_ms={} total_ms={} framing={} partial_bytes={}",
             req.id(),
             req.content,
+            req.parts(),
             req.route,
             req.caller.prompt_tokens,
             delivery.attempts,
