--- a/crates/notchwalk_cli/src/arguments.rs
+++ b/crates/notchwalk_cli/src/arguments.rs
@@ -64,7 +64,7 @@
         /// The operator address of a node that routes requests
         #[bpaf(argument("ADDR"))]
         operator: SocketAddr,
-        /// Release this content from quarantine on all nodes
+        /// Release this content, or part of prompts, from quarantine on all nodes
         #[bpaf(argument("CONTENT"))]
         release: Option<String>,
     },
--- a/crates/notchwalk_cli/src/explain/request_log.rs
+++ b/crates/notchwalk_cli/src/explain/request_log.rs
@@ -13,8 +13,11 @@
 const LIMIT_EVENTS: [u16; 3] = [4106, 4107, 4108];
 /// Numbers of events about lost links, shown for a request without a server.
 const LINK_EVENTS: [u16; 2] = [4109, 4110];
-/// Numbers of events about contents that are suspected of crashing servers.
+/// Numbers of events about contents, and parts of prompts, that are suspected of crashing
+/// servers.
 const CONTENT_EVENTS: [u16; 3] = [5201, 5202, 5203];
+/// Number of the event that names what a request is refused for.
+const REQUEST_BLOCKED: u16 = 5204;
 
 /// The lines of one log that are relevant to a request, in log order.
 #[derive(Clone, Debug, Default)]
@@ -39,6 +42,7 @@
         let values_of =
             |name| -> HashSet<&str> { own_lines().filter_map(|(_, l)| l.fact(name)).collect() };
         let (servers, contents) = (values_of("server"), values_of("content"));
+        let parts = values_of("part");
         let mut shown: HashSet<usize> = own_lines().map(|(number, _)| *number).collect();
         for server in servers {
             let is_match = |line: &LogLine| line.fact("server") == Some(server);
@@ -48,6 +52,10 @@
             let is_match = |line: &LogLine| line.fact("content") == Some(content);
             shown.extend(latest(lines_to_end, &CONTENT_EVENTS, is_match));
         }
+        for part in parts {
+            let is_match = |line: &LogLine| line.fact("part") == Some(part);
+            shown.extend(latest(lines_to_end, &CONTENT_EVENTS, is_match));
+        }
         let is_end = |line: &LogLine| matches!(line.event, 5103 | 5104);
         let end = own_lines().map(|(_, line)| line).rfind(|line| is_end(line));
         let end = end.cloned();
@@ -116,17 +124,28 @@
                  forwarded this one logs what followed."
                     .to_owned()
             }
-            "suspected" => {
-                "Its content is suspected of crashing servers; this is not confirmed yet."
-                    .to_owned()
-            }
-            "quarantined" => {
-                "Its content is quarantined: servers that ran it crashed (NW5202).".to_owned()
-            }
+            "suspected" => format!(
+                "{} is suspected of crashing servers; this is not confirmed yet.",
+                self.blocked_subject()
+            ),
+            "quarantined" => format!(
+                "{} is quarantined: servers that ran it crashed (NW5202).",
+                self.blocked_subject()
+            ),
             other => format!("The outcome {other:?} is not known to this version of notchwalk."),
         }
     }
 
+    /// Names what a refused request is suspected for.
+    fn blocked_subject(&self) -> String {
+        let mut lines = self.lines.iter().map(|(_, line)| line);
+        let blocked = lines.rfind(|line| line.event == REQUEST_BLOCKED);
+        match blocked.and_then(|line| line.fact("part")) {
+            Some(part) => format!("A part of its prompt ({part}), which other requests share,"),
+            None => "Its content".to_owned(),
+        }
+    }
+
     /// Explains where the time of a delivered response was spent.
     fn delivered_cause(&self, end: &LogLine) -> String {
         let number = |line: &LogLine, name: &str| -> u64 {
--- a/crates/notchwalk_cli/src/quarantine.rs
+++ b/crates/notchwalk_cli/src/quarantine.rs
@@ -26,7 +26,8 @@
     let state: Value = response.json().map_err(invalid)?;
     let suspects = state["suspects"].as_array().cloned().unwrap_or_default();
     let mut table = state::table(&[
-        "content",
+        "kind",
+        "content or part",
         "verdict",
         "remaining (s)",
         "times",
@@ -52,6 +53,7 @@
         })
         .collect();
     vec![
+        text("kind"),
         text("content"),
         text("verdict"),
         remaining_s.map_or_else(String::new, |s| s.to_string()),
--- a/crates/notchwalk_core/src/log_event.rs
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -88,8 +88,9 @@
     NoServerAvailable = 5106, Info, "no backend server is available for a request";
     RequestForwarded = 5107, Info, "a request was forwarded to a peer";
     CrashSuspected = 5201, Info, "a backend server may have crashed while running a request";
-    RequestQuarantined = 5202, Warn, "requests with the same content crashed several servers; the content is quarantined";
+    RequestQuarantined = 5202, Warn, "requests with the same content, or the same part in their prompts, crashed several servers; it is quarantined";
     QuarantineEnded = 5203, Info, "a quarantine ended";
+    RequestBlocked = 5204, Info, "a request is refused for its content or a part of its prompt";
     OrderSent = 6001, Info, "an order was sent to an engine";
     OrderRefused = 6002, Warn, "an engine refused an order";
     LeaseHeld = 6003, Info, "this daemon holds the order lease";
--- a/crates/notchwalk_decide/src/suspects.rs
+++ b/crates/notchwalk_decide/src/suspects.rs
@@ -143,6 +143,7 @@
             content,
             crash,
             incidents,
+            ..
         } => {
             let server = crash.server >> INCARNATION_BITS;
             let facts = format!(
@@ -164,7 +165,9 @@
             );
             cx.log(LogEventKind::RequestQuarantined, facts);
         }
-        QuarantineFinding::Ended { content, reason } => {
+        QuarantineFinding::Ended {
+            content, reason, ..
+        } => {
             let facts = format!("content={content} reason={reason:?}");
             cx.log(LogEventKind::QuarantineEnded, facts);
         }
--- a/crates/notchwalk_quarantine/src/fingerprint.rs
+++ b/crates/notchwalk_quarantine/src/fingerprint.rs
@@ -17,6 +17,8 @@
 /// Separates fingerprints of part ids from those of contents.
 const PART_ID_CONTEXT: &str = "notchwalk prompt part id";
 
+const SCOPE_CONTEXT: &str = "notchwalk scope of a prompt part";
+
 /// Identifies a request's content, or a part of its prompt, across nodes (a truncated BLAKE3 hash).
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -36,6 +38,18 @@
         Self::of_hash(blake3::Hasher::new_derive_key(PART_ID_CONTEXT).update(id.as_bytes()))
     }
 
+    /// Returns the fingerprint of this subject within a scope.
+    pub(crate) fn within(self, scope: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key(SCOPE_CONTEXT);
+        Self::of_hash(hasher.update(&self.0).update(scope))
+    }
+
+    /// Returns a short id, which may be the same for different fingerprints.
+    pub(crate) fn short_id(self) -> u32 {
+        let [a, b, c, d, ..] = self.0;
+        u32::from_le_bytes([a, b, c, d])
+    }
+
     fn of_hash(hasher: &blake3::Hasher) -> Self {
         let mut bytes = [0; FINGERPRINT_BYTES];
         hasher.finalize_xof().fill(&mut bytes);
--- a/crates/notchwalk_quarantine/src/lib.rs
+++ b/crates/notchwalk_quarantine/src/lib.rs
@@ -2,9 +2,10 @@
 //! which ones may no longer run.
 //!
 //! A retry limit does not bound the number of crashes, since callers send such a request
-//! again, to any node. Evidence is therefore collected by request content over all attempts,
-//! and nodes exchange it. A content is the workspace, method, destination and body of a
-//! request; a suspect is a content with evidence against it.
+//! again, to any node. Evidence is therefore collected by subject over all attempts, and nodes
+//! exchange it. A subject is the content of a request (its workspace, method, destination and
+//! body), or a part of its prompt that other requests share; a suspect is a subject with
+//! evidence against it.
 //!
 //! Servers also fail, connections are reset and racks lose power for other reasons. Requests
 //! that ran on the affected servers must not be refused. The rules:
@@ -15,28 +16,40 @@
 //!   server ended: its registration is removed or belongs to a new incarnation, or it is
 //!   unreachable;
 //! - servers lost at the same time count as one incident, and as half an incident for
-//!   contents that did not run on all of them;
-//! - a crash attributed to a quarantined content does not count against other contents;
-//! - servers that are lost in the same period without running the content raise the required
+//!   subjects that did not run on all of them;
+//! - a crash attributed to a quarantined subject does not count against others;
+//! - servers that are lost in the same period without running the subject raise the required
 //!   evidence by up to two incidents.
 //!
+//! For parts of prompts besides:
+//!
+//! - a stream that goes on for [`SURVIVAL_TIME`] after its first event clears its parts, and
+//!   is no evidence against them if its server ends later;
+//! - a part that survived a short time ago needs two further incidents and is not held back;
+//! - a part needs crashes of several contents, since one content may be the cause itself;
+//! - a part is not quarantined while another part explains its crashes, and requests that
+//!   lack the other part may still run, one at a time;
+//! - callers name the parts, so evidence from one workspace affects its own requests only.
+//!
 //! Limitations: two contents that were running in the same three crashes are both
-//! quarantined; a content that crashes only some servers is cleared by each successful run;
+//! quarantined; a subject that crashes only some servers is cleared by each successful run;
 //! a body that is forwarded without being read has no fingerprint.
 //!
 //! | file | contents |
 //! |---|---|
-//! | `fingerprint` | the identity of a request's content |
-//! | `suspect` | the evidence against one content |
+//! | `fingerprint` | the identity of a content or part |
+//! | `subjects` | the content and the parts of a request |
+//! | `suspect` | the evidence against one subject |
 //! | `quarantine/` | all suspects of a node, and the rules above |
 //! | `verdict` | verdicts on requests, and findings |
 //! | `update` | updates exchanged between nodes |
-//! | `recent` | contents that completed successfully a short time ago |
+//! | `recent` | subjects that succeeded a short time ago |
 
 mod error;
 mod fingerprint;
 mod quarantine;
 mod recent;
+mod subjects;
 mod suspect;
 mod update;
 mod verdict;
@@ -45,7 +58,10 @@
 
 pub use error::FingerprintError;
 pub use fingerprint::{Fingerprint, FingerprintBuilder, RequestHead};
-pub use quarantine::Quarantine;
+pub use quarantine::{Quarantine, SURVIVAL_TIME};
+pub use subjects::{CrashOrigin, PromptPart, RequestSubjects, SubjectKind};
 pub use suspect::Crash;
 pub use update::QuarantineUpdate;
-pub use verdict::{EndReason, QuarantineDeclared, QuarantineFinding, SuspectView, Verdict};
+pub use verdict::{
+    EndReason, QuarantineDeclared, QuarantineFinding, RequestVerdict, SuspectView, Verdict,
+};
--- a/crates/notchwalk_quarantine/src/quarantine/evidence.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/evidence.rs
@@ -6,8 +6,9 @@
 
 use super::Quarantine;
 use crate::{
+    subjects::PartRun,
     suspect::{Crash, Runner, Suspect},
-    EndReason, Fingerprint, QuarantineFinding,
+    EndReason, Fingerprint, QuarantineFinding, SubjectKind,
 };
 
 /// How long a crash is retained.
@@ -19,36 +20,52 @@
 /// Minimum time between a crash and the reading of a response that refutes it. A busy node
 /// may read a response late that arrived before the crash.
 const MAX_READ_DELAY: Duration = Duration::from_millis(100);
-/// Maximum number of suspects. Fifty lost servers with ten requests each; about 100 KB.
+/// Maximum number of suspected contents, and of parts. Fifty lost servers with ten requests
+/// each; about 100 KB.
 const MAX_SUSPECTS: usize = 512;
 /// Maximum number of retained server ends.
 const MAX_ENDED_SERVERS: usize = 256;
 
 impl Quarantine {
-    /// Adds a crash to the evidence against a content, unless the crash is old or attributed
-    /// to another, quarantined content.
-    pub(super) fn add_crash(&mut self, content: Fingerprint, mut crash: Crash, now: Instant) {
+    /// Adds a crash to the evidence against a subject, unless the crash is old or attributed
+    /// to another, quarantined one. `run` is the run of a part, `None` for contents. Returns whether it
+    /// is a new crash.
+    pub(super) fn add_crash(
+        &mut self,
+        content: Fingerprint,
+        mut crash: Crash,
+        run: Option<PartRun>,
+        now: Instant,
+    ) -> bool {
         if now.since(crash.at) > CRASH_RETENTION || self.is_attributed(content, &crash, now) {
-            return;
+            return false;
         }
         self.observing_since.get_or_insert(now);
         let end = self.ended_servers.get(&crash.server);
         crash.confirmed |= end.is_some_and(|&end| end.after(MAX_END_LEAD) >= crash.at);
-        self.evict_if_full(content, now);
+        let kind = match run {
+            Some(_) => SubjectKind::Part,
+            None => SubjectKind::Content,
+        };
+        self.evict_if_full(content, kind, now);
         let suspect = self.suspects.entry(content).or_default();
+        suspect.kind = kind;
         let is_new = suspect.add(crash);
+        if let Some(run) = run.filter(|_| !suspect.crashes().is_empty()) {
+            suspect.record_run(run);
+        }
         self.update_correlation(crash.at, now);
-        if is_new && crash.observed_locally {
-            let incidents = self
-                .suspects
-                .get(&content)
-                .map_or(0, |s| s.incidents().count());
+        let is_reported = run.is_none_or(|run| !run.is_common);
+        if is_new && crash.observed_locally && is_reported {
+            let suspect = self.suspects.get(&content);
             self.findings.push(QuarantineFinding::Crashed {
                 content,
+                kind: suspect.map(|s| s.kind).unwrap_or_default(),
                 crash,
-                incidents,
+                incidents: suspect.map_or(0, |s| s.incidents().count()),
             });
         }
+        is_new
     }
 
     /// Updates which crashes around `at` are correlated. If servers on which a content did not
@@ -59,11 +76,15 @@
     /// common cause.
     pub(super) fn update_correlation(&mut self, at: Instant, now: Instant) {
         let (mut ended, mut attributed) = (HashSet::new(), HashSet::new());
-        for suspect in self.suspects.values() {
+        for (&subject, suspect) in &self.suspects {
+            if self.survivors.contains(subject, now) {
+                continue;
+            }
             if suspect.crashes_at(at).next().is_none() {
                 continue;
             }
-            let is_cause = suspect.is_quarantined(now) || suspect.incidents().count() > 2;
+            let is_likely_cause = suspect.may_be_cause() && suspect.incidents().count() > 2;
+            let is_cause = suspect.is_quarantined(now) || is_likely_cause;
             for crash in suspect.crashes_at(at).filter(|crash| crash.confirmed) {
                 ended.insert(crash.server);
                 if is_cause {
@@ -88,18 +109,22 @@
         })
     }
 
-    /// Evicts a suspect if the table is full: the unquarantined suspect whose last crash is
-    /// the oldest, or the suspect whose quarantine ends first if all are quarantined.
-    pub(super) fn evict_if_full(&mut self, content: Fingerprint, now: Instant) {
-        if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&content) {
+    /// Makes room for a new suspect of a kind: evicts the unquarantined one whose last crash is
+    /// the oldest, or the one whose quarantine ends first if all are quarantined.
+    pub(super) fn evict_if_full(&mut self, subject: Fingerprint, kind: SubjectKind, now: Instant) {
+        if self.suspects.contains_key(&subject) {
+            return;
+        }
+        let same_kind = || self.suspects.iter().filter(|(_, s)| s.kind == kind);
+        if same_kind().count() < MAX_SUSPECTS {
             return;
         }
         let rank = |suspect: &Suspect| match suspect.period.filter(|period| now < period.until) {
             Some(period) => (1, period.until),
             None => (0, suspect.last_crash()),
         };
-        let evicted = self.suspects.iter().min_by_key(|(_, s)| rank(s));
-        if let Some(evicted) = evicted.map(|(&content, _)| content) {
+        let evicted = same_kind().min_by_key(|(_, s)| rank(s));
+        if let Some(evicted) = evicted.map(|(&subject, _)| subject) {
             self.suspects.remove(&evicted);
         }
     }
@@ -142,26 +167,19 @@
             return;
         };
         let was_quarantined = suspect.period.is_some();
+        let kind = suspect.kind;
         suspect.clear(at);
         suspect.end_run(Runner::Local);
         if was_quarantined && suspect.period.is_none() {
-            self.findings
-                .push(QuarantineFinding::Ended { content, reason });
+            self.findings.push(QuarantineFinding::Ended {
+                content,
+                kind,
+                reason,
+            });
         }
     }
 }
 
-/// Returns whether two reports are of the same crash of a server.
-pub(super) fn is_same_crash(a: &Crash, b: &Crash) -> bool {
-    /// Nodes detect the broken connections of one server at slightly different times. They
-    /// break within 15 ms of each other.
-    const TOLERANCE: Duration = Duration::from_millis(100);
-    a.server == b.server && a.at.since(b.at).max(b.at.since(a.at)) < TOLERANCE
-}
-
 fn has_crash(suspect: &Suspect, crash: &Crash) -> bool {
-    suspect
-        .crashes()
-        .iter()
-        .any(|known| is_same_crash(known, crash))
+    suspect.crashes().iter().any(|known| known.is_same(crash))
 }
--- a/crates/notchwalk_quarantine/src/quarantine/mod.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/mod.rs
@@ -4,10 +4,12 @@
 //! |---|---|
 //! | `unrelated_losses` | losses of unrelated servers, which raise the required evidence |
 //! | `evidence` | crashes: how they are confirmed, attributed and cleared |
+//! | `parts` | verdicts on requests with several parts, and what clears a part |
 //! | `policy` | which contents are quarantined, for how long, and what expires |
 //! | `peers` | updates received from peers and rebroadcast to them |
 
 mod evidence;
+mod parts;
 mod peers;
 mod policy;
 mod unrelated_losses;
@@ -20,8 +22,9 @@
     recent::RecentSuccesses,
     suspect::{Crash, Runner, Suspect},
     update::{age_ms, QuarantineUpdate},
-    EndReason, Fingerprint, QuarantineFinding, SuspectView, Verdict,
+    EndReason, Fingerprint, QuarantineFinding, SubjectKind, SuspectView, Verdict,
 };
+pub use parts::SURVIVAL_TIME;
 use policy::{base_threshold, risk, HOLD_AFTER_CRASH};
 
 /// The request contents suspected of crashing servers, as known to one node.
@@ -29,6 +32,8 @@
 pub struct Quarantine {
     suspects: HashMap<Fingerprint, Suspect>,
     recent: RecentSuccesses,
+    /// Parts of prompts that survived a short time ago, here or at a peer.
+    survivors: RecentSuccesses,
     /// Servers that ended, and when that was observed.
     ended_servers: HashMap<u32, Instant>,
     /// Updates to be published.
@@ -71,6 +76,14 @@
         }
     }
 
+    /// Returns when the quarantine of a content or part ends; `None` if there is none.
+    pub fn quarantined_until(&self, subject: Fingerprint, now: Instant) -> Option<Instant> {
+        let period = self.suspects.get(&subject)?.period;
+        period
+            .map(|period| period.until)
+            .filter(|&until| now < until)
+    }
+
     /// Records that a request was sent to a server. Only runs of suspects are tracked.
     pub fn record_send(&mut self, content: Fingerprint, now: Instant) {
         let Some(suspect) = self.suspects.get_mut(&content) else {
@@ -103,23 +116,15 @@
     ) {
         self.record_run_ended(content);
         for &server in servers {
-            let crash = Crash {
-                server,
-                at: now,
-                other_requests: others,
-                confirmed: false,
-                observed_locally: true,
-                correlated: false,
-                probes: 0,
-                silent,
-            };
-            self.add_crash(content, crash, now);
+            let crash = Crash::observed(server, others, silent, now);
+            self.add_crash(content, crash, None, now);
             self.updates.push(QuarantineUpdate::Crashed {
                 content,
                 server,
                 age_ms: 0,
                 others,
                 silent,
+                origin: None,
             });
         }
     }
@@ -198,8 +203,12 @@
     pub fn suspect_views(&self, now: Instant) -> Vec<SuspectView<'_>> {
         let views = self.suspects.iter().map(|(&content, suspect)| SuspectView {
             content,
+            kind: suspect.kind,
             crashes: suspect.crashes(),
-            verdict: self.verdict(content, now),
+            verdict: match suspect.kind {
+                SubjectKind::Content => self.verdict(content, now),
+                SubjectKind::Part => self.part_verdict(content, suspect, None, now),
+            },
             quarantine_count: suspect.quarantine_count,
         });
         views.collect()
--- /dev/null
+++ b/crates/notchwalk_quarantine/src/quarantine/parts.rs
@@ -0,0 +1,311 @@
+//! Parts of prompts: the verdict on a request from those on its content and its parts, and
+//! what runs show about parts.
+//!
+//! A part that crashes servers does so as a server begins to write for it. Each request that
+//! was broken off before it had written for [`SURVIVAL_TIME`] counts against all of its parts,
+//! of which one may be the cause. A stream that goes on clears its parts, so that those that
+//! sound requests share stay clear.
+
+use std::time::Duration;
+
+use notchwalk_core::Instant;
+
+use super::{
+    policy::{base_threshold, risk, HOLD_AFTER_CRASH},
+    Quarantine,
+};
+use crate::{
+    subjects::PartRun,
+    suspect::{Crash, Suspect},
+    update::age_ms,
+    CrashOrigin, Fingerprint, PromptPart, QuarantineUpdate, RequestSubjects, RequestVerdict,
+    Verdict,
+};
+
+/// How long a stream has to go on after its first event to clear the parts of its prompt.
+pub const SURVIVAL_TIME: Duration = Duration::from_millis(500);
+/// Extra score that is required of a part that survived a short time ago: two isolated
+/// incidents. All streams may be lost in several incidents before one of them survives.
+const SURVIVED_EXTRA_SCORE: u32 = 4;
+
+/// How the crashes of a part are explained by another part, which a request lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Explanation {
+    /// No other part has all of its crashes.
+    None,
+    /// Another part has the same crashes: a run without that part tells them apart.
+    Tied,
+    /// Another part has further crashes: it is probably the cause.
+    Dominated,
+}
+
+impl Quarantine {
+    /// Returns the strictest verdict on the content of a request and on its parts.
+    pub fn request_verdict(&self, subjects: &RequestSubjects, now: Instant) -> RequestVerdict {
+        let mut strictest = RequestVerdict {
+            verdict: self.verdict(subjects.content, now),
+            subject: subjects.content,
+        };
+        for subject in subjects.parts.iter().flat_map(PromptPart::keys) {
+            let Some(suspect) = self.suspects.get(&subject) else {
+                continue;
+            };
+            let verdict = self.part_verdict(subject, suspect, Some(subjects), now);
+            if verdict.strictness() > strictest.verdict.strictness() {
+                strictest = RequestVerdict { verdict, subject };
+            }
+        }
+        strictest
+    }
+
+    /// Returns the verdict on a part, in this request if it is given.
+    pub(super) fn part_verdict(
+        &self,
+        subject: Fingerprint,
+        suspect: &Suspect,
+        request: Option<&RequestSubjects>,
+        now: Instant,
+    ) -> Verdict {
+        let explanation = || self.explanation(suspect, request, now);
+        if let Some(period) = suspect.period.filter(|period| now < period.until) {
+            return match explanation() {
+                Explanation::None => Verdict::Quarantined {
+                    until: period.until,
+                },
+                _ => self.trial_verdict(suspect, now),
+            };
+        }
+        let incidents = suspect.incidents();
+        let is_weak = incidents.isolated == 0 && incidents.correlated < 2;
+        if is_weak || !suspect.applies() {
+            return Verdict::Allowed;
+        }
+        let score = incidents.score();
+        let threshold = self.threshold(suspect);
+        if self.survivors.contains(subject, now) && score < threshold + SURVIVED_EXTRA_SCORE {
+            return Verdict::Allowed;
+        }
+        let is_on_hold = now.since(suspect.last_crash()) < HOLD_AFTER_CRASH;
+        let is_over = score >= threshold || (score >= base_threshold(suspect) && is_on_hold);
+        match explanation() {
+            Explanation::None if is_over && suspect.may_be_cause() => Verdict::Held,
+            _ => self.trial_verdict(suspect, now),
+        }
+    }
+
+    /// Returns the verdict on a part of which one request at a time may run.
+    fn trial_verdict(&self, suspect: &Suspect, now: Instant) -> Verdict {
+        if suspect.is_running(now) {
+            return Verdict::RunningElsewhere;
+        }
+        Verdict::Suspected {
+            risk: risk(suspect, suspect.incidents()),
+        }
+    }
+
+    /// Returns how the crashes of a part are explained by a part that the request lacks.
+    fn explanation(
+        &self,
+        suspect: &Suspect,
+        request: Option<&RequestSubjects>,
+        now: Instant,
+    ) -> Explanation {
+        let Some(request) = request else {
+            return Explanation::None;
+        };
+        let others = self.other_parts(suspect, now);
+        let lacking = others.filter(|(other, _)| !request.contains(*other));
+        explanation_by(suspect, lacking.map(|(_, other)| other))
+    }
+
+    /// Returns the suspected parts other than that of `suspect` which did not survive a short
+    /// time ago.
+    fn other_parts<'a>(
+        &'a self,
+        suspect: &'a Suspect,
+        now: Instant,
+    ) -> impl Iterator<Item = (Fingerprint, &'a Suspect)> {
+        let others = self.suspects.iter();
+        let others = others.map(|(&subject, other)| (subject, other));
+        others.filter(move |&(subject, other)| {
+            other.part.is_some()
+                && other.part_id != suspect.part_id
+                && other.applies()
+                && !self.survivors.contains(subject, now)
+        })
+    }
+
+    /// Returns whether a part may be quarantined now. While another part has the same
+    /// crashes, requests that lack that part may still clear this one.
+    pub(super) fn may_declare_part(
+        &self,
+        subject: Fingerprint,
+        suspect: &Suspect,
+        now: Instant,
+    ) -> bool {
+        /// How long after the last crash such requests are awaited.
+        const MAX_TIED_TIME: Duration = Duration::from_secs(3);
+        if !suspect.may_be_cause() {
+            return false;
+        }
+        let score = suspect.incidents().confirmed_score();
+        let required = self.threshold(suspect) + SURVIVED_EXTRA_SCORE;
+        if self.survivors.contains(subject, now) && score < required {
+            return false;
+        }
+        let others = || self.other_parts(suspect, now).map(|(_, other)| other);
+        if others().any(|other| other.is_quarantined(now) && other.covers(suspect)) {
+            return false;
+        }
+        match explanation_by(suspect, others()) {
+            Explanation::None => true,
+            Explanation::Tied => now.since(suspect.last_crash()) >= MAX_TIED_TIME,
+            Explanation::Dominated => false,
+        }
+    }
+
+    /// Records that a request was sent to a server. Only runs of suspects are tracked.
+    pub fn record_request_sent(&mut self, subjects: &RequestSubjects, now: Instant) {
+        self.record_send(subjects.content, now);
+        for &part in &subjects.parts {
+            self.record_part_run(part, now);
+        }
+    }
+
+    /// Records that a request with a part is running on this node.
+    pub fn record_part_run(&mut self, part: PromptPart, now: Instant) {
+        for subject in part.keys() {
+            if self.is_suspected_part(subject, now) {
+                self.record_send(subject, now);
+            }
+        }
+    }
+
+    /// Records that a request ended without evidence for or against its content and parts.
+    pub fn record_request_ended(&mut self, subjects: &RequestSubjects, now: Instant) {
+        self.record_run_ended(subjects.content);
+        for subject in subjects.parts.iter().flat_map(PromptPart::keys) {
+            if self.is_suspected_part(subject, now) {
+                self.record_run_ended(subject);
+            }
+        }
+    }
+
+    fn is_suspected_part(&self, subject: Fingerprint, now: Instant) -> bool {
+        let suspect = self.suspects.get(&subject);
+        suspect.is_some_and(|s| !s.crashes().is_empty()) && !self.survivors.contains(subject, now)
+    }
+
+    /// Records that the connection to a server broke while it was running a request, as
+    /// [`Self::record_broken_connection`] does. It counts against the parts of the prompt
+    /// unless the request `survived`.
+    pub fn record_request_broken(
+        &mut self,
+        subjects: &RequestSubjects,
+        servers: &[u32],
+        others: u16,
+        silent: bool,
+        survived: bool,
+        now: Instant,
+    ) {
+        self.record_request_ended(subjects, now);
+        self.record_broken_connection(subjects.content, servers, others, silent, now);
+        if survived {
+            return;
+        }
+        for &part in &subjects.parts {
+            let origin = CrashOrigin {
+                workspace: part.workspace(),
+                content: subjects.content.short_id(),
+            };
+            for &server in servers {
+                let crash = Crash::observed(server, others, silent, now);
+                if !self.add_part_crash(part, crash, origin, now) {
+                    continue;
+                }
+                self.updates.push(QuarantineUpdate::Crashed {
+                    content: part.common(),
+                    server,
+                    age_ms: 0,
+                    others,
+                    silent,
+                    origin: Some(origin),
+                });
+            }
+        }
+    }
+
+    /// Adds a crash to the evidence against a part in its workspace and in common. Returns
+    /// whether it is new to the first.
+    pub(super) fn add_part_crash(
+        &mut self,
+        part: PromptPart,
+        crash: Crash,
+        origin: CrashOrigin,
+        now: Instant,
+    ) -> bool {
+        let run = |is_common| Some(PartRun { origin, is_common });
+        let is_new = self.add_crash(part.scoped(), crash, run(false), now);
+        self.add_crash(part.common(), crash, run(true), now);
+        for subject in part.keys() {
+            if let Some(suspect) = self.suspects.get_mut(&subject) {
+                suspect.part_id = Some(part.common());
+            }
+        }
+        is_new
+    }
+
+    /// Tells peers that a part survived on this node a short time ago, if it did.
+    pub(super) fn publish_survival(&mut self, part: PromptPart, now: Instant) {
+        for subject in part.keys() {
+            let Some(at) = self.survivors.last_success(subject, now) else {
+                continue;
+            };
+            self.updates.push(QuarantineUpdate::Succeeded {
+                content: subject,
+                age_ms: age_ms(at, now),
+            });
+        }
+    }
+
+    /// Records a successful run, which clears the content and the parts.
+    pub fn record_request_success(&mut self, subjects: &RequestSubjects, now: Instant) {
+        self.record_success(subjects.content, now);
+        self.record_survival(subjects, now);
+    }
+
+    /// Records that a stream went on for [`SURVIVAL_TIME`] after its first event, which clears
+    /// the parts of its prompt.
+    pub fn record_survival(&mut self, subjects: &RequestSubjects, now: Instant) {
+        for subject in subjects.parts.iter().flat_map(PromptPart::keys) {
+            self.survivors.refresh(subject, now);
+            self.clear_part(subject, now);
+        }
+    }
+
+    fn clear_part(&mut self, subject: Fingerprint, now: Instant) {
+        let Some(suspect) = self.suspects.get(&subject) else {
+            return;
+        };
+        if suspect.crashes().is_empty() && suspect.period.is_none() {
+            return;
+        }
+        self.clear(subject, now, crate::EndReason::Succeeded);
+        self.updates.push(QuarantineUpdate::Succeeded {
+            content: subject,
+            age_ms: 0,
+        });
+    }
+}
+
+/// Returns how the crashes of a part are explained by other parts.
+fn explanation_by<'a>(suspect: &Suspect, others: impl Iterator<Item = &'a Suspect>) -> Explanation {
+    let crashes = suspect.crashes().len();
+    let explanations = others.filter(|other| other.covers(suspect)).map(|other| {
+        match other.crashes().len() > crashes {
+            true => Explanation::Dominated,
+            false => Explanation::Tied,
+        }
+    });
+    explanations.max().unwrap_or(Explanation::None)
+}
--- a/crates/notchwalk_quarantine/src/quarantine/peers.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/peers.rs
@@ -8,7 +8,7 @@
 use crate::{
     suspect::{Crash, QuarantinePeriod, Runner},
     update::{age_ms, saturating_ms, time_of, QuarantineUpdate},
-    EndReason, Fingerprint,
+    EndReason, Fingerprint, PromptPart, SubjectKind,
 };
 
 /// Maximum number of updates in one rebroadcast, so that they fit into a datagram.
@@ -32,19 +32,21 @@
                 age_ms,
                 others,
                 silent,
+                origin,
             } => {
-                let at = time_of(age_ms, now);
                 let crash = Crash {
-                    server,
-                    at,
-                    other_requests: others,
-                    confirmed: false,
+                    at: time_of(age_ms, now),
                     observed_locally: false,
-                    correlated: false,
-                    probes: 0,
-                    silent,
+                    ..Crash::observed(server, others, silent, now)
+                };
+                let Some(origin) = origin else {
+                    self.add_crash(content, crash, None, now);
+                    return;
                 };
-                self.add_crash(content, crash, now);
+                let part = PromptPart::from_common(content, origin.workspace);
+                if self.add_part_crash(part, crash, origin, now) {
+                    self.publish_survival(part, now);
+                }
             }
             QuarantineUpdate::ServerEnded { server, age_ms } => {
                 self.confirm_crashes(server, time_of(age_ms, now));
@@ -56,8 +58,15 @@
             } => {
                 self.refute_crashes(server, time_of(since_ms, now), time_of(age_ms, now));
             }
-            QuarantineUpdate::Succeeded { content, age_ms }
-            | QuarantineUpdate::Released { content, age_ms } => {
+            QuarantineUpdate::Succeeded { content, age_ms } => {
+                let at = time_of(age_ms, now);
+                let suspect = self.suspects.get(&content);
+                if suspect.is_some_and(|suspect| suspect.kind == SubjectKind::Part) {
+                    self.survivors.refresh(content, at);
+                }
+                self.clear(content, at, EndReason::Told);
+            }
+            QuarantineUpdate::Released { content, age_ms } => {
                 self.clear(content, time_of(age_ms, now), EndReason::Told);
             }
             QuarantineUpdate::Running { content } => {
@@ -75,13 +84,14 @@
                 age_ms,
                 left_ms,
                 times,
+                kind,
             } => {
                 let left = Duration::from_millis(left_ms.into());
                 let period = QuarantinePeriod {
                     since: time_of(age_ms, now),
                     until: now.after(left.min(MAX_QUARANTINE)),
                 };
-                self.put_in_quarantine(content, period, times, false, now);
+                self.put_in_quarantine(content, kind, period, times, false, now);
             }
         }
     }
@@ -95,12 +105,19 @@
 
     /// Restores a quarantine from the store. `times` counts the quarantines so far, including
     /// this one.
-    pub fn restore(&mut self, content: Fingerprint, left: Duration, times: u32, now: Instant) {
+    pub fn restore(
+        &mut self,
+        content: Fingerprint,
+        kind: SubjectKind,
+        left: Duration,
+        times: u32,
+        now: Instant,
+    ) {
         let period = QuarantinePeriod {
             since: now,
             until: now.after(left.min(MAX_QUARANTINE)),
         };
-        self.put_in_quarantine(content, period, times, false, now);
+        self.put_in_quarantine(content, kind, period, times, false, now);
     }
 
     /// Returns the updates to rebroadcast: crashes that this node observed a short time ago.
@@ -120,6 +137,7 @@
                 age_ms: age_ms(period.since, now),
                 left_ms: saturating_ms(period.until.since(now)),
                 times: suspect.quarantine_count,
+                kind: suspect.kind,
             });
         }
         for (&content, suspect) in &self.suspects {
@@ -132,12 +150,21 @@
                 if !is_recent && !is_repeated {
                     continue;
                 }
+                // The evidence in common is derived from that in the workspaces.
+                let (subject, origin) = match (suspect.part_id, suspect.part) {
+                    (Some(part), Some(evidence)) => match evidence.origin() {
+                        Some(origin) => (part, Some(origin)),
+                        None => continue,
+                    },
+                    _ => (content, None),
+                };
                 updates.push(QuarantineUpdate::Crashed {
-                    content,
+                    content: subject,
                     server: crash.server,
                     age_ms: age_ms(crash.at, now),
                     others: crash.other_requests,
                     silent: crash.silent,
+                    origin,
                 });
             }
         }
--- a/crates/notchwalk_quarantine/src/quarantine/policy.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/policy.rs
@@ -4,14 +4,11 @@
 
 use notchwalk_core::Instant;
 
-use super::{
-    evidence::{is_same_crash, CRASH_RETENTION},
-    Quarantine,
-};
+use super::{evidence::CRASH_RETENTION, Quarantine};
 use crate::{
     suspect::{Incidents, QuarantinePeriod, Suspect},
     update::{age_ms, saturating_ms, QuarantineUpdate},
-    EndReason, Fingerprint, QuarantineDeclared, QuarantineFinding,
+    EndReason, Fingerprint, QuarantineDeclared, QuarantineFinding, SubjectKind,
 };
 
 /// Minimum score for a quarantine: three isolated incidents. A request may twice run on the
@@ -71,9 +68,11 @@
             if suspect.period.is_some_and(|period| now >= period.until) {
                 suspect.period = None;
                 suspect.retain(|_| false);
-                let reason = EndReason::Lapsed;
-                self.findings
-                    .push(QuarantineFinding::Ended { content, reason });
+                self.findings.push(QuarantineFinding::Ended {
+                    content,
+                    kind: suspect.kind,
+                    reason: EndReason::Lapsed,
+                });
             }
         }
         self.declare_quarantines(now);
@@ -83,7 +82,7 @@
     /// Quarantines all contents that reached their threshold. They are selected before any
     /// of them is quarantined, since a quarantine removes crashes from other suspects.
     pub(super) fn declare_quarantines(&mut self, now: Instant) {
-        let is_due = |suspect: &Suspect| {
+        let is_due = |subject: Fingerprint, suspect: &Suspect| {
             let is_observed_locally = suspect.crashes().iter().any(|crash| crash.observed_locally);
             let delay = match is_observed_locally {
                 true => DECLARATION_DELAY,
@@ -94,11 +93,15 @@
             reaches_threshold
                 && suspect.period.is_none()
                 && now.since(suspect.last_crash()) >= delay
+                && (suspect.kind == SubjectKind::Content
+                    || self.may_declare_part(subject, suspect, now))
         };
         let suspects = self.suspects.iter();
-        let due = suspects.filter(|(_, suspect)| is_due(suspect));
-        let due: Vec<Fingerprint> = due.map(|(&content, _)| content).collect();
-        for content in due {
+        let due = suspects.filter(|(&subject, suspect)| is_due(subject, suspect));
+        let due: Vec<(Fingerprint, SubjectKind)> = due
+            .map(|(&content, suspect)| (content, suspect.kind))
+            .collect();
+        for (content, kind) in due {
             let times = self
                 .suspects
                 .get(&content)
@@ -110,7 +113,7 @@
                 since: now,
                 until: now.after(duration.min(MAX_QUARANTINE)),
             };
-            self.put_in_quarantine(content, period, times, true, now);
+            self.put_in_quarantine(content, kind, period, times, true, now);
         }
     }
 
@@ -120,6 +123,7 @@
     pub(super) fn put_in_quarantine(
         &mut self,
         content: Fingerprint,
+        kind: SubjectKind,
         period: QuarantinePeriod,
         times: u32,
         declared_locally: bool,
@@ -128,12 +132,13 @@
         if now >= period.until {
             return;
         }
-        self.evict_if_full(content, now);
+        self.evict_if_full(content, kind, now);
         let suspect = self.suspects.entry(content).or_default();
         // An update of a quarantine that has ended meanwhile may arrive late.
         if suspect.is_quarantined(now) || period.since <= suspect.cleared_at {
             return;
         }
+        suspect.kind = kind;
         suspect.period = Some(period);
         suspect.quarantine_count = suspect.quarantine_count.max(times);
         suspect.count_expires_at = period.until.after(period.until.since(period.since));
@@ -144,6 +149,7 @@
                 age_ms: age_ms(period.since, now),
                 left_ms: saturating_ms(period.until.since(now)),
                 times,
+                kind,
             });
         }
         for (&other, suspect) in &mut self.suspects {
@@ -151,7 +157,7 @@
             if other == content || suspect.is_quarantined(now) || reaches_base_threshold {
                 continue;
             }
-            suspect.retain(|crash| !crashes.iter().any(|known| is_same_crash(known, crash)));
+            suspect.retain(|crash| !crashes.iter().any(|known| known.is_same(crash)));
         }
         for crash in &crashes {
             self.update_correlation(crash.at, now);
@@ -159,6 +165,7 @@
         self.findings
             .push(QuarantineFinding::Quarantined(QuarantineDeclared {
                 content,
+                kind,
                 crashes,
                 duration: period.until.since(now),
                 quarantine_count: times,
--- a/crates/notchwalk_quarantine/src/recent.rs
+++ b/crates/notchwalk_quarantine/src/recent.rs
@@ -1,5 +1,5 @@
-//! Contents that completed successfully a short time ago. They may run concurrently even while
-//! they are suspected.
+//! Contents that completed successfully a short time ago, which may run concurrently even while
+//! they are suspected, and parts of prompts that survived.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -11,8 +11,8 @@
 use crate::Fingerprint;
 
 /// Maximum number of retained successes. That is 15 s of the 66 requests per second of a
-/// node at the target size; 50 KB.
-const CAPACITY: usize = 1_024;
+/// node at the target size with two parts of their own each; 200 KB.
+const CAPACITY: usize = 4_096;
 /// How long a success is retained.
 const RETENTION: Duration = Duration::from_secs(15);
 
@@ -40,9 +40,24 @@
         }
     }
 
+    /// Records a success unless one was recorded a short time ago, so that the same few
+    /// contents do not evict others.
+    pub fn refresh(&mut self, content: Fingerprint, at: Instant) {
+        const MIN_INTERVAL: Duration = Duration::from_secs(1);
+        let last = self.last_success.get(&content);
+        if last.is_none_or(|&last| at.since(last) >= MIN_INTERVAL) {
+            self.record(content, at);
+        }
+    }
+
+    /// Returns the latest recorded success within the retention period.
+    pub fn last_success(&self, content: Fingerprint, now: Instant) -> Option<Instant> {
+        let at = self.last_success.get(&content).copied();
+        at.filter(|&at| now.since(at) < RETENTION)
+    }
+
     /// Returns whether a content succeeded within the retention period.
     pub fn contains(&self, content: Fingerprint, now: Instant) -> bool {
-        let at = self.last_success.get(&content);
-        at.is_some_and(|&at| now.since(at) < RETENTION)
+        self.last_success(content, now).is_some()
     }
 }
--- a/crates/notchwalk_quarantine/src/suspect.rs
+++ b/crates/notchwalk_quarantine/src/suspect.rs
@@ -4,6 +4,11 @@
 
 use notchwalk_core::Instant;
 
+use crate::{
+    subjects::{PartEvidence, PartRun},
+    Fingerprint, SubjectKind,
+};
+
 /// Crashes within this time belong to one incident. The loss of a rack or a reset of many
 /// connections is observed at slightly different times.
 const INCIDENT_WINDOW: Duration = Duration::from_millis(50);
@@ -49,6 +54,31 @@
     pub silent: bool,
 }
 
+impl Crash {
+    /// Creates an unconfirmed crash that this node observes.
+    pub(crate) fn observed(server: u32, other_requests: u16, silent: bool, now: Instant) -> Self {
+        Self {
+            server,
+            at: now,
+            other_requests,
+            confirmed: false,
+            observed_locally: true,
+            correlated: false,
+            probes: 0,
+            silent,
+        }
+    }
+
+    /// Returns whether two reports are of the same crash of a server.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        /// Nodes detect the broken connections of one server at slightly different times. They
+        /// break within 15 ms of each other.
+        const TOLERANCE: Duration = Duration::from_millis(100);
+        let apart = self.at.since(other.at).max(other.at.since(self.at));
+        self.server == other.server && apart < TOLERANCE
+    }
+}
+
 /// The node that has a run in flight: this one, or a peer by its local number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Runner {
@@ -72,6 +102,11 @@
 /// The crash evidence against one content, its quarantine and its runs in flight.
 #[derive(Debug, Default)]
 pub(crate) struct Suspect {
+    pub kind: SubjectKind,
+    /// The fingerprint of a part in common, the same for its evidence in each workspace.
+    pub part_id: Option<Fingerprint>,
+    /// What the crashes of a part have in common; `None` for contents.
+    pub part: Option<PartEvidence>,
     /// Ordered by time.
     crashes: Vec<Crash>,
     /// Crashes up to this time are ignored.
@@ -154,6 +189,28 @@
         true
     }
 
+    /// Records a run of a part on a server that crashed.
+    pub fn record_run(&mut self, run: PartRun) {
+        let evidence = self.part.get_or_insert(PartEvidence::new(run.is_common));
+        evidence.record(run.origin);
+    }
+
+    /// Returns whether the evidence affects requests.
+    pub fn applies(&self) -> bool {
+        self.part.is_none_or(|part| part.applies())
+    }
+
+    /// Returns whether the content or part may be at fault for its crashes.
+    pub fn may_be_cause(&self) -> bool {
+        self.part.is_none_or(|part| part.may_be_cause())
+    }
+
+    /// Returns whether each crash of another suspect is also one of this one.
+    pub fn covers(&self, other: &Self) -> bool {
+        let is_known = |crash: &Crash| self.crashes.iter().any(|c| c.is_same(crash));
+        !other.crashes.is_empty() && other.crashes.iter().all(is_known)
+    }
+
     /// Evicts the oldest unconfirmed crash, or the oldest if all are confirmed.
     fn evict_one(&mut self) {
         let unconfirmed = self.crashes.iter().position(|crash| !crash.confirmed);
@@ -209,6 +266,9 @@
     pub fn clear(&mut self, at: Instant) {
         self.cleared_at = self.cleared_at.max(at);
         self.crashes.retain(|crash| crash.at > at);
+        if self.crashes.is_empty() {
+            self.part = None;
+        }
         if self.period.is_some_and(|period| period.since <= at) {
             self.period = None;
             self.quarantine_count = 0;
--- a/crates/notchwalk_quarantine/src/update.rs
+++ b/crates/notchwalk_quarantine/src/update.rs
@@ -6,7 +6,7 @@
 use notchwalk_core::Instant;
 use serde::{Deserialize, Serialize};
 
-use crate::Fingerprint;
+use crate::{CrashOrigin, Fingerprint, SubjectKind};
 
 /// One update. Ages are in milliseconds, since nodes share no clock. A server is
 /// identified by the short id of its incarnation.
@@ -24,6 +24,10 @@
         others: u16,
         /// Whether the server stopped responding while its connection stayed open.
         silent: bool,
+        /// The request that ran it, if `content` identifies a part of prompts, in the
+        /// requests of all workspaces.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        origin: Option<CrashOrigin>,
     },
     /// A server was observed to have ended.
     ServerEnded {
@@ -70,6 +74,9 @@
         left_ms: u32,
         /// Number of quarantines so far, including this one.
         times: u32,
+        /// What is quarantined.
+        #[serde(default)]
+        kind: SubjectKind,
     },
     /// An operator ended a quarantine.
     Released {
--- a/crates/notchwalk_quarantine/src/verdict.rs
+++ b/crates/notchwalk_quarantine/src/verdict.rs
@@ -4,7 +4,7 @@
 
 use notchwalk_core::Instant;
 
-use crate::{Crash, Fingerprint};
+use crate::{Crash, Fingerprint, SubjectKind};
 
 /// Whether requests of a content may run.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -27,11 +27,35 @@
     },
 }
 
-/// A content that was just quarantined.
+impl Verdict {
+    /// Returns the order of verdicts from the least to the most strict.
+    pub(crate) fn strictness(&self) -> u8 {
+        match self {
+            Self::Allowed => 0,
+            Self::Suspected { .. } => 1,
+            Self::RunningElsewhere => 2,
+            Self::Held => 3,
+            Self::Quarantined { .. } => 4,
+        }
+    }
+}
+
+/// The verdict on a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RequestVerdict {
+    /// The verdict.
+    pub verdict: Verdict,
+    /// The content or part that it is based on.
+    pub subject: Fingerprint,
+}
+
+/// A content or part that was just quarantined.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QuarantineDeclared {
-    /// The quarantined content.
+    /// The quarantined content or part.
     pub content: Fingerprint,
+    /// Which of the two it is.
+    pub kind: SubjectKind,
     /// The crashes for which it is quarantined, as known to this node.
     pub crashes: Vec<Crash>,
     /// The duration of the quarantine.
@@ -47,8 +71,10 @@
 pub enum QuarantineFinding {
     /// A server appears to have crashed while running a request of this node.
     Crashed {
-        /// The request's content.
+        /// The request's content, or a part of its prompt.
         content: Fingerprint,
+        /// Which of the two it is.
+        kind: SubjectKind,
         /// The crash.
         crash: Crash,
         /// Number of incidents of this content so far.
@@ -58,8 +84,10 @@
     Quarantined(QuarantineDeclared),
     /// A quarantine ended.
     Ended {
-        /// The content.
+        /// The content or part.
         content: Fingerprint,
+        /// Which of the two it was.
+        kind: SubjectKind,
         /// Why it ended.
         reason: EndReason,
     },
@@ -81,8 +109,10 @@
 /// The state of a suspect, for operators.
 #[derive(Clone, Debug)]
 pub struct SuspectView<'a> {
-    /// The content.
+    /// The content or part.
     pub content: Fingerprint,
+    /// Which of the two it is.
+    pub kind: SubjectKind,
     /// The crashes attributed to it.
     pub crashes: &'a [Crash],
     /// The current verdict.
--- /dev/null
+++ b/crates/notchwalk_quarantine/tests/parts.rs
@@ -0,0 +1,399 @@
+//! The rules by which a part of prompts is quarantined, and what clears one.
+
+use std::time::Duration;
+
+use notchwalk_core::Instant;
+use notchwalk_quarantine::{
+    CrashOrigin, Fingerprint, PromptPart, Quarantine, QuarantineUpdate, RequestSubjects,
+    SubjectKind, Verdict,
+};
+
+const START: Instant = Instant::from_millis(3_600_000);
+const WORKSPACE: u32 = 7;
+const OTHER_WORKSPACE: u32 = 8;
+
+fn part_of(workspace: u32, id: &str) -> PromptPart {
+    PromptPart::new("engines", Fingerprint::of_part_id(id), workspace)
+}
+
+fn part(id: &str) -> PromptPart {
+    part_of(WORKSPACE, id)
+}
+
+/// The suspects of a node, its clock, and a counter that gives each request its own content.
+struct Node {
+    quarantine: Quarantine,
+    now: Instant,
+    contents: u128,
+}
+
+impl Node {
+    fn new() -> Self {
+        let mut quarantine = Quarantine::default();
+        quarantine.tick(START);
+        Self {
+            quarantine,
+            now: START,
+            contents: 0,
+        }
+    }
+
+    fn advance(&mut self, ms: u64) {
+        self.now = self.now.after(Duration::from_millis(ms));
+        self.quarantine.tick(self.now);
+    }
+
+    fn request_of(&mut self, workspace: u32, ids: &[&str]) -> RequestSubjects {
+        self.contents += 1;
+        let parts = ids.iter().map(|id| part_of(workspace, id));
+        RequestSubjects {
+            // The first bytes make up the short id.
+            content: Fingerprint::from(self.contents << 96),
+            parts: parts.collect(),
+        }
+    }
+
+    fn request(&mut self, ids: &[&str]) -> RequestSubjects {
+        self.request_of(WORKSPACE, ids)
+    }
+
+    fn crash_request(&mut self, request: &RequestSubjects, server: u32) {
+        let now = self.now;
+        self.quarantine
+            .record_request_broken(request, &[server], 4, false, false, now);
+        self.quarantine.record_server_ended(server, false, now);
+    }
+
+    /// Crashes a server with a new request that has these parts.
+    fn crash_of(&mut self, workspace: u32, ids: &[&str], server: u32) {
+        let request = self.request_of(workspace, ids);
+        self.crash_request(&request, server);
+        self.advance(300);
+    }
+
+    fn crash(&mut self, ids: &[&str], server: u32) {
+        self.crash_of(WORKSPACE, ids, server);
+    }
+
+    fn survive(&mut self, ids: &[&str]) {
+        let request = self.request(ids);
+        self.quarantine.record_survival(&request, self.now);
+    }
+
+    fn verdict_of(&mut self, workspace: u32, ids: &[&str]) -> Verdict {
+        let request = self.request_of(workspace, ids);
+        self.quarantine.request_verdict(&request, self.now).verdict
+    }
+
+    fn verdict(&mut self, ids: &[&str]) -> Verdict {
+        self.verdict_of(WORKSPACE, ids)
+    }
+
+    fn is_quarantined(&mut self, ids: &[&str]) -> bool {
+        matches!(self.verdict(ids), Verdict::Quarantined { .. })
+    }
+
+    fn send_updates(&mut self, other: &mut Self) {
+        let updates = self.quarantine.take_updates();
+        other.quarantine.apply_updates(1, &updates, other.now);
+    }
+}
+
+#[test]
+fn part_of_different_contents_is_quarantined_after_three_crashes() {
+    let mut node = Node::new();
+    for server in 1..=3 {
+        assert!(!node.is_quarantined(&["fatal"]));
+        node.crash(&["fatal"], server);
+    }
+    assert!(node.is_quarantined(&["fatal"]));
+    assert!(node.is_quarantined(&["other", "fatal"]));
+    assert_eq!(node.verdict(&["other"]), Verdict::Allowed);
+}
+
+#[test]
+fn part_is_held_until_its_third_crash_is_confirmed() {
+    let mut node = Node::new();
+    for server in 1..=3 {
+        let request = node.request(&["fatal"]);
+        let now = node.now;
+        node.quarantine
+            .record_request_broken(&request, &[server], 4, false, false, now);
+        node.advance(100);
+    }
+    assert_eq!(node.verdict(&["fatal"]), Verdict::Held);
+}
+
+#[test]
+fn content_that_runs_again_does_not_quarantine_its_parts() {
+    let mut node = Node::new();
+    let request = node.request(&["sound"]);
+    for server in 1..=4 {
+        node.crash_request(&request, server);
+        node.advance(300);
+    }
+    let verdict = node.quarantine.request_verdict(&request, node.now);
+    assert!(matches!(verdict.verdict, Verdict::Quarantined { .. }));
+    assert_eq!(verdict.subject, request.content);
+    assert!(matches!(
+        node.verdict(&["sound"]),
+        Verdict::Suspected { .. }
+    ));
+}
+
+#[test]
+fn suspected_part_has_one_run_at_a_time_on_all_nodes() {
+    let (mut node, mut peer) = (Node::new(), Node::new());
+    node.crash(&["fatal"], 1);
+    let request = node.request(&["fatal"]);
+    node.quarantine.record_request_sent(&request, node.now);
+    node.send_updates(&mut peer);
+    assert_eq!(peer.verdict(&["fatal"]), Verdict::RunningElsewhere);
+    node.quarantine.record_request_ended(&request, node.now);
+    node.send_updates(&mut peer);
+    assert!(matches!(
+        peer.verdict(&["fatal"]),
+        Verdict::Suspected { .. }
+    ));
+}
+
+#[test]
+fn survival_clears_parts_at_peers_and_keeps_them_from_being_held_back() {
+    let (mut node, mut peer) = (Node::new(), Node::new());
+    node.crash(&["sound", "fatal"], 1);
+    node.send_updates(&mut peer);
+    assert_ne!(peer.verdict(&["sound"]), Verdict::Allowed);
+    node.survive(&["sound"]);
+    node.send_updates(&mut peer);
+    peer.advance(300);
+    for server in 2..=3 {
+        peer.crash(&["sound"], server);
+        assert_eq!(peer.verdict(&["sound"]), Verdict::Allowed);
+    }
+    assert_ne!(peer.verdict(&["fatal"]), Verdict::Allowed);
+}
+
+#[test]
+fn peer_that_saw_a_part_survive_clears_it_when_told_of_a_crash() {
+    let (mut node, mut peer) = (Node::new(), Node::new());
+    peer.survive(&["sound"]);
+    peer.advance(100);
+    node.advance(100);
+    node.crash(&["sound"], 1);
+    assert_ne!(node.verdict(&["sound"]), Verdict::Allowed);
+    node.send_updates(&mut peer);
+    peer.send_updates(&mut node);
+    assert_eq!(node.verdict(&["sound"]), Verdict::Allowed);
+}
+
+#[test]
+fn part_that_survived_before_is_quarantined_two_crashes_later() {
+    let mut node = Node::new();
+    node.survive(&["turned"]);
+    let mut crashes = 0;
+    while !node.is_quarantined(&["turned"]) {
+        crashes += 1;
+        node.crash(&["turned"], crashes);
+    }
+    assert_eq!(crashes, 5);
+}
+
+#[test]
+fn request_that_survived_does_not_count_against_its_parts() {
+    let mut node = Node::new();
+    for server in 1..=4 {
+        let request = node.request(&["sound"]);
+        let now = node.now;
+        node.quarantine
+            .record_request_broken(&request, &[server], 4, false, true, now);
+        node.quarantine.record_server_ended(server, false, now);
+        node.advance(300);
+    }
+    assert_eq!(node.verdict(&["sound"]), Verdict::Allowed);
+}
+
+#[test]
+fn parts_beside_a_fatal_one_are_not_quarantined_with_it() {
+    let mut node = Node::new();
+    node.crash(&["first", "fatal", "a"], 1);
+    node.crash(&["first", "fatal", "b"], 2);
+    node.crash(&["first", "fatal", "c"], 3);
+    assert_eq!(node.verdict(&["first", "fatal"]), Verdict::Held);
+    // A request without the other suspect tells the two apart.
+    assert!(matches!(
+        node.verdict(&["first", "a"]),
+        Verdict::Suspected { .. }
+    ));
+    node.survive(&["first", "a"]);
+    node.advance(200);
+    assert!(node.is_quarantined(&["first", "fatal"]));
+    for id in ["a", "b", "c"] {
+        assert_eq!(node.verdict(&["first", id]), Verdict::Allowed);
+    }
+}
+
+#[test]
+fn parts_with_the_same_crashes_are_quarantined_if_nothing_tells_them_apart() {
+    let mut node = Node::new();
+    for server in 1..=3 {
+        node.crash(&["one", "two"], server);
+    }
+    assert!(!node.is_quarantined(&["one", "two"]));
+    node.advance(3_000);
+    assert!(node.is_quarantined(&["one", "two"]));
+    // A request with one of them may still run.
+    assert!(matches!(node.verdict(&["one"]), Verdict::Suspected { .. }));
+    node.survive(&["one"]);
+    assert_eq!(node.verdict(&["one"]), Verdict::Allowed);
+    assert!(node.is_quarantined(&["one", "two"]));
+}
+
+#[test]
+fn several_fatal_parts_are_all_quarantined() {
+    let mut node = Node::new();
+    for round in 0..3 {
+        for (number, id) in ["x", "y", "z"].into_iter().enumerate() {
+            node.crash(&["first", id], 10 * round + number as u32);
+            node.survive(&["first"]);
+        }
+    }
+    node.advance(200);
+    for id in ["x", "y", "z"] {
+        assert!(node.is_quarantined(&["first", id]), "{id}");
+    }
+    assert_eq!(node.verdict(&["first"]), Verdict::Allowed);
+}
+
+#[test]
+fn part_named_falsely_in_one_workspace_runs_in_others() {
+    let mut node = Node::new();
+    for server in 1..=6 {
+        node.crash_of(OTHER_WORKSPACE, &["named"], server);
+    }
+    assert!(matches!(
+        node.verdict_of(OTHER_WORKSPACE, &["named"]),
+        Verdict::Quarantined { .. }
+    ));
+    assert_eq!(node.verdict(&["named"]), Verdict::Allowed);
+}
+
+#[test]
+fn fatal_part_is_quarantined_in_all_workspaces_once_two_lost_servers() {
+    let mut node = Node::new();
+    for server in 1..=3 {
+        node.crash_of(OTHER_WORKSPACE, &["fatal"], server);
+    }
+    node.crash(&["fatal"], 4);
+    assert_ne!(node.verdict_of(9, &["fatal"]), Verdict::Allowed);
+    node.advance(200);
+    assert!(matches!(
+        node.verdict_of(9, &["fatal"]),
+        Verdict::Quarantined { .. }
+    ));
+}
+
+#[test]
+fn part_is_separate_for_each_service() {
+    let id = Fingerprint::of_part_id("id");
+    let (one, other) = (
+        PromptPart::new("one", id, 1),
+        PromptPart::new("other", id, 1),
+    );
+    assert_ne!(one.common(), other.common());
+    assert_ne!(one.scoped(), one.common());
+}
+
+#[test]
+fn racks_lost_in_series_quarantine_no_part() {
+    let mut node = Node::new();
+    node.survive(&["first"]);
+    for rack in 0..3 {
+        for server in rack * 5..rack * 5 + 5 {
+            let request = node.request(&["first", &format!("own-{rack}")]);
+            node.crash_request(&request, server);
+        }
+        node.advance(700);
+    }
+    node.advance(4_000);
+    assert_eq!(node.verdict(&["first"]), Verdict::Allowed);
+    assert_eq!(node.quarantine.quarantined_count(node.now), 0);
+}
+
+#[test]
+fn restored_quarantine_of_a_part_applies_and_can_be_released() {
+    let mut node = Node::new();
+    let left = Duration::from_secs(60);
+    let scoped = part("fatal").scoped();
+    let now = node.now;
+    node.quarantine
+        .restore(scoped, SubjectKind::Part, left, 1, now);
+    assert!(node.is_quarantined(&["fatal"]));
+    let views = node.quarantine.suspect_views(node.now);
+    assert_eq!(views[0].kind, SubjectKind::Part);
+    node.advance(10);
+    assert!(node.quarantine.release(scoped, node.now));
+    assert_eq!(node.verdict(&["fatal"]), Verdict::Allowed);
+}
+
+#[test]
+fn quarantine_of_a_part_reaches_nodes_that_start_later() {
+    let (mut node, mut new) = (Node::new(), Node::new());
+    for server in 1..=3 {
+        node.crash(&["fatal"], server);
+    }
+    let updates = node.quarantine.updates_to_rebroadcast(true, node.now);
+    new.quarantine.apply_updates(1, &updates, new.now);
+    assert!(new.is_quarantined(&["fatal"]));
+}
+
+#[test]
+fn popular_part_is_published_once_for_a_server() {
+    let mut node = Node::new();
+    for _ in 0..40 {
+        let request = node.request(&["popular"]);
+        let now = node.now;
+        node.quarantine
+            .record_request_broken(&request, &[1], 39, false, false, now);
+    }
+    let common = part("popular").common();
+    let updates = node.quarantine.take_updates();
+    let is_of_part = |update: &&QuarantineUpdate| matches!(update, QuarantineUpdate::Crashed { content, .. } if *content == common);
+    assert_eq!(updates.iter().filter(is_of_part).count(), 1);
+}
+
+#[test]
+fn table_of_suspects_is_bounded_with_many_parts() {
+    let mut node = Node::new();
+    for number in 0..3_000 {
+        let now = node.now;
+        let id = number.to_string();
+        let request = node.request(&[&id]);
+        node.quarantine
+            .record_request_broken(&request, &[number], 4, false, false, now);
+    }
+    assert!(node.quarantine.suspect_views(node.now).len() <= 1_024);
+}
+
+/// Guards against updates of parts that nodes of an earlier version can't read.
+#[test]
+fn update_of_a_part_is_a_crash_of_an_unknown_content_to_earlier_versions() {
+    #[derive(Debug, serde::Deserialize)]
+    enum Earlier {
+        Crashed { server: u32 },
+    }
+    let update = QuarantineUpdate::Crashed {
+        content: part("fatal").common(),
+        server: 3,
+        age_ms: 0,
+        others: 0,
+        silent: false,
+        origin: Some(CrashOrigin {
+            workspace: WORKSPACE,
+            content: 1,
+        }),
+    };
+    let mut buf = Vec::new();
+    ciborium::into_writer(&update, &mut buf).expect("encodes");
+    let Earlier::Crashed { server } = ciborium::from_reader(&buf[..]).expect("decodes");
+    assert_eq!(server, 3);
+}
--- a/crates/notchwalk_quarantine/tests/rules.rs
+++ b/crates/notchwalk_quarantine/tests/rules.rs
@@ -4,7 +4,7 @@
 
 use notchwalk_core::Instant;
 use notchwalk_quarantine::{
-    EndReason, Fingerprint, Quarantine, QuarantineFinding, QuarantineUpdate, Verdict,
+    EndReason, Fingerprint, Quarantine, QuarantineFinding, QuarantineUpdate, SubjectKind, Verdict,
 };
 
 const START: Instant = Instant::from_millis(3_600_000);
@@ -214,6 +214,7 @@
         age_ms: 600,
         others: 9,
         silent: false,
+        origin: None,
     };
     node.quarantine.apply_updates(1, &[late], node.now);
     assert!(node.is_allowed(concurrent));
@@ -338,6 +339,7 @@
         age_ms: 2_000,
         left_ms: 500_000,
         times: 1,
+        kind: SubjectKind::Content,
     };
     node.quarantine.apply_updates(1, &[old], node.now);
     assert!(node.is_allowed(bad));
@@ -347,7 +349,8 @@
 fn restored_quarantine_lasts_for_the_remaining_time() {
     let (mut node, bad) = (Node::new(), content(1));
     let left = Duration::from_secs(60);
-    node.quarantine.restore(bad, left, 1, node.now);
+    node.quarantine
+        .restore(bad, SubjectKind::Content, left, 1, node.now);
     assert!(node.is_quarantined(bad));
     node.advance(61_000);
     assert!(node.is_allowed(bad));
--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -6,6 +6,7 @@
 use http::{header, HeaderMap, Method, StatusCode};
 use notchwalk_core::Instant;
 use notchwalk_http::{encode_chunk, encode_request_head, prelude::*};
+use notchwalk_quarantine::SURVIVAL_TIME;
 use notchwalk_route::{Assignment, AttemptEnd, Event, Forwarding, Refusal, ServerKey};
 
 use crate::{
@@ -504,7 +505,8 @@
     let status = response.status;
     let headers = end_to_end_headers(&mut response.headers);
     let mut idle_timeout = to.first_output_timeout();
-    let mut started = false;
+    let mut started_at = None;
+    let mut survived = false;
     loop {
         let next = response.next();
         let awaited = await_server(shell, exchange, req, to.server(), idle_timeout, next).await;
@@ -533,10 +535,18 @@
         if events.is_empty() {
             continue;
         }
-        if !started {
-            started = true;
-            idle_timeout = to.inter_token_timeout();
-            shell.step(Event::Started { request: req.key });
+        let now = shell.now();
+        match started_at {
+            None => {
+                started_at = Some(now);
+                idle_timeout = to.inter_token_timeout();
+                shell.step(Event::Started { request: req.key });
+            }
+            Some(started_at) if !survived && now.since(started_at) >= SURVIVAL_TIME => {
+                survived = true;
+                shell.step(Event::Survived { request: req.key });
+            }
+            Some(_) => {}
         }
         if write_events(exchange, delivery, status, &headers, &events)
             .await
--- a/crates/notchwalk_relay/src/effects.rs
+++ b/crates/notchwalk_relay/src/effects.rs
@@ -45,6 +45,7 @@
             | Effect::Forward { .. }
             | Effect::RetryDecided { .. }
             | Effect::NoServer { .. }
+            | Effect::Blocked { .. }
             | Effect::Refuse { .. }
             | Effect::DeliverFailure { .. } => {}
         }
--- a/crates/notchwalk_relay/src/front/accept.rs
+++ b/crates/notchwalk_relay/src/front/accept.rs
@@ -126,6 +126,7 @@
                 .unwrap_or(default_output_tokens),
             route: route.clone(),
             content,
+            shared_parts: caller.shared_parts.clone(),
         };
         let req = ActiveRequest {
             key: RequestKey::default(),
--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -198,6 +198,9 @@
                     excluded,
                     ..
                 }) => record::log_no_server(req, &service, status, excluded),
+                Some(Effect::Blocked { subject, kind, .. }) => {
+                    record::log_blocked(req, subject, kind);
+                }
                 Some(_) => continue,
                 None => {
                     return self
--- a/crates/notchwalk_relay/src/front/record.rs
+++ b/crates/notchwalk_relay/src/front/record.rs
@@ -2,12 +2,14 @@
 
 use notchwalk_core::{LogEvent, LogEventKind};
 use notchwalk_http::BodyFraming;
+use notchwalk_quarantine::{Fingerprint, SubjectKind};
 use notchwalk_route::{Assignment, AttemptEnd, Forwarding, Refusal, RetryUsage, ServiceStatus};
 
 use super::Front;
 use crate::{
     active_request::ActiveRequest,
     attempt::{self, Delivery, Destination},
+    quarantine::kind_label,
 };
 
 /// How a request ended.
@@ -68,6 +70,12 @@
     LogEvent::new(LogEventKind::NoServerAvailable, facts).emit();
 }
 
+/// Logs which suspect a request is refused for.
+pub(super) fn log_blocked(req: &ActiveRequest, subject: Fingerprint, kind: SubjectKind) {
+    let facts = format!("request={} {}={subject}", req.id(), kind_label(kind));
+    LogEvent::new(LogEventKind::RequestBlocked, facts).emit();
+}
+
 impl Front {
     pub(super) fn log_sent(&self, req: &ActiveRequest, to: &Assignment) {
         let now = self.shell.now();
--- a/crates/notchwalk_relay/src/metrics.rs
+++ b/crates/notchwalk_relay/src/metrics.rs
@@ -42,7 +42,7 @@
     pub suspected_crashes: IntCounter,
     /// Quarantines declared by this node.
     pub quarantines: IntCounter,
-    /// Request contents currently in quarantine.
+    /// Request contents and parts of prompts currently in quarantine.
     pub quarantined: IntGauge,
     /// Notices announced by servers in responses, by kind.
     pub server_notices: IntCounterVec,
@@ -127,7 +127,7 @@
             ),
             quarantined: set.gauge(
                 "notchwalk_quarantined",
-                "Contents that are sent to no server for a while",
+                "Contents and parts of prompts that are sent to no server for a while",
             ),
             server_notices: set.counter_vec(
                 "notchwalk_server_words_total",
--- a/crates/notchwalk_relay/src/quarantine.rs
+++ b/crates/notchwalk_relay/src/quarantine.rs
@@ -13,7 +13,7 @@
 use notchwalk_http::prelude::*;
 use notchwalk_platform::{Row, RowWrite};
 use notchwalk_quarantine::{
-    Crash, EndReason, Fingerprint, QuarantineDeclared, QuarantineFinding, Verdict,
+    Crash, EndReason, Fingerprint, QuarantineDeclared, QuarantineFinding, SubjectKind, Verdict,
 };
 use notchwalk_route::{Event, Fleet};
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
@@ -22,6 +22,8 @@
 
 /// Key prefix of quarantines; names of nodes contain no slash.
 const KEY_PREFIX: &str = "quarantine/";
+/// What precedes the fingerprint of a part of prompts in a key.
+const PART_PREFIX: &str = "part-";
 /// How long an ended quarantine's row is retained before a node that reads it removes
 /// it.
 const RETENTION_AFTER_END: Duration = Duration::from_secs(3_600);
@@ -35,8 +37,30 @@
     times: u32,
 }
 
-fn row_key(content: Fingerprint) -> String {
-    format!("{KEY_PREFIX}{content}")
+fn row_key(content: Fingerprint, kind: SubjectKind) -> String {
+    let part_prefix = match kind {
+        SubjectKind::Content => "",
+        SubjectKind::Part => PART_PREFIX,
+    };
+    format!("{KEY_PREFIX}{part_prefix}{content}")
+}
+
+/// Parses the key of a quarantine; `None` if it is malformed.
+fn parse_row_key(key: &str) -> Option<(Fingerprint, SubjectKind)> {
+    let subject = key.strip_prefix(KEY_PREFIX)?;
+    let (fingerprint, kind) = match subject.strip_prefix(PART_PREFIX) {
+        Some(fingerprint) => (fingerprint, SubjectKind::Part),
+        None => (subject, SubjectKind::Content),
+    };
+    Some((fingerprint.parse().ok()?, kind))
+}
+
+/// Returns the name of a subject's fingerprint in logs and in the state.
+pub(crate) fn kind_label(kind: SubjectKind) -> &'static str {
+    match kind {
+        SubjectKind::Content => "content",
+        SubjectKind::Part => "part",
+    }
 }
 
 /// Returns whether a row holds a quarantine.
@@ -49,24 +73,30 @@
     match finding {
         QuarantineFinding::Crashed {
             content,
+            kind,
             crash,
             incidents,
-        } => log_crash(shell, content, &crash, incidents),
+        } => log_crash(shell, content, kind, &crash, incidents),
         QuarantineFinding::Quarantined(quarantined) => {
             log_quarantined(shell, &quarantined);
             if quarantined.declared_locally {
                 monoio::spawn(persist(
                     shell.clone(),
                     quarantined.content,
+                    quarantined.kind,
                     quarantined.quarantine_count,
                 ));
             }
         }
-        QuarantineFinding::Ended { content, reason } => {
-            let facts = format!("content={content} reason={reason:?}");
+        QuarantineFinding::Ended {
+            content,
+            kind,
+            reason,
+        } => {
+            let facts = format!("{}={content} reason={reason:?}", kind_label(kind));
             LogEvent::new(LogEventKind::QuarantineEnded, facts).emit();
             if matches!(reason, EndReason::Succeeded | EndReason::Released) {
-                monoio::spawn(remove(shell.clone(), content));
+                monoio::spawn(remove(shell.clone(), content, kind));
             }
         }
     }
@@ -84,11 +114,18 @@
     }
 }
 
-fn log_crash(shell: &Shell, content: Fingerprint, crash: &Crash, incidents: u32) {
+fn log_crash(
+    shell: &Shell,
+    content: Fingerprint,
+    kind: SubjectKind,
+    crash: &Crash,
+    incidents: u32,
+) {
     shell.metrics.suspected_crashes.inc();
     let router = shell.router.borrow();
     let facts = format!(
-        "content={content} server={} others={} silent={} moments={incidents}",
+        "{}={content} server={} others={} silent={} moments={incidents}",
+        kind_label(kind),
         server_name(router.fleet(), crash.server),
         crash.other_requests,
         crash.silent
@@ -109,7 +146,8 @@
     });
     let crashes: Vec<String> = crashes.collect();
     let facts = format!(
-        "content={} lasts_s={} times={} declared_here={} crashes={}",
+        "{}={} lasts_s={} times={} declared_here={} crashes={}",
+        kind_label(quarantined.kind),
         quarantined.content,
         quarantined.duration.as_secs(),
         quarantined.quarantine_count,
@@ -130,18 +168,22 @@
 }
 
 /// Persists a quarantine, retrying while it is active.
-async fn persist(shell: Rc<Shell>, content: Fingerprint, times: u32) {
+async fn persist(shell: Rc<Shell>, content: Fingerprint, kind: SubjectKind, times: u32) {
     let mut backoff = Backoff::new(Duration::from_millis(200));
     loop {
         let now = shell.now();
-        let verdict = shell.router.borrow().quarantine().verdict(content, now);
-        let Verdict::Quarantined { until } = verdict else {
+        let until = shell
+            .router
+            .borrow()
+            .quarantine()
+            .quarantined_until(content, now);
+        let Some(until) = until else {
             return;
         };
         if let Some(store_now_ms) = shell.store_now_ms() {
             let until_ms = store_now_ms + until.since(now).as_millis() as u64;
             let row = QuarantineRow { until_ms, times };
-            if write(&shell, content, Some(&row)).await {
+            if write(&shell, content, kind, Some(&row)).await {
                 return;
             }
         }
@@ -153,30 +195,36 @@
 /// number.
 pub(crate) async fn persist_missing(shell: &Rc<Shell>, stored: &HashSet<String>) -> usize {
     let now = shell.now();
-    let missing: Vec<(Fingerprint, u32)> = {
+    let missing: Vec<(Fingerprint, SubjectKind, u32)> = {
         let router = shell.router.borrow();
         let suspects = router.quarantine().suspect_views(now).into_iter();
         let quarantined = suspects.filter(|s| matches!(s.verdict, Verdict::Quarantined { .. }));
-        let missing = quarantined.filter(|s| !stored.contains(&row_key(s.content)));
-        missing.map(|s| (s.content, s.quarantine_count)).collect()
+        let missing = quarantined.filter(|s| !stored.contains(&row_key(s.content, s.kind)));
+        let missing = missing.map(|s| (s.content, s.kind, s.quarantine_count));
+        missing.collect()
     };
-    for &(content, times) in &missing {
-        persist(shell.clone(), content, times).await;
+    for &(content, kind, times) in &missing {
+        persist(shell.clone(), content, kind, times).await;
     }
     missing.len()
 }
 
 /// Removes a quarantine from the store, retrying until it succeeds.
-async fn remove(shell: Rc<Shell>, content: Fingerprint) {
+async fn remove(shell: Rc<Shell>, content: Fingerprint, kind: SubjectKind) {
     let mut backoff = Backoff::new(Duration::from_millis(200));
-    while !write(&shell, content, None).await {
+    while !write(&shell, content, kind, None).await {
         backoff.wait().await;
     }
 }
 
 /// Writes a quarantine's row, or removes it if `row` is `None`; returns whether no retry
 /// is needed.
-async fn write(shell: &Shell, content: Fingerprint, row: Option<&QuarantineRow>) -> bool {
+async fn write(
+    shell: &Shell,
+    content: Fingerprint,
+    kind: SubjectKind,
+    row: Option<&QuarantineRow>,
+) -> bool {
     let mut value = None;
     if let Some(row) = row {
         let mut buf = Vec::new();
@@ -188,7 +236,7 @@
     }
     let write = RowWrite {
         table: PRESENCE_TABLE.to_owned(),
-        key: row_key(content),
+        key: row_key(content, kind),
         value,
         expected: None,
     };
@@ -203,10 +251,10 @@
 
 /// Applies a persisted quarantine.
 pub(crate) fn apply_row(shell: &Rc<Shell>, row: &Row) {
-    let content = row.key.strip_prefix(KEY_PREFIX).unwrap_or("").parse();
+    let subject = parse_row_key(&row.key);
     let value = row.value.as_ref().map(|value| value.as_ref());
     let stored = ciborium::from_reader::<QuarantineRow, _>(value.unwrap_or_default());
-    let (Ok(content), Ok(stored)) = (content, stored) else {
+    let (Some((content, kind)), Ok(stored)) = (subject, stored) else {
         log::warn!("can't decode the quarantine in row {:?}", row.key);
         return;
     };
@@ -218,13 +266,14 @@
         let times = stored.times;
         return shell.step(Event::QuarantineRestored {
             content,
+            kind,
             left,
             quarantine_count: times,
         });
     }
     let ended_for = Duration::from_millis(store_now_ms.saturating_sub(stored.until_ms));
     if ended_for >= RETENTION_AFTER_END {
-        monoio::spawn(remove(shell.clone(), content));
+        monoio::spawn(remove(shell.clone(), content, kind));
     }
 }
 
@@ -257,6 +306,7 @@
         };
         serde_json::json!({
             "content": suspect.content.to_string(),
+            "kind": kind_label(suspect.kind),
             "verdict": label,
             "left_ms": left.map(|left| left.as_millis() as u64),
             "times": suspect.quarantine_count,
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -292,7 +292,8 @@
             Effect::Send { request, .. }
             | Effect::Forward { request, .. }
             | Effect::RetryDecided { request, .. }
-            | Effect::NoServer { request, .. } => self.deliver(request, effect),
+            | Effect::NoServer { request, .. }
+            | Effect::Blocked { request, .. } => self.deliver(request, effect),
             Effect::Refuse { request, .. } | Effect::DeliverFailure { request } => {
                 self.deliver(request, effect);
                 self.inboxes.borrow_mut().remove(request);
--- a/crates/notchwalk_route/src/effect.rs
+++ b/crates/notchwalk_route/src/effect.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use notchwalk_core::Instant;
-use notchwalk_quarantine::QuarantineFinding;
+use notchwalk_quarantine::{Fingerprint, QuarantineFinding, SubjectKind};
 
 use crate::{
     AttemptEnd, ForwardedSend, RequestKey, RetryUsage, ServerKey, ServerNotice, ServiceStatus,
@@ -180,6 +180,15 @@
         /// How many of them are excluded for this request by its earlier attempts.
         excluded: usize,
     },
+    /// Report which suspect a request is refused for.
+    Blocked {
+        /// The request.
+        request: RequestKey,
+        /// The fingerprint of its content, or of a part of its prompt.
+        subject: Fingerprint,
+        /// Which of the two it is.
+        kind: SubjectKind,
+    },
     /// Deliver the retained error of the server; the router drops the request's state.
     DeliverFailure {
         /// The request.
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use notchwalk_quarantine::{Fingerprint, QuarantineUpdate};
+use notchwalk_quarantine::{Fingerprint, QuarantineUpdate, SubjectKind};
 
 use crate::{
     Group, LimitSharing, LimitUpdate, PeerStatus, PeerWork, ProcessRetries, Refusal, RequestFacts,
@@ -83,6 +83,12 @@
         /// The request.
         request: RequestKey,
     },
+    /// A stream from a server went on for [`SURVIVAL_TIME`](notchwalk_quarantine::SURVIVAL_TIME)
+    /// after its first event.
+    Survived {
+        /// The request.
+        request: RequestKey,
+    },
     /// An attempt to send a request to a server ended.
     AttemptEnded {
         /// The request.
@@ -147,8 +153,10 @@
     },
     /// A quarantine was read from the store.
     QuarantineRestored {
-        /// The fingerprint of the quarantined content.
+        /// The fingerprint of the quarantined content or part.
         content: Fingerprint,
+        /// Which of the two it is.
+        kind: SubjectKind,
         /// The remaining time of the quarantine.
         left: Duration,
         /// How often the content has been quarantined.
@@ -156,7 +164,7 @@
     },
     /// An operator ended a quarantine.
     QuarantineReleased {
-        /// The fingerprint of the quarantined content.
+        /// The fingerprint of the quarantined content or part.
         content: Fingerprint,
     },
     /// This node's group was derived from the registered nodes and servers.
--- a/crates/notchwalk_route/src/request.rs
+++ b/crates/notchwalk_route/src/request.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use notchwalk_core::Instant;
-use notchwalk_quarantine::Fingerprint;
+use notchwalk_quarantine::{Fingerprint, PromptPart, RequestSubjects};
 use slotmap::new_key_type;
 
 use crate::{
@@ -35,6 +35,8 @@
     pub route: Arc<Route>,
     /// Fingerprint of its content, the same for all of its attempts.
     pub content: Fingerprint,
+    /// The parts of its prompt that other requests may share, by their ids.
+    pub shared_parts: Vec<Fingerprint>,
     /// Its workspace; the default if it has no key.
     pub workspace: WorkspaceShortId,
     /// Priority of its workspace; 0 is the highest.
@@ -74,6 +76,8 @@
     pub first_attempt_at: Instant,
     /// Its service, chosen from those of the route.
     pub service: String,
+    /// Its content and the shared parts of its prompt, as possible causes of crashes.
+    pub subjects: RequestSubjects,
     /// Servers that are excluded from further attempts: it was sent to them, they rejected
     /// a segment or a reservation, or they are outside the subset for its suspected content.
     pub attempted: Vec<ServerKey>,
@@ -107,6 +111,19 @@
     pub waiting_since: Instant,
     /// Whether an event of its stream has been delivered.
     pub started: bool,
+    /// Whether its stream went on for long enough to show that its prompt does not crash its
+    /// server.
+    pub survived: bool,
+}
+
+fn subjects(facts: &RequestFacts, service: &str) -> RequestSubjects {
+    let parts = facts.shared_parts.iter();
+    let workspace = facts.workspace.number();
+    let parts = parts.map(|&id| PromptPart::new(service, id, workspace));
+    RequestSubjects {
+        content: facts.content,
+        parts: parts.collect(),
+    }
 }
 
 impl Request {
@@ -116,6 +133,7 @@
             sent_at: facts.arrived_at,
             waiting_since: facts.arrived_at,
             predicted_first_event: facts.arrived_at,
+            subjects: subjects(&facts, &service),
             facts,
             service,
             attempted: Vec::new(),
@@ -131,6 +149,7 @@
             pending_assignment: None,
             holds_reservations: false,
             started: false,
+            survived: false,
         }
     }
 
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -103,6 +103,9 @@
             false => reason,
         };
         let quarantine_left = self.quarantine_left(key, now);
+        if matches!(reason, Refusal::Suspected | Refusal::Quarantined) {
+            self.report_blocked(key, now, out);
+        }
         let server_retry_after = self.server_retry_after(key, now);
         self.remove_request(key, now, out);
         let retry_after = match reason {
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -283,6 +283,7 @@
             Event::DrainingReported { servers } => self.apply_reported_draining(&servers, out),
             Event::Arrived { request, facts } => self.handle_arrived(request, facts, now, out),
             Event::Started { request } => self.handle_started(request, now),
+            Event::Survived { request } => self.handle_survived(request, now),
             Event::AttemptEnded { request, end } => {
                 self.handle_attempt_ended(request, end, now, out)
             }
@@ -309,11 +310,12 @@
             Event::PortClosed { server } => self.handle_port_closed(server, now, out),
             Event::QuarantineRestored {
                 content,
+                kind,
                 left,
                 quarantine_count,
             } => self
                 .quarantine
-                .restore(content, left, quarantine_count, now),
+                .restore(content, kind, left, quarantine_count, now),
             Event::QuarantineReleased { content } => {
                 self.quarantine.release(content, now);
             }
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -179,7 +179,7 @@
             server.accepts_requests(now),
             "work assigned to a server that is draining or has requested a backoff"
         );
-        self.quarantine.record_send(request.facts.content, now);
+        self.quarantine.record_request_sent(&request.subjects, now);
         let is_engine = request.facts.prompt_tokens > 0;
         request.sent_at = now;
         request.predicted_first_event = after_ms(now, plan.ttft_ms);
@@ -191,6 +191,7 @@
             .collect();
         request.attempted.push(plan.primary.server);
         request.started = false;
+        request.survived = false;
         request.sends += 1;
         let objective = request.facts.route.inter_token_objective;
         let inter_token_ms = objective.map_or(DEFAULT_INTER_TOKEN_MS, |objective| {
--- a/crates/notchwalk_route/src/router/suspects.rs
+++ b/crates/notchwalk_route/src/router/suspects.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use notchwalk_core::Instant;
-use notchwalk_quarantine::{Fingerprint, Quarantine, QuarantineUpdate, Verdict};
+use notchwalk_quarantine::{
+    Fingerprint, PromptPart, Quarantine, QuarantineUpdate, RequestVerdict, SubjectKind, Verdict,
+};
 
 use super::Router;
 use crate::{
@@ -38,18 +40,22 @@
         self.quarantine.take_updates()
     }
 
-    /// Checks a request's content against the quarantine.
+    /// Checks a request's content and the parts of its prompt against the quarantine.
     pub(super) fn check_content(&self, request: &Request, now: Instant) -> ContentCheck {
-        match self.quarantine.verdict(request.facts.content, now) {
-            Verdict::Allowed | Verdict::Suspected { .. } => ContentCheck::Allowed,
+        let RequestVerdict { verdict, subject } =
+            self.quarantine.request_verdict(&request.subjects, now);
+        match verdict {
+            Verdict::Allowed => ContentCheck::Allowed,
+            // Runs that began before their part was suspected are not tracked by the quarantine.
+            Verdict::Suspected { .. } if !self.runs_part(subject) => ContentCheck::Allowed,
             Verdict::Quarantined { .. } => ContentCheck::Refuse(Refusal::Quarantined),
             Verdict::Held => ContentCheck::Refuse(Refusal::Suspected),
-            Verdict::RunningElsewhere
-                if now.since(request.waiting_since) < MAX_CONCURRENT_RUN_WAIT =>
-            {
-                ContentCheck::Wait
+            Verdict::Suspected { .. } | Verdict::RunningElsewhere => {
+                match now.since(request.waiting_since) < MAX_CONCURRENT_RUN_WAIT {
+                    true => ContentCheck::Wait,
+                    false => ContentCheck::Refuse(Refusal::Suspected),
+                }
             }
-            Verdict::RunningElsewhere => ContentCheck::Refuse(Refusal::Suspected),
         }
     }
 
@@ -60,21 +66,69 @@
 
     /// Returns the probability that a request crashes its server.
     pub(super) fn crash_risk(&self, request: &Request, now: Instant) -> f64 {
-        match self.quarantine.verdict(request.facts.content, now) {
+        match self
+            .quarantine
+            .request_verdict(&request.subjects, now)
+            .verdict
+        {
             Verdict::Suspected { risk } => risk,
             _ => 0.0,
         }
     }
 
+    /// Returns whether a request of this node with this part of a prompt is assigned to a server
+    /// and has not survived yet.
+    fn runs_part(&self, subject: Fingerprint) -> bool {
+        let mut requests = self.requests.values().flatten();
+        requests.any(|request| {
+            let is_running = request.server.is_some() && !request.survived;
+            let is_part = request.subjects.content != subject;
+            is_running && is_part && request.subjects.contains(subject)
+        })
+    }
+
+    /// Handles a stream that went on for long enough to clear the parts of its prompt.
+    pub(super) fn handle_survived(&mut self, key: RequestKey, now: Instant) {
+        let Some(Some(request)) = self.requests.get_mut(key) else {
+            return;
+        };
+        if request.server.is_none() {
+            return;
+        }
+        request.survived = true;
+        self.quarantine.record_survival(&request.subjects, now);
+    }
+
     /// Returns the remaining quarantine of a request's content, if any.
     pub(super) fn quarantine_left(&self, key: RequestKey, now: Instant) -> Option<Duration> {
         let request = self.requests.get(key)?.as_ref()?;
-        match self.quarantine.verdict(request.facts.content, now) {
+        match self
+            .quarantine
+            .request_verdict(&request.subjects, now)
+            .verdict
+        {
             Verdict::Quarantined { until } => Some(until.since(now)),
             _ => None,
         }
     }
 
+    /// Reports which content or part of a prompt keeps a request from being sent.
+    pub(super) fn report_blocked(&self, key: RequestKey, now: Instant, out: &mut Vec<Effect>) {
+        let Some(Some(request)) = self.requests.get(key) else {
+            return;
+        };
+        let blocked = self.quarantine.request_verdict(&request.subjects, now);
+        let kind = match blocked.subject == request.subjects.content {
+            true => SubjectKind::Content,
+            false => SubjectKind::Part,
+        };
+        out.push(Effect::Blocked {
+            request: key,
+            subject: blocked.subject,
+            kind,
+        });
+    }
+
     fn short_id(&self, server: ServerKey) -> Option<u32> {
         self.fleet.get(server).map(|server| server.short_id)
     }
@@ -89,7 +143,8 @@
         let Some(Some(request)) = self.requests.get(key) else {
             return;
         };
-        let (content, sent_at) = (request.facts.content, request.sent_at);
+        let (subjects, sent_at) = (request.subjects.clone(), request.sent_at);
+        let survived = request.survived;
         let Some(server) = request.server else {
             return;
         };
@@ -109,7 +164,7 @@
         }
         match end {
             AttemptEnd::Delivered { is_success: true } => {
-                self.quarantine.record_success(content, now)
+                self.quarantine.record_request_success(&subjects, now)
             }
             AttemptEnd::ConnectionLost => self.record_crash(key, server, false, now),
             AttemptEnd::IdleTimeout => self.record_crash(key, server, true, now),
@@ -118,7 +173,7 @@
                 address_reused: true,
                 ..
             } => {
-                self.quarantine.record_run_ended(content);
+                self.quarantine.record_request_ended(&subjects, now);
                 match short_id {
                     Some(short_id) if end == AttemptEnd::NotConnected => {
                         self.record_refused_connection(server, short_id);
@@ -137,18 +192,19 @@
                 let was_alive = |&key: &ServerKey| self.fleet.has_responded_since(key, sent_at);
                 match worker.filter(was_alive).and_then(|key| self.short_id(key)) {
                     Some(short_id) => {
-                        self.quarantine.record_broken_connection(
-                            content,
+                        self.quarantine.record_request_broken(
+                            &subjects,
                             &[short_id],
                             0,
                             false,
+                            survived,
                             now,
                         );
                     }
-                    None => self.quarantine.record_run_ended(content),
+                    None => self.quarantine.record_request_ended(&subjects, now),
                 }
             }
-            _ => self.quarantine.record_run_ended(content),
+            _ => self.quarantine.record_request_ended(&subjects, now),
         }
     }
 
@@ -158,18 +214,18 @@
         let Some(Some(request)) = self.requests.get(key) else {
             return;
         };
-        let content = request.facts.content;
+        let (subjects, survived) = (request.subjects.clone(), request.survived);
         let servers = std::iter::once(&server).chain(&request.prefill_workers);
         let short_ids: Vec<u32> = servers
             .filter_map(|&key| self.crashed_short_id(key))
             .collect();
         if short_ids.is_empty() {
-            return self.quarantine.record_run_ended(content);
+            return self.quarantine.record_request_ended(&subjects, now);
         }
         let others = self.load_view.work_on(server).len().saturating_sub(1);
         let others = u16::try_from(others).unwrap_or(u16::MAX);
         self.quarantine
-            .record_broken_connection(content, &short_ids, others, silent, now);
+            .record_request_broken(&subjects, &short_ids, others, silent, survived, now);
     }
 
     /// Returns the short id of a server that may have crashed.
@@ -230,16 +286,33 @@
     ) {
         self.quarantine.apply_updates(peer, updates, now);
         for update in updates {
-            let QuarantineUpdate::Crashed { content, .. } = *update else {
+            let QuarantineUpdate::Crashed {
+                content, origin, ..
+            } = *update
+            else {
                 continue;
             };
             // The peer's count doesn't include runs on this node.
-            if self.is_running(content) {
+            if origin.is_some() {
+                self.publish_part_runs(content, now);
+            } else if self.is_running(content) {
                 self.quarantine.record_send(content, now);
             }
         }
     }
 
+    /// Publishes that requests of this node with a part of prompts are running.
+    fn publish_part_runs(&mut self, common: Fingerprint, now: Instant) {
+        let requests = self.requests.values().flatten();
+        let running = requests.filter(|request| request.server.is_some() && !request.survived);
+        let parts = running.flat_map(|request| &request.subjects.parts);
+        let mut parts: Vec<PromptPart> = parts.filter(|p| p.common() == common).copied().collect();
+        parts.dedup();
+        for part in parts {
+            self.quarantine.record_part_run(part, now);
+        }
+    }
+
     /// Returns whether a request of this node with this content is assigned to a server.
     fn is_running(&self, content: Fingerprint) -> bool {
         let requests = self.requests.values().flatten();
@@ -258,7 +331,7 @@
             return self.remove_request(key, now, out);
         };
         if request.server.is_some() {
-            self.quarantine.record_run_ended(request.facts.content);
+            self.quarantine.record_request_ended(&request.subjects, now);
         }
         if request.pending_assignment.is_some() {
             self.roll_back_sends(key, now);
--- a/crates/notchwalk_route/tests/decisions/common.rs
+++ b/crates/notchwalk_route/tests/decisions/common.rs
@@ -118,6 +118,7 @@
     /// Workspace of the requests that arrive.
     pub workspace: WorkspaceShortId,
     /// Content of the requests that arrive; `None` gives each request different content.
+    pub shared_parts: Vec<Fingerprint>,
     pub content: Option<Fingerprint>,
     /// How the sends of the requests that arrive count, if peers forward them.
     pub forwarded: Option<ForwardedSend>,
@@ -161,6 +162,7 @@
             now,
             effects: Vec::new(),
             workspace: WorkspaceShortId::default(),
+            shared_parts: Vec::new(),
             content: None,
             forwarded: None,
             excluded_servers: Vec::new(),
@@ -231,6 +233,7 @@
             output_tokens: 800,
             route,
             content: self.content.unwrap_or(default_content),
+            shared_parts: self.shared_parts.clone(),
         };
         let request = self.router.new_request();
         self.step(Event::Arrived { request, facts });
--- a/crates/notchwalk_route/tests/decisions/limits.rs
+++ b/crates/notchwalk_route/tests/decisions/limits.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use notchwalk_quarantine::SubjectKind;
 use notchwalk_route::{
     AttemptEnd, Effect, Event, RateLimit, Refusal, RequestKey, ServerChange, ServerNotice,
 };
@@ -322,6 +323,7 @@
     let (left, times) = (60 * SECOND, 1);
     node.step(Event::QuarantineRestored {
         content,
+        kind: SubjectKind::Content,
         left,
         quarantine_count: times,
     });
--- a/crates/notchwalk_route/tests/decisions/random_runs.rs
+++ b/crates/notchwalk_route/tests/decisions/random_runs.rs
@@ -143,6 +143,7 @@
                 Effect::SendReservationOrder(_)
                 | Effect::RetryDecided { .. }
                 | Effect::NoServer { .. }
+                | Effect::Blocked { .. }
                 | Effect::CheckLinks { .. }
                 | Effect::ReachabilityChanged { .. }
                 | Effect::Ejected { .. }
--- a/crates/notchwalk_route/tests/decisions/suspects.rs
+++ b/crates/notchwalk_route/tests/decisions/suspects.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use notchwalk_core::Instant;
-use notchwalk_quarantine::{Fingerprint, QuarantineFinding, QuarantineUpdate, Verdict};
+use notchwalk_quarantine::{
+    Fingerprint, QuarantineFinding, QuarantineUpdate, SubjectKind, Verdict,
+};
 use notchwalk_route::{
     AttemptEnd, Effect, Event, Refusal, RequestKey, ServerChange, ServerKey, ServerRecord,
     ServerStage,
@@ -113,6 +115,7 @@
         age_ms: 5,
         left_ms: 600_000,
         times: 1,
+        kind: SubjectKind::Content,
     }];
     node.step(Event::QuarantineUpdates { peer: 1, updates });
     node.advance(Duration::from_millis(50));
--- a/crates/notchwalk_standin/src/routed/limits.rs
+++ b/crates/notchwalk_standin/src/routed/limits.rs
@@ -434,6 +434,7 @@
             forwarded: None,
             excluded_servers: Vec::new(),
             route,
+            shared_parts: Vec::new(),
             content: content.finish(),
             workspace: WorkspaceShortId::default(),
             workspace_priority: 0,
--- a/crates/notchwalk_standin/src/routed/simulation.rs
+++ b/crates/notchwalk_standin/src/routed/simulation.rs
@@ -246,6 +246,7 @@
             forwarded: None,
             excluded_servers: Vec::new(),
             route: self.routes[arrival.kind].clone(),
+            shared_parts: Vec::new(),
             content: content_of(index),
             workspace: WorkspaceShortId::default(),
             workspace_priority: 0,
@@ -359,6 +360,7 @@
             | Effect::LimitExhausted { .. }
             | Effect::RetryDecided { .. }
             | Effect::NoServer { .. }
+            | Effect::Blocked { .. }
             // Links are never lost, and no peer publishes its status.
             | Effect::CheckLinks { .. }
             | Effect::ReachabilityChanged { .. }
