Quarantined parts are not sent again because of a bystander

A node that learned of a quarantine from a peer could still send a request with the part, one at a time, if a part of another request happened to have the same crashes at this node: the rule that lets requests run which lack the part that explains a crash also applied to the part at fault.

While a part is quarantined, only another quarantined part explains its crashes: the two were declared together because nothing told them apart.

Evidence: quarantine_by_a_peer_holds_though_a_bystander_has_the_same_crashes_here fails before and passes now, with the other 20 tests of parts.

--- a/crates/notchwalk_quarantine/src/quarantine/parts.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/parts.rs
@@ -66,9 +66,10 @@
         request: Option<&RequestSubjects>,
         now: Instant,
     ) -> Verdict {
-        let explanation = || self.explanation(suspect, request, now);
         if let Some(period) = suspect.period.filter(|period| now < period.until) {
-            return match explanation() {
+            // Parts that nothing told apart were quarantined together.
+            let is_quarantined = |other: &Suspect| other.is_quarantined(now);
+            return match self.explanation(suspect, request, is_quarantined, now) {
                 Explanation::None => Verdict::Quarantined {
                     until: period.until,
                 },
@@ -87,7 +88,7 @@
         }
         let is_on_hold = now.since(suspect.last_crash()) < HOLD_AFTER_CRASH;
         let is_over = score >= threshold || (score >= base_threshold(suspect) && is_on_hold);
-        match explanation() {
+        match self.explanation(suspect, request, |_| true, now) {
             Explanation::None if is_over && suspect.may_be_cause() => Verdict::Held,
             _ => self.trial_verdict(suspect, now),
         }
@@ -103,18 +104,21 @@
         }
     }
 
-    /// Returns how the crashes of a part are explained by a part that the request lacks.
+    /// Returns how the crashes of a part are explained by a part that the request lacks and for
+    /// which `is_candidate` returns true.
     fn explanation(
         &self,
         suspect: &Suspect,
         request: Option<&RequestSubjects>,
+        is_candidate: impl Fn(&Suspect) -> bool,
         now: Instant,
     ) -> Explanation {
         let Some(request) = request else {
             return Explanation::None;
         };
         let others = self.other_parts(suspect, now);
-        let lacking = others.filter(|(other, _)| !request.contains(*other));
+        let lacking =
+            others.filter(|&(subject, other)| !request.contains(subject) && is_candidate(other));
         explanation_by(suspect, lacking.map(|(_, other)| other))
     }
 
--- a/crates/notchwalk_quarantine/tests/parts.rs
+++ b/crates/notchwalk_quarantine/tests/parts.rs
@@ -248,6 +248,27 @@
     assert!(node.is_quarantined(&["one", "two"]));
 }
 
+#[test]
+fn quarantine_by_a_peer_holds_though_a_bystander_has_the_same_crashes_here() {
+    let mut node = Node::new();
+    for server in 1..=3 {
+        let (fatal, bystander) = (node.request(&["fatal"]), node.request(&["bystander"]));
+        node.crash_request(&fatal, server);
+        node.crash_request(&bystander, server);
+        node.advance(300);
+    }
+    let update = QuarantineUpdate::Quarantined {
+        content: part("fatal").scoped(),
+        age_ms: 0,
+        left_ms: 600_000,
+        times: 1,
+        kind: SubjectKind::Part,
+    };
+    node.quarantine.apply_updates(1, &[update], node.now);
+    assert!(node.is_quarantined(&["fatal"]));
+    assert!(!node.is_quarantined(&["bystander"]));
+}
+
 #[test]
 fn several_fatal_parts_are_all_quarantined() {
     let mut node = Node::new();
