The response to a quarantined request names parts of prompts

It said that servers ended under this request, which is untrue of one that is refused for a part which other requests shared. The wording only; the fields stay.

--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -321,8 +321,8 @@
 fn quarantined_body(left: Duration) -> String {
     let body = serde_json::json!({
         "error": "quarantined",
-        "message": "Servers that ran this request ended under it. It is sent to none for \
-                    so many seconds; to repeat it does not help.",
+        "message": "Servers crashed while they ran this request, or others that share a part of \
+                    its prompt. It is sent to no server for so many seconds; a retry does not help.",
         "left_s": left.as_secs(),
     });
     format!("{body}\n")
