Random runs of quarantines crash servers by parts of prompts as well

600 runs with lost, late, duplicated and reversed updates: all nodes agree about the part that never survives, as they do about the content that never succeeds.

--- a/crates/notchwalk_quarantine/tests/convergence.rs
+++ b/crates/notchwalk_quarantine/tests/convergence.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use notchwalk_core::Instant;
-use notchwalk_quarantine::{Fingerprint, Quarantine, QuarantineUpdate, Verdict};
+use notchwalk_quarantine::{
+    Fingerprint, PromptPart, Quarantine, QuarantineUpdate, RequestSubjects, Verdict,
+};
 use proptest::{
     prelude::*,
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
@@ -11,6 +13,7 @@
 
 const NODES: usize = 3;
 const CONTENTS: u128 = 4;
+const PARTS: usize = 3;
 
 /// An operation on the cluster.
 #[derive(Clone, Debug)]
@@ -27,6 +30,18 @@
         node: usize,
         content: u128,
     },
+    /// Breaks the connection to a server while it runs a new content with a shared first part
+    /// and this one.
+    CrashPart {
+        node: usize,
+        part: usize,
+        confirmed: bool,
+    },
+    /// A stream with a shared first part and this one survives.
+    SurvivePart {
+        node: usize,
+        part: usize,
+    },
     /// Delivers a node's pending updates to another node, or drops them.
     Deliver {
         from: usize,
@@ -43,6 +58,10 @@
             Op::Crash { node, content, confirmed }
         }),
         1 => (0..NODES, 1..CONTENTS).prop_map(|(node, content)| Op::Succeed { node, content }),
+        2 => (0..NODES, 0..PARTS, any::<bool>()).prop_map(|(node, part, confirmed)| {
+            Op::CrashPart { node, part, confirmed }
+        }),
+        1 => (0..NODES, 1..PARTS).prop_map(|(node, part)| Op::SurvivePart { node, part }),
         4 => (0..NODES, 0..NODES, any::<bool>(), any::<bool>()).prop_map(|(from, to, lost, duplicated)| {
             Op::Deliver { from, to, lost, duplicated }
         }),
@@ -57,6 +76,19 @@
     servers: u32,
 }
 
+/// Returns a request with a content of its own, a shared first part and this one.
+fn request(content: u32, part: usize) -> RequestSubjects {
+    let ids = ["first".to_owned(), format!("part-{part}")];
+    let parts = ids
+        .iter()
+        .map(|id| PromptPart::new("engines", Fingerprint::of_part_id(id), 1));
+    RequestSubjects {
+        // Distinct from the contents that run several times.
+        content: Fingerprint::from(u128::from(content) << 96),
+        parts: parts.collect(),
+    }
+}
+
 impl Cluster {
     fn new() -> Self {
         Self {
@@ -86,6 +118,36 @@
                     quarantine.record_server_ended(server, false, self.now);
                 }
             }
+            Op::CrashPart {
+                node,
+                part,
+                confirmed,
+            } => {
+                self.servers += 1;
+                let server = self.servers;
+                let request = request(server, part);
+                let verdict = self.nodes[node].request_verdict(&request, self.now).verdict;
+                if matches!(verdict, Verdict::Quarantined { .. } | Verdict::Held) {
+                    return;
+                }
+                self.nodes[node].record_request_sent(&request, self.now);
+                self.nodes[node].record_request_broken(
+                    &request,
+                    &[server],
+                    3,
+                    false,
+                    false,
+                    self.now,
+                );
+                for quarantine in self.nodes.iter_mut().filter(|_| confirmed) {
+                    quarantine.record_server_ended(server, false, self.now);
+                }
+            }
+            Op::SurvivePart { node, part } => {
+                self.servers += 1;
+                let request = request(self.servers, part);
+                self.nodes[node].record_survival(&request, self.now);
+            }
             Op::Succeed { node, content } => {
                 let content = Fingerprint::from(content);
                 self.nodes[node].record_success(content, self.now);
@@ -136,6 +198,15 @@
         }
     }
 
+    fn quarantined_part(&self, part: usize) -> Vec<bool> {
+        let part = request(0, part).parts[1].scoped();
+        let periods = self
+            .nodes
+            .iter()
+            .map(|q| q.quarantined_until(part, self.now));
+        periods.map(|until| until.is_some()).collect()
+    }
+
     fn quarantined(&self, content: u128) -> Vec<bool> {
         let content = Fingerprint::from(content);
         let verdicts = self.nodes.iter().map(|q| q.verdict(content, self.now));
@@ -145,7 +216,8 @@
     }
 }
 
-/// Guards against nodes that disagree permanently. Content 0 never succeeds; the others may.
+/// Guards against nodes that disagree permanently. Content 0 and part 0 never succeed; the others
+/// may.
 #[test]
 fn nodes_agree_on_quarantines() {
     let config = Config {
@@ -167,6 +239,11 @@
             bad.iter().all(|&q| q == bad[0]),
             "nodes disagree about the crashing content: {bad:?}"
         );
+        let bad = cluster.quarantined_part(0);
+        prop_assert!(
+            bad.iter().all(|&q| q == bad[0]),
+            "nodes disagree about the crashing part: {bad:?}"
+        );
         Ok(())
     });
     if let Err(e) = result {
