Survivals that a node missed contradict its older crashes of a part

Cause: a part that survives is cleared by one update. A node that misses it, for example while its machine is suspended, keeps the crashes for ten minutes, since its peers have none left and say nothing more; one further crash, half a minute later, completed the three.

Fix: with each new crash of a part a node publishes its oldest one again; a peer that knows of a survival since then says so, before the quarantine is declared.

Evidence: node_that_missed_a_survival_does_not_quarantine_a_sound_part fails before and passes now.

--- a/crates/notchwalk_quarantine/src/quarantine/parts.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/parts.rs
@@ -235,6 +235,7 @@
                     silent,
                     origin: Some(origin),
                 });
+                self.publish_oldest_crash(part, origin, now);
             }
         }
     }
@@ -259,12 +260,23 @@
         is_new
     }
 
-    /// Tells peers that a part survived on this node a short time ago, if it did.
-    pub(super) fn publish_survival(&mut self, part: PromptPart, now: Instant) {
+    /// Tells peers of the last survival of a part that this node knows of, if it contradicts a
+    /// crash that a peer reports, or if it is recent and the crash is new.
+    pub(super) fn publish_survival(
+        &mut self,
+        part: PromptPart,
+        crash_at: Instant,
+        is_new: bool,
+        now: Instant,
+    ) {
         for subject in part.keys() {
-            let Some(at) = self.survivors.last_success(subject, now) else {
+            let Some(at) = self.survivors.last_success(subject) else {
                 continue;
             };
+            let is_recent = is_new && self.survivors.contains(subject, now);
+            if !is_recent && at <= crash_at {
+                continue;
+            }
             self.updates.push(QuarantineUpdate::Succeeded {
                 content: subject,
                 age_ms: age_ms(at, now),
@@ -272,6 +284,26 @@
         }
     }
 
+    /// Publishes the oldest crash of a part once more. A peer that knows of a survival since
+    /// then responds: this node may have missed its update, for example while it was suspended.
+    fn publish_oldest_crash(&mut self, part: PromptPart, origin: CrashOrigin, now: Instant) {
+        /// Crashes that are more recent than this are still being published.
+        const MIN_AGE: Duration = Duration::from_secs(1);
+        let suspect = self.suspects.get(&part.scoped());
+        let oldest = suspect.and_then(|suspect| suspect.crashes().first());
+        let Some(oldest) = oldest.filter(|crash| now.since(crash.at) >= MIN_AGE) else {
+            return;
+        };
+        self.updates.push(QuarantineUpdate::Crashed {
+            content: part.common(),
+            server: oldest.server,
+            age_ms: age_ms(oldest.at, now),
+            others: oldest.other_requests,
+            silent: oldest.silent,
+            origin: Some(origin),
+        });
+    }
+
     /// Records a successful run, which clears the content and the parts.
     pub fn record_request_success(&mut self, subjects: &RequestSubjects, now: Instant) {
         self.record_success(subjects.content, now);
--- a/crates/notchwalk_quarantine/src/quarantine/peers.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/peers.rs
@@ -44,9 +44,8 @@
                     return;
                 };
                 let part = PromptPart::from_common(content, origin.workspace);
-                if self.add_part_crash(part, crash, origin, now) {
-                    self.publish_survival(part, now);
-                }
+                let is_new = self.add_part_crash(part, crash, origin, now);
+                self.publish_survival(part, crash.at, is_new, now);
             }
             QuarantineUpdate::ServerEnded { server, age_ms } => {
                 self.confirm_crashes(server, time_of(age_ms, now));
--- a/crates/notchwalk_quarantine/src/recent.rs
+++ b/crates/notchwalk_quarantine/src/recent.rs
@@ -50,14 +50,14 @@
         }
     }
 
-    /// Returns the latest recorded success within the retention period.
-    pub fn last_success(&self, content: Fingerprint, now: Instant) -> Option<Instant> {
-        let at = self.last_success.get(&content).copied();
-        at.filter(|&at| now.since(at) < RETENTION)
+    /// Returns the latest recorded success, however long ago.
+    pub fn last_success(&self, content: Fingerprint) -> Option<Instant> {
+        self.last_success.get(&content).copied()
     }
 
     /// Returns whether a content succeeded within the retention period.
     pub fn contains(&self, content: Fingerprint, now: Instant) -> bool {
-        self.last_success(content, now).is_some()
+        let at = self.last_success(content);
+        at.is_some_and(|at| now.since(at) < RETENTION)
     }
 }
--- a/crates/notchwalk_quarantine/tests/parts.rs
+++ b/crates/notchwalk_quarantine/tests/parts.rs
@@ -186,6 +186,27 @@
     assert_eq!(node.verdict(&["sound"]), Verdict::Allowed);
 }
 
+#[test]
+fn node_that_missed_a_survival_does_not_quarantine_a_sound_part() {
+    let (mut node, mut peer) = (Node::new(), Node::new());
+    for server in 1..=2 {
+        node.crash(&["sound"], server);
+        node.send_updates(&mut peer);
+        peer.advance(300);
+    }
+    peer.survive(&["sound"]);
+    let missed = peer.quarantine.take_updates();
+    assert!(!missed.is_empty());
+    node.advance(30_000);
+    peer.advance(30_000);
+    let request = node.request(&["sound"]);
+    node.crash_request(&request, 3);
+    node.send_updates(&mut peer);
+    peer.send_updates(&mut node);
+    node.advance(5_000);
+    assert!(!node.is_quarantined(&["sound"]));
+}
+
 #[test]
 fn part_that_survived_before_is_quarantined_two_crashes_later() {
     let mut node = Node::new();
