--- a/crates/notchwalk_quarantine/tests/parts.rs
+++ b/crates/notchwalk_quarantine/tests/parts.rs
@@ -311,6 +311,29 @@
     assert_eq!(node.verdict(&["sound"]), Verdict::Allowed);
 }
 
+#[test]
+fn part_whose_crashes_several_fatal_parts_explain_is_not_quarantined() {
+    let mut node = Node::new();
+    node.crash(&["sound"], 1);
+    for round in 0..3 {
+        for (number, id) in ["x", "y"].into_iter().enumerate() {
+            let request = node.request(&["sound", id]);
+            node.crash_request(&request, 10 + 2 * round + number as u32);
+            node.advance(60);
+        }
+    }
+    node.advance(5_000);
+    for id in ["x", "y"] {
+        assert!(node.is_quarantined(&["sound", id]), "{id}");
+    }
+    assert!(!node.is_quarantined(&["sound"]));
+    node.survive(&["sound"]);
+    assert_eq!(node.verdict(&["sound"]), Verdict::Allowed);
+    for id in ["x", "y"] {
+        assert!(node.is_quarantined(&[id]), "{id}");
+    }
+}
+
 #[test]
 fn several_fatal_parts_are_all_quarantined() {
     let mut node = Node::new();
