Nodes log that they did not run for a while

Callers of a node that gets no processor time see open requests end by their deadlines or at their own timeouts, and the node's log couldn't tell that from silent servers or a full queue.

The new test of the watch does not compile on the code before.

--- a/crates/notchwalk_core/src/log_event.rs
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -41,6 +41,7 @@
     RequestPanicked = 1005, Error, "a task panicked; its request failed, and the daemon continues";
     SettingsReloaded = 1006, Info, "the settings file was reloaded";
     MachineResumed = 1008, Info, "the machine resumed from suspension";
+    ProcessStalled = 1009, Warn, "the process did not run for a while";
     LogLinesDropped = 1007, Warn, "log lines were dropped";
     BundleActivated = 2001, Info, "a bundle version was activated";
     BundleRejected = 2002, Warn, "a bundle was rejected: outdated, unsigned or invalid";
--- a/crates/notchwalk_daemon/src/lib.rs
+++ b/crates/notchwalk_daemon/src/lib.rs
@@ -24,6 +24,7 @@
 mod metrics;
 mod process;
 pub mod settings;
+mod stall;
 mod suspension;
 mod wake;
 
@@ -36,5 +37,6 @@
 pub use log_sink::start_logging;
 pub use metrics::MetricSet;
 pub use process::{block_on, boot_number, Signals};
+pub use stall::StallWatch;
 pub use suspension::SuspensionWatch;
 pub use wake::Wake;
--- a/crates/notchwalk_daemon/tests/parts.rs
+++ b/crates/notchwalk_daemon/tests/parts.rs
@@ -8,7 +8,7 @@
 };
 
 use notchwalk_core::{Clock, TimeSource};
-use notchwalk_daemon::{bind, settings, MetricSet, SuspensionWatch};
+use notchwalk_daemon::{bind, settings, MetricSet, StallWatch, SuspensionWatch};
 
 /// The clocks of a simulated machine.
 #[derive(Clone, Default)]
@@ -55,6 +55,20 @@
     assert_eq!(watch.resume_count(), 1);
 }
 
+#[test]
+fn stall_is_told_from_suspension_and_from_a_timer_in_time() {
+    const TIMER: Duration = Duration::from_millis(50);
+    let machine = Machine::default();
+    let clock = Clock::with_source(Arc::new(machine.clone()));
+    let watch = StallWatch::start(&clock);
+    machine.run(TIMER);
+    machine.suspend(Duration::from_secs(5));
+    assert_eq!(watch.finish(&clock, TIMER), None);
+    let watch = StallWatch::start(&clock);
+    machine.run(TIMER + Duration::from_secs(3));
+    assert_eq!(watch.finish(&clock, TIMER), Some(Duration::from_secs(3)));
+}
+
 #[test]
 fn assigned_port_is_returned_and_bound_port_is_rejected() {
     let mut addr: SocketAddr = "127.0.0.1:0".parse().expect("an address");
--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -4,7 +4,7 @@
 
 use monoio::net::{udp::UdpSocket, TcpListener};
 use notchwalk_core::{Clock, LogEvent, LogEventKind};
-use notchwalk_daemon::{bind, block_on, boot_number, log_sink, DaemonError, Signals};
+use notchwalk_daemon::{bind, block_on, boot_number, log_sink, DaemonError, Signals, StallWatch};
 use notchwalk_http::{serve, Client, ServerLimits, Service};
 use notchwalk_platform::RowStore;
 use notchwalk_route::{Event, Router, RouterConfig};
@@ -222,7 +222,9 @@
             self.socket.clone(),
         ));
         loop {
+            let stall = StallWatch::start(&shell.clock);
             monoio::time::sleep(TICK_INTERVAL).await;
+            stall.finish(&shell.clock, TICK_INTERVAL);
             shell.check_suspension();
             shell.step(Event::Tick);
             log_sink::flush();
--- a/crates/notchwalkd/src/daemon.rs
+++ b/crates/notchwalkd/src/daemon.rs
@@ -10,7 +10,7 @@
 
 use monoio::net::TcpListener;
 use notchwalk_core::{BootNumber, LogEvent, LogEventKind};
-use notchwalk_daemon::{bind, block_on, boot_number, log_sink, DaemonError, Signals};
+use notchwalk_daemon::{bind, block_on, boot_number, log_sink, DaemonError, Signals, StallWatch};
 use notchwalk_decide::Event;
 use notchwalk_http::{serve, Client, ServerLimits, Service};
 use notchwalk_platform::HttpPlatform;
@@ -139,7 +139,9 @@
         shell.check_suspension();
         shell.step(Event::Tick);
         log_sink::flush();
+        let stall = StallWatch::start(&shell.clock);
         monoio::time::sleep(TICK_INTERVAL).await;
+        stall.finish(&shell.clock, TICK_INTERVAL);
     }
 }
 
