Broken connections of one incarnation are one crash of a server

Cause: two suspects had the same crash only if their connections broke within 100 ms. A sound part ran on the servers that a fatal one crashed, but a later broken connection to the same incarnation moved its crash, and a node that was suspended has other times than its peers. The sound part then had crashes of its own and was quarantined.

An incarnation ends once, so crashes are compared by incarnation.

--- a/crates/notchwalk_quarantine/src/quarantine/evidence.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/evidence.rs
@@ -105,7 +105,7 @@
     pub(super) fn is_attributed(&self, content: Fingerprint, crash: &Crash, now: Instant) -> bool {
         let mut others = self.suspects.iter();
         others.any(|(&other, suspect)| {
-            other != content && suspect.is_quarantined(now) && has_crash(suspect, crash)
+            other != content && suspect.is_quarantined(now) && suspect.ran_on(crash.server)
         })
     }
 
@@ -179,7 +179,3 @@
         }
     }
 }
-
-fn has_crash(suspect: &Suspect, crash: &Crash) -> bool {
-    suspect.crashes().iter().any(|known| known.is_same(crash))
-}
--- a/crates/notchwalk_quarantine/src/quarantine/policy.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/policy.rs
@@ -168,7 +168,7 @@
             if reaches_base_threshold && !is_other_part {
                 continue;
             }
-            suspect.retain(|crash| !crashes.iter().any(|known| known.is_same(crash)));
+            suspect.retain(|crash| !crashes.iter().any(|known| known.server == crash.server));
         }
         for crash in &crashes {
             self.update_correlation(crash.at, now);
--- a/crates/notchwalk_quarantine/src/suspect.rs
+++ b/crates/notchwalk_quarantine/src/suspect.rs
@@ -68,15 +68,6 @@
             silent,
         }
     }
-
-    /// Returns whether two reports are of the same crash of a server.
-    pub(crate) fn is_same(&self, other: &Self) -> bool {
-        /// Nodes detect the broken connections of one server at slightly different times. They
-        /// break within 15 ms of each other.
-        const TOLERANCE: Duration = Duration::from_millis(100);
-        let apart = self.at.since(other.at).max(other.at.since(self.at));
-        self.server == other.server && apart < TOLERANCE
-    }
 }
 
 /// The node that has a run in flight: this one, or a peer by its local number.
@@ -205,12 +196,18 @@
         self.part.is_none_or(|part| part.may_be_cause())
     }
 
-    /// Returns whether each crash of another suspect is also one of this one.
+    /// Returns whether this one ran on each server that crashed under another suspect.
     pub fn covers(&self, other: &Self) -> bool {
-        let is_known = |crash: &Crash| self.crashes.iter().any(|c| c.is_same(crash));
+        let is_known = |crash: &Crash| self.ran_on(crash.server);
         !other.crashes.is_empty() && other.crashes.iter().all(is_known)
     }
 
+    /// Returns whether this one ran on a server that crashed. An incarnation ends once, so
+    /// connections to it that broke at different times belong to the same crash.
+    pub fn ran_on(&self, server: u32) -> bool {
+        self.crashes.iter().any(|crash| crash.server == server)
+    }
+
     /// Evicts the oldest unconfirmed crash, or the oldest if all are confirmed.
     fn evict_one(&mut self) {
         let unconfirmed = self.crashes.iter().position(|crash| !crash.confirmed);
--- a/crates/notchwalk_quarantine/tests/parts.rs
+++ b/crates/notchwalk_quarantine/tests/parts.rs
@@ -334,6 +334,30 @@
     }
 }
 
+/// Guards against a later false alarm, which moves the crash of a sound part on the same server.
+#[test]
+fn connections_that_break_at_different_times_are_one_crash_of_a_server() {
+    let mut node = Node::new();
+    for server in 1..=3 {
+        let fatal = node.request(&["first", "fatal"]);
+        let sound = node.request(&["first", &format!("sound-{server}")]);
+        for request in [&fatal, &sound] {
+            let now = node.now;
+            node.quarantine
+                .record_request_broken(request, &[server], 4, false, false, now);
+            node.advance(400);
+        }
+        let now = node.now;
+        node.quarantine.record_server_ended(server, false, now);
+        node.advance(300);
+    }
+    assert!(!node.is_quarantined(&["first", "other"]));
+    assert!(matches!(
+        node.verdict(&["first", "other"]),
+        Verdict::Suspected { .. }
+    ));
+}
+
 #[test]
 fn several_fatal_parts_are_all_quarantined() {
     let mut node = Node::new();
