Parts that a peer quarantines together keep their evidence

Cause: two parts that nothing told apart are quarantined together, and requests with only one of them may still run, one at a time. A peer applied the two updates in turn: the first quarantine removed the crashes of the second part, whose explanation was lost.

All quarantines of one batch of updates are now treated as the declaring node treats them. If the two updates arrive in separate datagrams, or from the store, the evidence is still missing.

--- a/crates/notchwalk_quarantine/src/quarantine/peers.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/peers.rs
@@ -4,7 +4,10 @@
 
 use notchwalk_core::Instant;
 
-use super::{policy::MAX_QUARANTINE, Quarantine};
+use super::{
+    policy::{NewQuarantine, MAX_QUARANTINE},
+    Quarantine,
+};
 use crate::{
     suspect::{Crash, QuarantinePeriod, Runner},
     update::{age_ms, saturating_ms, time_of, QuarantineUpdate},
@@ -19,12 +22,24 @@
 impl Quarantine {
     /// Applies the updates of a peer.
     pub fn apply_updates(&mut self, peer: u32, updates: &[QuarantineUpdate], now: Instant) {
+        let together = updates.iter().filter_map(|update| match *update {
+            QuarantineUpdate::Quarantined { content, .. } => Some(content),
+            _ => None,
+        });
+        let together: Vec<Fingerprint> = together.collect();
         for &update in updates {
-            self.apply_update(peer, update, now);
+            self.apply_update(peer, update, &together, now);
         }
     }
 
-    fn apply_update(&mut self, peer: u32, update: QuarantineUpdate, now: Instant) {
+    /// Applies an update of a peer. `together` are all subjects that its updates quarantine.
+    fn apply_update(
+        &mut self,
+        peer: u32,
+        update: QuarantineUpdate,
+        together: &[Fingerprint],
+        now: Instant,
+    ) {
         match update {
             QuarantineUpdate::Crashed {
                 content,
@@ -90,7 +105,14 @@
                     since: time_of(age_ms, now),
                     until: now.after(left.min(MAX_QUARANTINE)),
                 };
-                self.put_in_quarantine(content, kind, period, times, &[], now);
+                let quarantine = NewQuarantine {
+                    content,
+                    kind,
+                    period,
+                    times,
+                    declared_locally: false,
+                };
+                self.put_in_quarantine(quarantine, together, now);
             }
         }
     }
@@ -116,7 +138,14 @@
             since: now,
             until: now.after(left.min(MAX_QUARANTINE)),
         };
-        self.put_in_quarantine(content, kind, period, times, &[], now);
+        let quarantine = NewQuarantine {
+            content,
+            kind,
+            period,
+            times,
+            declared_locally: false,
+        };
+        self.put_in_quarantine(quarantine, &[], now);
     }
 
     /// Returns the updates to rebroadcast: crashes that this node observed a short time ago.
--- a/crates/notchwalk_quarantine/src/quarantine/policy.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/policy.rs
@@ -44,6 +44,18 @@
 /// other causes; the value only weighs suspects against certain losses.
 const REQUEST_CAUSE_PROBABILITY: f64 = 0.5;
 
+/// A quarantine that begins on this node.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct NewQuarantine {
+    pub content: Fingerprint,
+    pub kind: SubjectKind,
+    pub period: QuarantinePeriod,
+    /// Number of quarantines so far, including this one.
+    pub times: u32,
+    /// Whether this node declares it; otherwise it was received from a peer or restored.
+    pub declared_locally: bool,
+}
+
 impl Quarantine {
     /// Advances the time: removes unconfirmed and old crashes, ends expired quarantines and
     /// declares new ones.
@@ -114,27 +126,37 @@
                 since: now,
                 until: now.after(duration.min(MAX_QUARANTINE)),
             };
-            self.put_in_quarantine(content, kind, period, times, &together, now);
+            let quarantine = NewQuarantine {
+                content,
+                kind,
+                period,
+                times,
+                declared_locally: true,
+            };
+            self.put_in_quarantine(quarantine, &together, now);
         }
     }
 
     /// Quarantines a content, unless it already is or was cleared after the start of `period`.
     /// Removes its crashes from other suspects below their threshold, and from other parts.
-    /// `times` counts the quarantines so far, including this one. `together` are the subjects
-    /// that this node quarantines now; it is empty if another node declared the quarantine.
+    /// `together` are the subjects that are quarantined at the same time: their evidence shows
+    /// later that one of them explains the others.
     pub(super) fn put_in_quarantine(
         &mut self,
-        content: Fingerprint,
-        kind: SubjectKind,
-        period: QuarantinePeriod,
-        times: u32,
+        quarantine: NewQuarantine,
         together: &[Fingerprint],
         now: Instant,
     ) {
+        let NewQuarantine {
+            content,
+            kind,
+            period,
+            times,
+            declared_locally,
+        } = quarantine;
         if now >= period.until {
             return;
         }
-        let declared_locally = !together.is_empty();
         self.evict_if_full(content, kind, now);
         let suspect = self.suspects.entry(content).or_default();
         // An update of a quarantine that has ended meanwhile may arrive late.
--- a/crates/notchwalk_quarantine/tests/parts.rs
+++ b/crates/notchwalk_quarantine/tests/parts.rs
@@ -269,6 +269,27 @@
     assert!(node.is_quarantined(&["one", "two"]));
 }
 
+/// Guards against a peer that drops the evidence by which the second quarantine is explained.
+#[test]
+fn parts_that_a_peer_quarantines_together_are_told_apart() {
+    let (mut node, mut peer) = (Node::new(), Node::new());
+    for server in 1..=3 {
+        node.crash(&["first", "fatal"], server);
+        peer.now = node.now;
+        node.send_updates(&mut peer);
+        let now = peer.now;
+        peer.quarantine.record_server_ended(server, false, now);
+    }
+    node.advance(3_000);
+    assert!(node.is_quarantined(&["first", "fatal"]));
+    node.send_updates(&mut peer);
+    assert!(peer.is_quarantined(&["first", "fatal"]));
+    assert!(matches!(
+        peer.verdict(&["first", "other"]),
+        Verdict::Suspected { .. }
+    ));
+}
+
 #[test]
 fn quarantine_by_a_peer_holds_though_a_bystander_has_the_same_crashes_here() {
     let mut node = Node::new();
