Several parts together explain the crashes of a sound one

What callers saw: where two fatal parts crash engines, a sound part that all prompts share is quarantined before them, since it alone has all crashes; every prompt of the workspace gets 502.

Cause: only a single other part could explain the crashes of a part. Evidence: the red test part_whose_crashes_several_fatal_parts_explain_is_not_quarantined.

Two other parts may now explain a part's crashes together, but for one incident: if each of them has enough crashes for a quarantine, or if the part survived before. Requests without them run one at a time; two parts that explain it are quarantined in its place.

--- a/crates/notchwalk_quarantine/src/quarantine/mod.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/mod.rs
@@ -4,11 +4,13 @@
 //! |---|---|
 //! | `unrelated_losses` | losses of unrelated servers, which raise the required evidence |
 //! | `evidence` | crashes: how they are confirmed, attributed and cleared |
+//! | `explanation` | how the crashes of a part are explained by other parts |
 //! | `parts` | verdicts on requests with several parts, and what clears a part |
 //! | `policy` | which contents are quarantined, for how long, and what expires |
 //! | `peers` | updates received from peers and rebroadcast to them |
 
 mod evidence;
+mod explanation;
 mod parts;
 mod peers;
 mod policy;
--- a/crates/notchwalk_quarantine/src/quarantine/parts.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/parts.rs
@@ -11,6 +11,7 @@
 use notchwalk_core::Instant;
 
 use super::{
+    explanation::Explanation,
     policy::{base_threshold, risk, HOLD_AFTER_CRASH},
     Quarantine,
 };
@@ -28,17 +29,6 @@
 /// incidents. All streams may be lost in several incidents before one of them survives.
 const SURVIVED_EXTRA_SCORE: u32 = 4;
 
-/// How the crashes of a part are explained by another part, which a request lacks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Explanation {
-    /// No other part has all of its crashes.
-    None,
-    /// Another part has the same crashes: a run without that part tells them apart.
-    Tied,
-    /// Another part has further crashes: it is probably the cause.
-    Dominated,
-}
-
 impl Quarantine {
     /// Returns the strictest verdict on the content of a request and on its parts.
     pub fn request_verdict(&self, subjects: &RequestSubjects, now: Instant) -> RequestVerdict {
@@ -69,11 +59,12 @@
         if let Some(period) = suspect.period.filter(|period| now < period.until) {
             // Parts that nothing told apart were quarantined together.
             let is_quarantined = |other: &Suspect| other.is_quarantined(now);
-            return match self.explanation(suspect, request, is_quarantined, now) {
-                Explanation::None => Verdict::Quarantined {
-                    until: period.until,
-                },
-                _ => self.trial_verdict(suspect, now),
+            let is_explained = self.is_explained(subject, suspect, request, is_quarantined, now);
+            if is_explained {
+                return self.trial_verdict(suspect, now);
+            }
+            return Verdict::Quarantined {
+                until: period.until,
             };
         }
         let incidents = suspect.incidents();
@@ -88,10 +79,13 @@
         }
         let is_on_hold = now.since(suspect.last_crash()) < HOLD_AFTER_CRASH;
         let is_over = score >= threshold || (score >= base_threshold(suspect) && is_on_hold);
-        match self.explanation(suspect, request, |_| true, now) {
-            Explanation::None if is_over && suspect.may_be_cause() => Verdict::Held,
-            _ => self.trial_verdict(suspect, now),
+        if is_over
+            && suspect.may_be_cause()
+            && !self.is_explained(subject, suspect, request, |_| true, now)
+        {
+            return Verdict::Held;
         }
+        self.trial_verdict(suspect, now)
     }
 
     /// Returns the verdict on a part of which one request at a time may run.
@@ -104,43 +98,27 @@
         }
     }
 
-    /// Returns how the crashes of a part are explained by a part that the request lacks and for
-    /// which `is_candidate` returns true.
-    fn explanation(
+    /// Returns whether parts that the request lacks, and for which `is_candidate` returns true,
+    /// explain the crashes of a part.
+    fn is_explained(
         &self,
+        subject: Fingerprint,
         suspect: &Suspect,
         request: Option<&RequestSubjects>,
         is_candidate: impl Fn(&Suspect) -> bool,
         now: Instant,
-    ) -> Explanation {
+    ) -> bool {
         let Some(request) = request else {
-            return Explanation::None;
+            return false;
         };
         let others = self.other_parts(suspect, now);
-        let lacking =
-            others.filter(|&(subject, other)| !request.contains(subject) && is_candidate(other));
-        explanation_by(suspect, lacking.map(|(_, other)| other))
+        let lacking = others.filter(|&(id, other)| !request.contains(id) && is_candidate(other));
+        let lacking = lacking.map(|(_, other)| other);
+        self.explanation_by(subject, suspect, lacking) != Explanation::None
     }
 
-    /// Returns the suspected parts other than that of `suspect` which did not survive a short
-    /// time ago.
-    fn other_parts<'a>(
-        &'a self,
-        suspect: &'a Suspect,
-        now: Instant,
-    ) -> impl Iterator<Item = (Fingerprint, &'a Suspect)> {
-        let others = self.suspects.iter();
-        let others = others.map(|(&subject, other)| (subject, other));
-        others.filter(move |&(subject, other)| {
-            other.part.is_some()
-                && other.part_id != suspect.part_id
-                && other.applies()
-                && !self.survivors.contains(subject, now)
-        })
-    }
-
-    /// Returns whether a part may be quarantined now. While another part has the same
-    /// crashes, requests that lack that part may still clear this one.
+    /// Returns whether a part may be quarantined now. While other parts explain its crashes,
+    /// requests that lack those parts may still clear this one.
     pub(super) fn may_declare_part(
         &self,
         subject: Fingerprint,
@@ -148,7 +126,7 @@
         now: Instant,
     ) -> bool {
         /// How long after the last crash such requests are awaited.
-        const MAX_TIED_TIME: Duration = Duration::from_secs(3);
+        const MAX_CONTESTED_TIME: Duration = Duration::from_secs(3);
         if !suspect.may_be_cause() {
             return false;
         }
@@ -158,13 +136,18 @@
             return false;
         }
         let others = || self.other_parts(suspect, now).map(|(_, other)| other);
-        if others().any(|other| other.is_quarantined(now) && other.covers(suspect)) {
+        let quarantined = others().filter(|other| other.is_quarantined(now));
+        if self.explanation_by(subject, suspect, quarantined) != Explanation::None {
             return false;
         }
-        match explanation_by(suspect, others()) {
+        let is_contested_for_long = now.since(suspect.last_crash()) >= MAX_CONTESTED_TIME;
+        match self.explanation_by(subject, suspect, others()) {
             Explanation::None => true,
-            Explanation::Tied => now.since(suspect.last_crash()) >= MAX_TIED_TIME,
-            Explanation::Dominated => false,
+            Explanation::Contested => is_contested_for_long,
+            Explanation::Composed => false,
+            Explanation::Dominated => {
+                is_contested_for_long && self.is_dominated_by_composed(suspect, now)
+            }
         }
     }
 
@@ -333,15 +316,3 @@
         });
     }
 }
-
-/// Returns how the crashes of a part are explained by other parts.
-fn explanation_by<'a>(suspect: &Suspect, others: impl Iterator<Item = &'a Suspect>) -> Explanation {
-    let crashes = suspect.crashes().len();
-    let explanations = others.filter(|other| other.covers(suspect)).map(|other| {
-        match other.crashes().len() > crashes {
-            true => Explanation::Dominated,
-            false => Explanation::Tied,
-        }
-    });
-    explanations.max().unwrap_or(Explanation::None)
-}
--- a/crates/notchwalk_quarantine/src/suspect.rs
+++ b/crates/notchwalk_quarantine/src/suspect.rs
@@ -274,11 +274,16 @@
 
     /// Groups the crashes into incidents. Unconfirmed crashes of silent servers don't count.
     pub fn incidents(&self) -> Incidents {
+        self.incidents_of(|_| true)
+    }
+
+    /// Groups the crashes that `is_included` selects into incidents.
+    pub fn incidents_of(&self, is_included: impl Fn(&Crash) -> bool) -> Incidents {
         let mut incidents = Incidents::default();
         let mut started_at: Option<Instant> = None;
         let mut is_confirmed = false;
         for crash in &self.crashes {
-            if crash.silent && !crash.confirmed {
+            if (crash.silent && !crash.confirmed) || !is_included(crash) {
                 continue;
             }
             let (all, confirmed) = match crash.correlated {
--- a/crates/notchwalk_quarantine/tests/parts.rs
+++ b/crates/notchwalk_quarantine/tests/parts.rs
@@ -355,6 +355,23 @@
     }
 }
 
+#[test]
+fn first_part_of_two_fatal_ones_runs_without_them() {
+    let mut node = Node::new();
+    node.survive(&["first", "other"]);
+    node.advance(20_000);
+    for (server, id) in ["x", "y", "x"].into_iter().enumerate() {
+        node.crash(&["first", id], server as u32);
+    }
+    assert!(matches!(
+        node.verdict(&["first", "other"]),
+        Verdict::Suspected { .. }
+    ));
+    assert_eq!(node.verdict(&["first", "x"]), Verdict::Held);
+    node.survive(&["first", "other"]);
+    assert_eq!(node.verdict(&["first", "other"]), Verdict::Allowed);
+}
+
 /// Guards against a later false alarm, which moves the crash of a sound part on the same server.
 #[test]
 fn connections_that_break_at_different_times_are_one_crash_of_a_server() {
