Quarantined parts that survived before have trial runs

What callers saw: a sound part that is quarantined by mistake, whatever the evidence was, is refused for ten minutes.

Cause: nothing runs a quarantined part, so nothing can clear it but a run that was already under way.

A node that saw the part survive before its crashes runs one request with it 2 s after the quarantine and after each later run or crash. It clears the part on all nodes if it survives; a confirmed crash doubles the interval, and after three there are no further trials. Both figures: a sound part is back after its first trial that survives, not after 600 s; a fatal part that survived before may crash eight engines instead of five, one that never survived still three.

--- a/crates/notchwalk_quarantine/src/quarantine/parts.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/parts.rs
@@ -29,6 +29,13 @@
 /// incidents. All streams may be lost in several incidents before one of them survives.
 const SURVIVED_EXTRA_SCORE: u32 = 4;
 
+/// Interval between the trial runs of a quarantined part that survived before; each crash since
+/// the quarantine doubles it.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(2);
+/// Number of crashes since its quarantine after which a part has no further trial runs. With the
+/// five before, callers see at most eight.
+const MAX_FAILED_TRIALS: u32 = 3;
+
 impl Quarantine {
     /// Returns the strictest verdict on the content of a request and on its parts.
     pub fn request_verdict(&self, subjects: &RequestSubjects, now: Instant) -> RequestVerdict {
@@ -60,7 +67,7 @@
             // Parts that nothing told apart were quarantined together.
             let is_quarantined = |other: &Suspect| other.is_quarantined(now);
             let is_explained = self.is_explained(subject, suspect, request, is_quarantined, now);
-            if is_explained {
+            if is_explained || self.is_trial_due(subject, suspect, now) {
                 return self.trial_verdict(suspect, now);
             }
             return Verdict::Quarantined {
@@ -98,6 +105,27 @@
         }
     }
 
+    /// Returns whether a quarantined part may have a trial run now. A part that survived before
+    /// may have been quarantined by mistake, and refusals would last for the whole quarantine.
+    fn is_trial_due(&self, subject: Fingerprint, suspect: &Suspect, now: Instant) -> bool {
+        let Some(period) = suspect.period else {
+            return false;
+        };
+        if self.survivors.last_success(subject).is_none() || suspect.is_running(now) {
+            return false;
+        }
+        let is_failed_trial = |crash: &Crash| crash.confirmed && crash.at > period.since;
+        let failed = suspect.incidents_of(is_failed_trial).count();
+        if failed >= MAX_FAILED_TRIALS {
+            return false;
+        }
+        let last = period
+            .since
+            .max(suspect.last_run())
+            .max(suspect.last_crash());
+        now.since(last) >= TRIAL_INTERVAL * (1 << failed)
+    }
+
     /// Returns whether parts that the request lacks, and for which `is_candidate` returns true,
     /// explain the crashes of a part.
     fn is_explained(
@@ -179,8 +207,11 @@
     }
 
     fn is_suspected_part(&self, subject: Fingerprint, now: Instant) -> bool {
-        let suspect = self.suspects.get(&subject);
-        suspect.is_some_and(|s| !s.crashes().is_empty()) && !self.survivors.contains(subject, now)
+        let Some(suspect) = self.suspects.get(&subject) else {
+            return false;
+        };
+        let survived = self.survivors.contains(subject, now);
+        suspect.is_quarantined(now) || (!suspect.crashes().is_empty() && !survived)
     }
 
     /// Records that the connection to a server broke while it was running a request, as
--- a/crates/notchwalk_quarantine/src/suspect.rs
+++ b/crates/notchwalk_quarantine/src/suspect.rs
@@ -108,6 +108,8 @@
     /// When `quarantine_count` expires.
     pub count_expires_at: Instant,
     runs: Vec<Run>,
+    /// When a run began last, on any node.
+    last_run: Instant,
 }
 
 /// Returns whether two crashes are close enough in time to have a common cause.
@@ -313,8 +315,14 @@
         self.crashes.last().map_or(Instant::ZERO, |crash| crash.at)
     }
 
+    /// Returns when a run began last, or [`Instant::ZERO`].
+    pub fn last_run(&self) -> Instant {
+        self.last_run
+    }
+
     pub fn begin_run(&mut self, runner: Runner, now: Instant) {
         self.end_run(runner);
+        self.last_run = now;
         self.runs.push(Run { runner, since: now });
     }
 
