Unconfirmed crashes hold a part of prompts for 1.2 s only

Cause: failing servers had cut streams with the part three times, which are unconfirmed crashes. They held the part until they expired after six seconds, and no request could show that it is sound. Evidence: NW5204 with the part from 12.5 to 16.0 s, NW5201 for it up to 10.9 s, no NW5202.

Many requests share a part, so unconfirmed crashes now hold it for 1.2 s after the last, within which ports are probed and a concurrent run ends; then one request at a time runs.

--- a/crates/notchwalk_quarantine/src/quarantine/parts.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/parts.rs
@@ -84,8 +84,10 @@
         if self.survivors.contains(subject, now) && score < threshold + SURVIVED_EXTRA_SCORE {
             return Verdict::Allowed;
         }
+        // Many requests share a part, so crashes that stay unconfirmed do not hold it for long.
         let is_on_hold = now.since(suspect.last_crash()) < HOLD_AFTER_CRASH;
-        let is_over = score >= threshold || (score >= base_threshold(suspect) && is_on_hold);
+        let is_over = incidents.confirmed_score() >= threshold
+            || (score >= base_threshold(suspect) && is_on_hold);
         if is_over
             && suspect.may_be_cause()
             && !self.is_explained(subject, suspect, request, |_| true, now)
--- a/crates/notchwalk_quarantine/tests/parts.rs
+++ b/crates/notchwalk_quarantine/tests/parts.rs
@@ -124,6 +124,28 @@
     assert_eq!(node.verdict(&["fatal"]), Verdict::Held);
 }
 
+/// Guards against a sound part that is refused for seconds because failing servers cut streams.
+#[test]
+fn part_with_unconfirmed_crashes_runs_again_one_request_at_a_time() {
+    let mut node = Node::new();
+    for server in 1..=4 {
+        let request = node.request(&["sound"]);
+        let now = node.now;
+        node.quarantine
+            .record_request_broken(&request, &[server], 0, false, false, now);
+        node.advance(100);
+    }
+    assert_eq!(node.verdict(&["sound"]), Verdict::Held);
+    node.advance(1_200);
+    assert!(matches!(
+        node.verdict(&["sound"]),
+        Verdict::Suspected { .. }
+    ));
+    let request = node.request(&["sound"]);
+    node.quarantine.record_request_sent(&request, node.now);
+    assert_eq!(node.verdict(&["sound"]), Verdict::RunningElsewhere);
+}
+
 #[test]
 fn content_that_runs_again_does_not_quarantine_its_parts() {
     let mut node = Node::new();
