--- a/crates/notchwalk_quarantine/src/lib.rs
+++ b/crates/notchwalk_quarantine/src/lib.rs
@@ -27,12 +27,14 @@
 //!   is no evidence against them if its server ends later;
 //! - a part that survived a short time ago needs two further incidents and is not held back;
 //! - a part needs crashes of several contents, since one content may be the cause itself;
-//! - a part is not quarantined while another part explains its crashes, and requests that
-//!   lack the other part may still run, one at a time;
+//! - a part is not quarantined while one or two other parts explain its crashes, and requests
+//!   that lack the others may still run, one at a time;
+//! - unconfirmed crashes hold a part for a short time only;
+//! - a quarantined part that survived before has trial runs, until a few of them crash servers;
 //! - callers name the parts, so evidence from one workspace affects its own requests only.
 //!
 //! Limitations: two contents that were running in the same three crashes are both
-//! quarantined; a subject that crashes only some servers is cleared by each successful run;
+//! quarantined; so is a sound part that never survived and that three fatal ones explain; a subject that crashes only some servers is cleared by each successful run;
 //! a body that is forwarded without being read has no fingerprint.
 //!
 //! | file | contents |
