Servers are probed again once lost links are back

What callers saw: a request that crashes its servers is sent eight times in 13 s and crashes eight, while the store is away.

Cause: a refused connection confirms a crash once a check of the links passes. If the check fails, because three of five servers are down and the others too slow, the evidence is dropped, as it must be while the links may be lost; but the port is probed only within 0.4 s of the crash.

When a service is reachable again, servers with unconfirmed crashes are now probed again. The new test fails on the code before.

--- a/crates/notchwalk_quarantine/src/quarantine/mod.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/mod.rs
@@ -186,6 +186,12 @@
         due
     }
 
+    /// Repeats the probes of servers whose crashes are unconfirmed, since earlier ones may have
+    /// been lost with the links.
+    pub fn restart_probes(&mut self) {
+        self.suspects.values_mut().for_each(Suspect::restart_probes);
+    }
+
     /// Takes the updates to be published at once.
     pub fn take_updates(&mut self) -> Vec<QuarantineUpdate> {
         std::mem::take(&mut self.updates)
--- a/crates/notchwalk_quarantine/src/suspect.rs
+++ b/crates/notchwalk_quarantine/src/suspect.rs
@@ -254,6 +254,13 @@
         due
     }
 
+    /// Repeats the probes of servers whose crashes are unconfirmed.
+    pub fn restart_probes(&mut self) {
+        for crash in self.crashes.iter_mut().filter(|crash| !crash.confirmed) {
+            crash.probes = 0;
+        }
+    }
+
     /// Retains the crashes for which `keep` returns true. Returns whether any was removed.
     pub fn retain(&mut self, keep: impl Fn(&Crash) -> bool) -> bool {
         let before = self.crashes.len();
--- a/crates/notchwalk_route/src/router/link_checks.rs
+++ b/crates/notchwalk_route/src/router/link_checks.rs
@@ -109,7 +109,9 @@
             return self.dispatch_queued(now, out);
         }
         let is_reachable = !self.links.is_unreachable(&service);
-        if !is_reachable {
+        if is_reachable {
+            self.quarantine.restart_probes();
+        } else {
             // The same loss probably affects the other services.
             for other in self.services.keys().filter(|&other| *other != service) {
                 self.links.request_check(other);
--- a/crates/notchwalk_route/tests/decisions/suspects.rs
+++ b/crates/notchwalk_route/tests/decisions/suspects.rs
@@ -491,6 +491,29 @@
     }
 }
 
+/// Guards against a crashing request that is never quarantined because a check of the links
+/// failed beside its crashes.
+#[test]
+fn servers_are_probed_again_once_a_lost_link_is_back() {
+    let mut node = TestRouter::new();
+    let request = arrive(&mut node, "/once/", 0, crashing_content());
+    let server = node.take_only_send().server;
+    let short_id = node.router.fleet().get(server).unwrap().short_id;
+    node.end_attempt(request, AttemptEnd::ConnectionLost);
+    node.check_links(PLAIN_SERVICE, 0);
+    for _ in 0..6 {
+        node.advance(Duration::from_millis(100));
+    }
+    node.effects.clear();
+    for _ in 0..2 {
+        node.check_links(PLAIN_SERVICE, 1);
+    }
+    node.advance(Duration::from_millis(50));
+    let is_probe =
+        |effect: &Effect| matches!(effect, Effect::ProbePort { server, .. } if *server == short_id);
+    assert!(node.effects.iter().any(is_probe));
+}
+
 /// Returns a request that is sent to this plain server.
 fn send_to(node: &mut TestRouter, server: ServerKey) -> RequestKey {
     let mut requests = (0..10).map(|_| {
