Crashes that another part explains are no failed trials

Cause: after three confirmed crashes since its quarantine a part has no further trials. Four engines that two fatal parts crash end most trials of a sound part with a confirmed crash. Evidence: its one trial on the declaring node at 8.0 s, runs on others at 8.7, 9.1 and 9.7 s, each beside a crash by a fatal part; no run later, though all faults ended at 15.6 s.

Only crashes that no other suspected part with several crashes explains are counted now, as they are confirmed, so that the bound of three holds for a part that turned fatal: the parts beside it survived within the last 15 s and explain nothing. The new test fails on the code before.

--- a/crates/notchwalk_quarantine/src/quarantine/explanation.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/explanation.rs
@@ -9,7 +9,10 @@
 use notchwalk_core::Instant;
 
 use super::{policy::base_threshold, Quarantine};
-use crate::{suspect::Suspect, Fingerprint};
+use crate::{
+    suspect::{Crash, Suspect},
+    Fingerprint,
+};
 
 /// Minimum number of crashes of a part that one of several others explains: each prompt has some
 /// part that explains its own crash.
@@ -110,9 +113,24 @@
 
 /// Returns whether a few parts explain nearly all crashes of another one.
 fn explain_most(suspect: &Suspect, others: &[&Suspect]) -> bool {
-    let own = suspect.incidents_of(|crash| !others.iter().any(|other| other.ran_on(crash.server)));
     let is_few = (1..=MAX_EXPLAINING_PARTS).contains(&part_count(others));
-    is_few && own.count() < MIN_OWN_INCIDENTS
+    is_few && own_incidents(suspect, others, |_| true) < MIN_OWN_INCIDENTS
+}
+
+/// Counts the incidents of a part, of the crashes that `is_included` selects, which no part that
+/// lost several servers explains.
+pub(super) fn own_incidents(
+    suspect: &Suspect,
+    others: &[&Suspect],
+    is_included: impl Fn(&Crash) -> bool,
+) -> u32 {
+    let explains = |other: &Suspect, crash: &Crash| {
+        other.crashes().len() >= MIN_EXPLAINED_CRASHES && other.ran_on(crash.server)
+    };
+    let own = suspect.incidents_of(|crash| {
+        is_included(crash) && !others.iter().any(|other| explains(other, crash))
+    });
+    own.count()
 }
 
 /// Counts parts, of which each may have evidence in several workspaces and in common.
--- a/crates/notchwalk_quarantine/src/quarantine/parts.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/parts.rs
@@ -11,7 +11,7 @@
 use notchwalk_core::Instant;
 
 use super::{
-    explanation::Explanation,
+    explanation::{own_incidents, Explanation},
     policy::{base_threshold, risk, HOLD_AFTER_CRASH},
     Quarantine,
 };
@@ -29,11 +29,10 @@
 /// incidents. All streams may be lost in several incidents before one of them survives.
 const SURVIVED_EXTRA_SCORE: u32 = 4;
 
-/// Interval between the trial runs of a quarantined part that survived before; each crash since
-/// the quarantine doubles it.
+/// Interval between the trial runs of a quarantined part that survived before; each failed one
+/// doubles it.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(2);
-/// Number of crashes since its quarantine after which a part has no further trial runs. With the
-/// five before, callers see at most eight.
+/// Number of failed trials after which a part has no further ones.
 const MAX_FAILED_TRIALS: u32 = 3;
 
 impl Quarantine {
@@ -116,16 +115,35 @@
         if self.survivors.last_success(subject).is_none() || suspect.is_running(now) {
             return false;
         }
-        let is_failed_trial = |crash: &Crash| crash.confirmed && crash.at > period.since;
-        let failed = suspect.incidents_of(is_failed_trial).count();
-        if failed >= MAX_FAILED_TRIALS {
+        if suspect.failed_trials >= MAX_FAILED_TRIALS {
             return false;
         }
         let last = period
             .since
             .max(suspect.last_run())
             .max(suspect.last_crash());
-        now.since(last) >= TRIAL_INTERVAL * (1 << failed)
+        now.since(last) >= TRIAL_INTERVAL * (1 << suspect.failed_trials)
+    }
+
+    /// Counts the failed trials of quarantined parts: confirmed crashes that no other part
+    /// explains. They stay counted when the other parts' survivals are forgotten.
+    pub(super) fn count_failed_trials(&mut self, now: Instant) {
+        let mut counts = Vec::new();
+        for (&subject, suspect) in &self.suspects {
+            let Some(period) = suspect.period.filter(|_| suspect.part.is_some()) else {
+                continue;
+            };
+            let others: Vec<&Suspect> = self.other_parts(suspect, now).map(|(_, s)| s).collect();
+            let failed = own_incidents(suspect, &others, |crash| {
+                crash.confirmed && crash.at > period.since
+            });
+            counts.push((subject, failed));
+        }
+        for (subject, failed) in counts {
+            if let Some(suspect) = self.suspects.get_mut(&subject) {
+                suspect.failed_trials = suspect.failed_trials.max(failed);
+            }
+        }
     }
 
     /// Returns whether parts that the request lacks, and for which `is_candidate` returns true,
--- a/crates/notchwalk_quarantine/src/quarantine/policy.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/policy.rs
@@ -87,6 +87,7 @@
                 });
             }
         }
+        self.count_failed_trials(now);
         self.declare_quarantines(now);
         self.suspects.retain(|_, suspect| !is_expired(suspect, now));
     }
@@ -165,6 +166,7 @@
         }
         suspect.kind = kind;
         suspect.period = Some(period);
+        suspect.failed_trials = 0;
         suspect.quarantine_count = suspect.quarantine_count.max(times);
         suspect.count_expires_at = period.until.after(period.until.since(period.since));
         let (crashes, part_id) = (suspect.crashes().to_vec(), suspect.part_id);
--- a/crates/notchwalk_quarantine/src/suspect.rs
+++ b/crates/notchwalk_quarantine/src/suspect.rs
@@ -108,6 +108,8 @@
     /// When `quarantine_count` expires.
     pub count_expires_at: Instant,
     runs: Vec<Run>,
+    /// Number of crashes since the quarantine began that show that the part is fatal.
+    pub failed_trials: u32,
     /// When a run began last, on any node.
     last_run: Instant,
 }
--- a/crates/notchwalk_quarantine/tests/parts.rs
+++ b/crates/notchwalk_quarantine/tests/parts.rs
@@ -466,6 +466,25 @@
     assert_eq!(trials, 3);
 }
 
+/// Guards against a sound part whose trials end because a fatal one crashes their servers.
+#[test]
+fn trial_runs_that_another_part_explains_do_not_count_as_failed() {
+    let mut node = Node::new();
+    let crashes = quarantine_survivor(&mut node);
+    for server in crashes + 1..crashes + 9 {
+        let now = node.now;
+        for request in [node.request(&["fatal"]), node.request(&["part"])] {
+            node.quarantine
+                .record_request_broken(&request, &[server], 4, false, false, now);
+        }
+        node.quarantine.record_server_ended(server, false, now);
+        node.advance(300);
+        assert!(node.is_quarantined(&["part"]));
+        node.advance(20_000);
+        assert!(!node.is_quarantined(&["part"]));
+    }
+}
+
 #[test]
 fn quarantined_part_that_never_survived_has_no_trial_run() {
     let mut node = Node::new();
