Nodes that resume judge no part before they hear their peers

Cause: a node that was suspended for 16 s counts that time. The survivals of parts before it, which count for 15 s, are forgotten, the three seconds in which requests may tell suspects apart are over, and its older crashes remain; it quarantines the part for all nodes before it hears of survivals. Evidence: NW5202 of the declaring node at 4.2 s, 20 ms after NW1008, with four crashes of 16.6 to 17.4 s of age.

The daemon now reports a resume to the router: survivals are postponed by the suspension, and parts are not quarantined for 2 s after it. With the record of the resume left empty the new test fails.

--- a/crates/notchwalk_daemon/src/suspension.rs
+++ b/crates/notchwalk_daemon/src/suspension.rs
@@ -30,18 +30,18 @@
         self.resume_count.get()
     }
 
-    /// Returns whether the machine was suspended since the last call, and logs it. Idle
-    /// connections should then be closed: the other ends may have closed them
+    /// Returns for how long the machine was suspended since the last call, if it was, and logs
+    /// it. Idle connections should then be closed: the other ends may have closed them
     /// unnoticed.
-    pub fn check(&self, clock: &Clock) -> bool {
+    pub fn check(&self, clock: &Clock) -> Option<Duration> {
         let suspended = clock.suspended_time();
         let elapsed = suspended.saturating_sub(self.suspended.replace(suspended));
         if elapsed < MIN_SUSPENSION {
-            return false;
+            return None;
         }
         self.resume_count.set(self.resume_count.get() + 1);
         let facts = format!("suspended_ms={}", elapsed.as_millis());
         LogEvent::new(LogEventKind::MachineResumed, facts).emit();
-        true
+        Some(elapsed)
     }
 }
--- a/crates/notchwalk_daemon/tests/parts.rs
+++ b/crates/notchwalk_daemon/tests/parts.rs
@@ -43,15 +43,16 @@
     let clock = Clock::with_source(Arc::new(machine.clone()));
     let watch = SuspensionWatch::new(&clock);
     machine.run(Duration::from_secs(60));
-    assert!(!watch.check(&clock), "reported without a suspension");
+    assert_eq!(watch.check(&clock), None, "reported without a suspension");
     machine.suspend(Duration::from_millis(100));
-    assert!(
-        !watch.check(&clock),
+    assert_eq!(
+        watch.check(&clock),
+        None,
         "reported below the detection threshold"
     );
     machine.suspend(Duration::from_secs(5));
-    assert!(watch.check(&clock));
-    assert!(!watch.check(&clock));
+    assert_eq!(watch.check(&clock), Some(Duration::from_secs(5)));
+    assert_eq!(watch.check(&clock), None);
     assert_eq!(watch.resume_count(), 1);
 }
 
--- a/crates/notchwalk_quarantine/src/quarantine/mod.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/mod.rs
@@ -16,7 +16,7 @@
 mod policy;
 mod unrelated_losses;
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use notchwalk_core::Instant;
 
@@ -44,6 +44,8 @@
     last_tick: Instant,
     /// When this node started to observe the ends of servers.
     observing_since: Option<Instant>,
+    /// When this node last resumed from a suspension.
+    resumed_at: Option<Instant>,
 }
 
 impl Quarantine {
@@ -176,6 +178,14 @@
         is_known
     }
 
+    /// Records that this node was suspended until now. It missed the survivals of parts
+    /// meanwhile: those from before count as recent still, and none is quarantined until peers
+    /// had time to report later ones.
+    pub fn record_resume(&mut self, suspended: Duration, now: Instant) {
+        self.survivors.postpone(suspended);
+        self.resumed_at = Some(now);
+    }
+
     /// Takes the servers whose port is due for a probe. Probes confirm a crash while the
     /// store is unavailable and no other request is sent to the server.
     pub fn take_probes(&mut self, now: Instant) -> Vec<u32> {
--- a/crates/notchwalk_quarantine/src/quarantine/parts.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/parts.rs
@@ -175,7 +175,12 @@
     ) -> bool {
         /// How long after the last crash such requests are awaited.
         const MAX_CONTESTED_TIME: Duration = Duration::from_secs(3);
-        if !suspect.may_be_cause() {
+        /// How long peers may take to report survivals to a node that resumes.
+        const RESUME_TIME: Duration = Duration::from_secs(2);
+        let has_just_resumed = self
+            .resumed_at
+            .is_some_and(|at| now.since(at) < RESUME_TIME);
+        if !suspect.may_be_cause() || has_just_resumed {
             return false;
         }
         let score = suspect.incidents().confirmed_score();
@@ -188,7 +193,10 @@
         if self.explanation_by(subject, suspect, quarantined) != Explanation::None {
             return false;
         }
-        let is_contested_for_long = now.since(suspect.last_crash()) >= MAX_CONTESTED_TIME;
+        let contested_since = suspect
+            .last_crash()
+            .max(self.resumed_at.unwrap_or_default());
+        let is_contested_for_long = now.since(contested_since) >= MAX_CONTESTED_TIME;
         match self.explanation_by(subject, suspect, others()) {
             Explanation::None => true,
             Explanation::Contested => is_contested_for_long,
--- a/crates/notchwalk_quarantine/src/recent.rs
+++ b/crates/notchwalk_quarantine/src/recent.rs
@@ -50,6 +50,16 @@
         }
     }
 
+    /// Moves all successes later by the time that this node was suspended.
+    pub fn postpone(&mut self, suspended: Duration) {
+        for at in self.last_success.values_mut() {
+            *at = at.after(suspended);
+        }
+        for (_, at) in &mut self.order {
+            *at = at.after(suspended);
+        }
+    }
+
     /// Returns the latest recorded success, however long ago.
     pub fn last_success(&self, content: Fingerprint) -> Option<Instant> {
         self.last_success.get(&content).copied()
--- a/crates/notchwalk_quarantine/tests/parts.rs
+++ b/crates/notchwalk_quarantine/tests/parts.rs
@@ -229,6 +229,26 @@
     assert!(!node.is_quarantined(&["sound"]));
 }
 
+/// Guards against a node that judges by the time in which it was suspended and heard nothing.
+#[test]
+fn node_that_resumes_from_suspension_quarantines_no_part_before_it_hears_its_peers() {
+    let (mut node, mut peer) = (Node::new(), Node::new());
+    node.survive(&["first"]);
+    for (server, id) in ["a", "b", "c"].into_iter().enumerate() {
+        node.crash(&["first", id], server as u32);
+    }
+    node.send_updates(&mut peer);
+    peer.survive(&["first"]);
+    let suspended = Duration::from_secs(20);
+    node.now = node.now.after(suspended);
+    node.quarantine.record_resume(suspended, node.now);
+    node.advance(300);
+    assert_eq!(node.verdict(&["first"]), Verdict::Allowed);
+    peer.send_updates(&mut node);
+    node.advance(3_000);
+    assert_eq!(node.verdict(&["first"]), Verdict::Allowed);
+}
+
 #[test]
 fn part_that_survived_before_is_quarantined_two_crashes_later() {
     let mut node = Node::new();
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -141,10 +141,11 @@
     /// Checks whether the machine was suspended. If so, idle connections are closed:
     /// the other ends may have closed them meanwhile, and a request that must run at
     /// most once can't be retried after it failed on one.
-    pub fn check_suspension(&self) {
-        if self.suspension.check(&self.clock) {
+    pub fn check_suspension(self: &Rc<Self>) {
+        if let Some(suspended) = self.suspension.check(&self.clock) {
             self.client.close_idle();
             self.store.reset_connections();
+            self.step(Event::MachineResumed { suspended });
         }
     }
 
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -215,6 +215,11 @@
     ReservationUnanswered(ReservationOrder),
     /// Time passed.
     Tick,
+    /// The machine resumed from a suspension of this duration.
+    MachineResumed {
+        /// The duration.
+        suspended: Duration,
+    },
     /// This node is shutting down.
     NodeDraining {
         /// Time after which new requests of callers are refused.
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -349,6 +349,7 @@
             Event::Reserved { request, failed } => self.handle_reserved(request, &failed, now, out),
             Event::ReservationUnanswered(order) => self.reservations.record_unanswered(&order, now),
             Event::Tick => self.tick(now, out),
+            Event::MachineResumed { suspended } => self.quarantine.record_resume(suspended, now),
             Event::NodeDraining {
                 after,
                 after_for_peers,
--- a/crates/notchwalkd/src/shell.rs
+++ b/crates/notchwalkd/src/shell.rs
@@ -180,7 +180,7 @@
     /// The remote ends may have closed them, and a call that must not be repeated
     /// would be lost on such a connection.
     pub fn check_suspension(&self) {
-        if self.suspension.check(&self.clock) {
+        if self.suspension.check(&self.clock).is_some() {
             self.client.close_idle();
         }
     }
