--- a/crates/notchwalk_quarantine/src/lib.rs
+++ b/crates/notchwalk_quarantine/src/lib.rs
@@ -34,8 +34,9 @@
 //! - callers name the parts, so evidence from one workspace affects its own requests only.
 //!
 //! Limitations: two contents that were running in the same three crashes are both
-//! quarantined; so is a sound part that never survived and that three fatal ones explain; a subject that crashes only some servers is cleared by each successful run;
-//! a body that is forwarded without being read has no fingerprint.
+//! quarantined; so is a sound part that never survived and that three fatal ones explain; a
+//! subject that crashes only some servers is cleared by each successful run; a body that is
+//! forwarded without being read has no fingerprint.
 //!
 //! | file | contents |
 //! |---|---|
--- a/crates/notchwalk_quarantine/src/quarantine/parts.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/parts.rs
@@ -32,7 +32,7 @@
 /// Interval between the trial runs of a quarantined part that survived before; each failed one
 /// doubles it.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(2);
-/// Number of failed trials after which a part has no further ones.
+/// Number of failed trials after which a part has no further ones: each costs callers a server.
 const MAX_FAILED_TRIALS: u32 = 3;
 
 impl Quarantine {
