--- /dev/null
+++ b/crates/notchwalk_quarantine/tests/parts/main.rs
@@ -0,0 +1,6 @@
+//! The rules by which a part of prompts is quarantined, and what clears one.
+
+mod explanations;
+mod node;
+mod rules;
+mod trials;
