Review case 1: an entry of another writer crashes all machines

Broken: LOST, by a crash. If the entry of a known server names another service and then goes or can't be read, the fleet keeps a dead key for the former service; the next use of it panics, in the main task as well, and the process ends.

Shown by review/1/run.sh: three entry processes, six sound servers, clients on kept connections; two writes of another writer to the row of one server, 0.3 s apart.

Measured: all three processes end by themselves; 9 calls that were passed on to sound servers get no answer, 3 streams are cut. TROUBLE=0: all are answered. The lost queued requests become case 2.

--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -166,12 +166,26 @@
     });
 }
 
-/// Sends one request on a new connection and reads the response; `None` if the connection
-/// can't be made or ends before a response head.
-pub fn call(addr: SocketAddr, request: &str, timeout: Duration) -> Option<Message> {
-    let mut stream = TcpStream::connect_timeout(&addr, Duration::from_secs(1)).ok()?;
+/// Opens a connection, which takes a second at most.
+pub fn connect(addr: SocketAddr) -> Option<BufReader<TcpStream>> {
+    let stream = TcpStream::connect_timeout(&addr, Duration::from_secs(1)).ok()?;
     stream.set_nodelay(true).ok()?;
-    stream.set_read_timeout(Some(timeout)).ok()?;
-    stream.write_all(request.as_bytes()).ok()?;
-    read_message(&mut BufReader::new(stream)).ok()?
+    Some(BufReader::new(stream))
+}
+
+/// Sends one request on a connection and reads the response; `None` if the connection ends
+/// before a response head.
+pub fn exchange(
+    reader: &mut BufReader<TcpStream>,
+    request: &str,
+    timeout: Duration,
+) -> Option<Message> {
+    reader.get_ref().set_read_timeout(Some(timeout)).ok()?;
+    reader.get_mut().write_all(request.as_bytes()).ok()?;
+    read_message(reader).ok()?
+}
+
+/// Sends one request on a new connection.
+pub fn call(addr: SocketAddr, request: &str, timeout: Duration) -> Option<Message> {
+    exchange(&mut connect(addr)?, request, timeout)
 }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,7 +2,9 @@
 //! `review_standin CASE WORK_DIR RECORD`, from the root of the repository. Exit codes: 0 if
 //! the rule held, 1 if it was broken, 2 if the case could not run.
 
+mod foreign_entry;
 mod http;
+mod left;
 mod queued;
 mod store;
 mod world;
@@ -37,7 +39,9 @@
         exit(2);
     });
     let held = match case.as_str() {
-        "1" => queued::run(&world, trouble),
+        "1" => foreign_entry::run(&world, trouble),
+        "2" => queued::run(&world, trouble),
+        "3" => left::run(&world, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     world.end();
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -52,7 +52,11 @@
 
     /// Writes a row as the operator or a server does; unchanged rows keep their version.
     pub fn put(&self, table: &str, key: &str, value: &Value) -> bool {
-        self.set(table, key, Some(base64(value.to_string().as_bytes())))
+        self.put_bytes(table, key, value.to_string().as_bytes())
+    }
+
+    pub fn put_bytes(&self, table: &str, key: &str, bytes: &[u8]) -> bool {
+        self.set(table, key, Some(base64(bytes)))
     }
 
     pub fn remove(&self, table: &str, key: &str) -> bool {
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -3,7 +3,7 @@
 
 use std::{
     fs::{self, File},
-    io::{self, Write},
+    io::{self, BufReader, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -15,7 +15,7 @@
 use serde_json::{json, Value};
 
 use crate::{
-    http::{call, respond, serve, Message},
+    http::{self, call, respond, serve, Message},
     store::Store,
 };
 
@@ -206,6 +206,34 @@
 
     /// Sends a client's request on a new connection and returns how it ended.
     pub fn request(&self, request: &ClientRequest) -> Ending {
+        self.connect().request(request)
+    }
+
+    /// Opens a connection that is kept for several requests.
+    pub fn connect(&self) -> Connection {
+        Connection {
+            entry: self.clone(),
+            reader: http::connect(self.front),
+        }
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&self) -> bool {
+        let mut children = self.world.children.lock();
+        let children = children.as_mut().expect("no thread panics with the lock");
+        let child = children.iter_mut().find(|child| child.id() == self.pid);
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+}
+
+/// A client's connection to a machine.
+pub struct Connection {
+    entry: Entry,
+    reader: Option<BufReader<TcpStream>>,
+}
+
+impl Connection {
+    pub fn request(&mut self, request: &ClientRequest) -> Ending {
         let ClientRequest {
             id,
             method,
@@ -224,15 +252,11 @@
             body.len()
         );
         let sent_at = Instant::now();
-        self.world.note(&format!(
-            "client sends {id} ({method} {path}) to {}",
-            self.node
-        ));
-        let answer = call(
-            self.front,
-            &text,
-            Duration::from_millis(deadline_ms + 1_000),
-        );
+        let (world, node) = (&self.entry.world, &self.entry.node);
+        world.note(&format!("client sends {id} ({method} {path}) to {node}"));
+        let timeout = Duration::from_millis(deadline_ms + 1_000);
+        let reader = self.reader.as_mut();
+        let answer = reader.and_then(|reader| http::exchange(reader, &text, timeout));
         let held = sent_at.elapsed();
         let status = answer.as_ref().and_then(Message::status);
         let whole = answer.as_ref().is_some_and(|answer| answer.whole);
@@ -241,19 +265,18 @@
             (Some(status), false) => format!("{status}, cut off"),
             (Some(status), true) => format!("{status}, whole"),
         };
-        let leaving = answer
-            .as_ref()
-            .and_then(|a| a.header("server-leaving"))
-            .is_some();
-        let mark = if leaving { ", Server-Leaving" } else { "" };
-        self.world.note(&format!(
-            "client gets for {id} after {:.3} s: {text}{mark}",
-            held.as_secs_f64()
+        let header = |name| answer.as_ref().and_then(|answer| answer.header(name));
+        let says_leaving = header("server-leaving").is_some();
+        let mark = if says_leaving { ", Server-Leaving" } else { "" };
+        let held_s = held.as_secs_f64();
+        world.note(&format!(
+            "client gets for {id} after {held_s:.3} s: {text}{mark}"
         ));
         Ending {
             status,
             whole,
             held,
+            says_leaving,
         }
     }
 }
@@ -306,6 +329,8 @@
     pub status: Option<u16>,
     pub whole: bool,
     pub held: Duration,
+    /// Whether the answer says that its server leaves.
+    pub says_leaving: bool,
 }
 
 /// What a server says of itself to the store.
@@ -324,7 +349,7 @@
     pub service: String,
     pub addr: SocketAddr,
     slots: u32,
-    born: u64,
+    pub born: u64,
     presence: Mutex<Presence>,
     world: Arc<World>,
 }
