--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -29,10 +29,6 @@
         self.start.split(' ').nth(1)?.parse().ok()
     }
 
-    pub fn method(&self) -> &str {
-        self.start.split(' ').next().unwrap_or("")
-    }
-
     /// Path and query of a request.
     pub fn target(&self) -> &str {
         self.start.split(' ').nth(1).unwrap_or("")
--- a/review/standin/src/left.rs
+++ b/review/standin/src/left.rs
@@ -40,7 +40,7 @@
             "bookdesk",
             6,
             |server, request, stream| {
-                sleep_ms(150);
+                sleep_ms(250);
                 respond(
                     stream,
                     "200 OK",
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -37,7 +37,6 @@
     net: (u8, u8),
     next_host: Mutex<u8>,
     children: Mutex<Vec<Child>>,
-    /// Servers and the ids of the requests that reached them, with the time.
     arrivals: Mutex<Vec<Arrival>>,
 }
 
@@ -46,7 +45,6 @@
 pub struct Arrival {
     pub server: String,
     pub request: String,
-    pub at: Instant,
 }
 
 impl World {
@@ -339,8 +337,6 @@
     Ready,
     /// It leaves without saying `draining`: its entry goes, and it keeps serving.
     Left,
-    /// It does not reach the store since then.
-    CutFromStore(Instant),
 }
 
 /// A server of a service.
@@ -406,28 +402,25 @@
             .expect("no thread panics with the lock") = presence;
     }
 
-    /// Writes the entry with each heartbeat, and at once when the server begins to leave. The
-    /// store drops it after three heartbeats of silence.
+    /// Writes the entry, or drops it again, with each heartbeat and at once when the server
+    /// begins to leave.
     fn beat(&self, store: &Store) {
-        let mut written = None;
+        let mut last = None;
         let mut next = Instant::now();
         loop {
             let presence = self.presence();
-            if Instant::now() >= next || (presence == Presence::Left && written != Some(presence)) {
+            if last != Some(presence) || Instant::now() >= next {
                 next = Instant::now() + HEARTBEAT;
                 let taken = match presence {
                     Presence::Ready => store.put("servers", &self.id, &self.entry()),
                     Presence::Left => store.remove("servers", &self.id),
-                    Presence::CutFromStore(since) if since.elapsed() >= 3 * HEARTBEAT => {
-                        store.remove("servers", &self.id)
-                    }
-                    Presence::CutFromStore(_) => false,
                 };
-                if taken && written != Some(presence) {
-                    self.world
-                        .note(&format!("store takes of {}: {presence:?}", self.id));
-                }
-                written = taken.then_some(presence);
+                let is_away = if taken { "" } else { ", but is away" };
+                self.world.note(&format!(
+                    "{} tells the store: {presence:?}{is_away}",
+                    self.id
+                ));
+                last = Some(presence);
             }
             sleep_ms(20);
         }
@@ -457,7 +450,6 @@
         let arrival = Arrival {
             server: self.id.clone(),
             request: id.to_owned(),
-            at: Instant::now(),
         };
         let arrivals = self.world.arrivals.lock();
         arrivals
