Review case 1: the other writer's entries have keys of their own

The first script replaced the entry of a server here; two entries of another system's servers do the same: one changes its service and goes, and the next names the former service.

--- a/review/standin/src/foreign_entry.rs
+++ b/review/standin/src/foreign_entry.rs
@@ -1,4 +1,4 @@
-//! Case 1: another writer changes the entry of a server.
+//! Case 1: another writer's entries in the table of servers.
 
 use std::{
     io,
@@ -21,18 +21,11 @@
 pub fn run(world: &Arc<World>, trouble: bool) -> io::Result<bool> {
     let store = Store::start(world.listen(8223)?)?;
     store.put("op", "config", &config(7));
-    let mut engines = Vec::new();
     for _ in 0..3 {
-        engines.push(Server::start(
-            world,
-            &store,
-            "lampwise",
-            16,
-            |server, request, stream| {
-                sleep_ms(30);
-                server.stream_events(request, stream, 33, 50)
-            },
-        )?);
+        Server::start(world, &store, "lampwise", 16, |server, request, stream| {
+            sleep_ms(30);
+            server.stream_events(request, stream, 33, 50)
+        })?;
         Server::start(world, &store, "bookdesk", 6, |server, request, stream| {
             sleep_ms(200);
             respond(
@@ -63,14 +56,23 @@
     }
     sleep_ms(5_000);
     if trouble {
-        let entry = json!({"service": "lampwise-archive", "address": engines[0].addr.to_string(),
-            "zone": "ruwi", "version": "v1", "slots": 16, "state": "ready", "coldLeftMs": 0,
-            "seq": 0, "born": engines[0].born});
-        world.note("another writer: an entry with a service that isn't named");
-        store.put("servers", &engines[0].id, &entry);
-        sleep_ms(300);
-        world.note("another writer: an entry that can't be read");
-        store.put_bytes("servers", &engines[0].id, b"{\"service\":\"lampwise-arch");
+        // Another system shares the table: none of these entries names a service of the
+        // configuration, and none is that of a server here.
+        let ip = world.new_ip();
+        let write = |key: &str, service: &str| {
+            world.note(&format!("another writer: {key} of service {service}"));
+            let entry = json!({"service": service, "address": format!("{ip}:8080"),
+                "zone": "ruwi", "version": "v1", "slots": 16, "state": "ready",
+                "coldLeftMs": 0, "seq": 0, "born": 1_796_000_000_000_u64});
+            store.put("servers", key, &entry);
+            sleep_ms(500);
+        };
+        write("other-1", "search");
+        write("other-1", "search-v2");
+        world.note("another writer: other-1 goes");
+        store.remove("servers", "other-1");
+        sleep_ms(500);
+        write("other-2", "search");
     }
     sleep_ms(5_000);
     for entry in entries.iter().filter(|entry| entry.has_ended()) {
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -83,7 +83,7 @@
             .clone()
     }
 
-    fn new_ip(&self) -> Ipv4Addr {
+    pub fn new_ip(&self) -> Ipv4Addr {
         let mut next = self
             .next_host
             .lock()
@@ -345,7 +345,7 @@
     pub service: String,
     pub addr: SocketAddr,
     slots: u32,
-    pub born: u64,
+    born: u64,
     presence: Mutex<Presence>,
     world: Arc<World>,
 }
