Fleet: registrations and their indexes are one table

Calls passed on to sound servers got no response, streams were cut.

Cause: an update replaced a server's registration, but Fleet::by_service kept the key under the former service; the removal looked under the new one only. Every later use of that list indexed the arena with a dead key and panicked in the task that follows the table, which ends the process.

Ruled out: rows applied in the wrong order.

Why this holds: ServerTable alone can change a registration, and does so together with its indexes. A seeded sequence of changed, removed, repeated and restored entries is compared after each step with a table built from the last ones.

--- a/crates/notchwalk_relay/src/effects.rs
+++ b/crates/notchwalk_relay/src/effects.rs
@@ -59,7 +59,7 @@
     };
     let facts = format!(
         "server={} pause_ms={} failure_rate={:.2}",
-        server.record.instance,
+        server.record().instance,
         duration.as_millis(),
         server.failure_rate(shell.now())
     );
--- a/crates/notchwalk_relay/src/links.rs
+++ b/crates/notchwalk_relay/src/links.rs
@@ -85,7 +85,7 @@
         let fleet = router.fleet();
         let servers = fleet.of_service(service).iter();
         for server in servers.filter_map(|&key| fleet.get(key)) {
-            shell.client.close_idle_to(server.record.addr);
+            shell.client.close_idle_to(server.record().addr);
         }
     }
     shell.links_to_publish.set(true);
--- a/crates/notchwalk_relay/src/operator.rs
+++ b/crates/notchwalk_relay/src/operator.rs
@@ -52,7 +52,7 @@
         let metrics = &self.shell.metrics;
         metrics.server_limits.reset();
         for (server, limit) in router.fleet().limited_servers() {
-            let labels = [server.record.instance.as_str()];
+            let labels = [server.record().instance.as_str()];
             let gauge = metrics.server_limits.with_label_values(&labels);
             gauge.set(limit.rate());
         }
@@ -71,9 +71,9 @@
             .map(|(key, server)| {
                 let load = router.load_view().load(key, now);
                 serde_json::json!({
-                    "instance": server.record.instance,
-                    "service": server.record.service,
-                    "addr": server.record.addr,
+                    "instance": server.record().instance,
+                    "service": server.record().service,
+                    "addr": server.record().addr,
                     "takes_work": server.is_available(now),
                     "said_leaving": server.is_draining(),
                     "wants_nothing_ms": server.backoff_remaining(now).as_millis() as u64,
--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -310,7 +310,7 @@
 
 /// Updates the router's node count and this node's group.
 pub(crate) fn update_node_count(shell: &Rc<Shell>) {
-    let servers = shell.router.borrow().fleet().largest_service_size();
+    let servers = shell.router.borrow().largest_service_size();
     shell.peers.borrow_mut().set_largest_service(servers);
     let group = shell.peers.borrow_mut().update_group(shell.now());
     shell.step(Event::Group(group));
--- a/crates/notchwalk_relay/src/quarantine.rs
+++ b/crates/notchwalk_relay/src/quarantine.rs
@@ -163,7 +163,7 @@
     let known = fleet.by_short_id(short_id).and_then(|key| fleet.get(key));
     known.map_or_else(
         || format!("{short_id:08x}"),
-        |server| server.record.instance.clone(),
+        |server| server.record().instance.clone(),
     )
 }
 
--- a/crates/notchwalk_relay/src/server_notices.rs
+++ b/crates/notchwalk_relay/src/server_notices.rs
@@ -18,7 +18,7 @@
 /// Where and when the request that a response answers was sent.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ResponseOrigin {
-    /// The server that the request was for, if registered.
+    /// The server that the request was for; `None` for an order to an engine.
     pub server: Option<ServerKey>,
     /// The address that the request was sent to.
     pub addr: SocketAddr,
@@ -81,7 +81,7 @@
         return fleet.by_instance(instance);
     }
     if facts.kind != ResponseKind::Misdirected {
-        return origin.server.or_else(|| fleet.by_addr(origin.addr));
+        return origin.server.or_else(|| router.engine_at(origin.addr));
     }
     fleet.other_server_at(origin.addr, origin.server)
 }
@@ -154,7 +154,7 @@
     let (kind, facts) = match notice {
         ServerNotice::Draining => {
             let router = shell.router.borrow();
-            let stage = router.fleet().get(server).map(|known| known.record.stage);
+            let stage = router.fleet().get(server).map(|known| known.record().stage);
             let running = router.load_view().load(server, shell.now()).occupied();
             let facts = format!("by_peer={reported_by_peer} record={stage:?} running={running}");
             (LogEventKind::ServerAnnouncedDraining, facts)
@@ -195,7 +195,7 @@
     let limit = known.limit().map_or(0.0, RateLimit::rate);
     let facts = format!(
         "server={} per_second={limit} allowance={:.2} users={} sent={}",
-        known.record.instance,
+        known.record().instance,
         known.available_requests(now).unwrap_or_default(),
         known.limit_users(now),
         known.sent()
@@ -206,5 +206,8 @@
 fn instance_name(shell: &Shell, server: ServerKey) -> String {
     let router = shell.router.borrow();
     let known = router.fleet().get(server);
-    known.map_or_else(|| "gone".to_owned(), |known| known.record.instance.clone())
+    known.map_or_else(
+        || "gone".to_owned(),
+        |known| known.record().instance.clone(),
+    )
 }
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -246,7 +246,7 @@
     fn service_heard_at(&self, server: ServerKey) -> Option<Instant> {
         let router = self.router.borrow();
         let fleet = router.fleet();
-        let service = &fleet.get(server)?.record.service;
+        let service = &fleet.get(server)?.record().service;
         let heard_at = self.heard_at.borrow();
         let of_service = fleet.of_service(service).iter();
         of_service
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -47,6 +47,16 @@
     },
 }
 
+impl AttemptEnd {
+    /// Returns the address of the faulty server that a rejection names.
+    pub(crate) fn faulty_server(self) -> Option<SocketAddr> {
+        match self {
+            Self::NotRun { faulty_server, .. } => faulty_server,
+            _ => None,
+        }
+    }
+}
+
 /// A failed reservation on an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FailedReservation {
--- a/crates/notchwalk_route/src/fleet/mod.rs
+++ b/crates/notchwalk_route/src/fleet/mod.rs
@@ -6,15 +6,12 @@
 mod server;
 mod shared_bucket;
 mod sharing;
+mod table;
 
-use std::{
-    collections::{HashMap, VecDeque},
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
 
 use notchwalk_core::Instant;
-use slotmap::{new_key_type, SlotMap};
+use slotmap::new_key_type;
 
 use crate::{Group, ServerNotice};
 use draining_incarnations::DrainingIncarnations;
@@ -22,6 +19,7 @@
 pub use server::{Server, ServerRecord, ServerStage};
 pub use sharing::Availability;
 use sharing::Limits;
+use table::ServerTable;
 
 new_key_type! {
     /// Identifies a server in the fleet.
@@ -78,10 +76,7 @@
 /// All servers.
 #[derive(Debug, Default)]
 pub struct Fleet {
-    servers: SlotMap<ServerKey, Server>,
-    by_instance: HashMap<String, ServerKey>,
-    by_short_id: HashMap<u32, ServerKey>,
-    by_service: HashMap<String, Vec<ServerKey>>,
+    servers: ServerTable,
     /// The group of this node, which uses a subset of the servers.
     group: Group,
     /// Previous incarnations of restarted servers, oldest first: a request may still be
@@ -109,7 +104,7 @@
             ServerChange::Removed(instance) => self.remove(&instance).into_iter().collect(),
             ServerChange::All(records) => {
                 let mut removed = Vec::new();
-                let known: Vec<String> = self.by_instance.keys().cloned().collect();
+                let known: Vec<String> = self.servers.instances().map(str::to_owned).collect();
                 for instance in known {
                     if records.iter().any(|record| record.instance == instance) {
                         continue;
@@ -127,23 +122,15 @@
     /// Inserts or updates a server; returns its previous incarnation if this ends it.
     fn upsert(&mut self, record: ServerRecord, now: Instant) -> Option<RemovedServer> {
         let ended = self.end_other_incarnation(&record);
-        if let Some(&key) = self.by_instance.get(&record.instance) {
-            self.servers[key].update(record);
+        if let Some(key) = self.servers.by_instance(&record.instance) {
+            self.servers.update(key, record);
             return None;
         }
-        let (instance, service) = (record.instance.clone(), record.service.clone());
         let mut server = Server::new(record);
-        let short_id = server.short_id;
-        if self.draining.contains(short_id) {
+        if self.draining.contains(server.short_id) {
             server.apply_reported_draining();
         }
         let key = self.servers.insert(server);
-        self.by_instance.insert(instance, key);
-        self.by_short_id.insert(short_id, key);
-        let keys = self.by_service.entry(service).or_default();
-        keys.push(key);
-        let servers = &self.servers;
-        keys.sort_by_key(|&key| servers[key].short_id);
         self.restore_limit(key, now);
         ended
     }
@@ -154,12 +141,12 @@
         /// Maximum number of retained incarnations: as many as can end while requests are
         /// still assigned to them.
         const MAX_ENDED: usize = 64;
-        let &key = self.by_instance.get(&record.instance)?;
+        let key = self.servers.by_instance(&record.instance)?;
         let known = self.servers.get(key)?;
-        if known.record.started_ms == record.started_ms {
+        if known.record().started_ms == record.started_ms {
             return None;
         }
-        let (short_id, addr) = (known.short_id, known.record.addr);
+        let (short_id, addr) = (known.short_id, known.record().addr);
         self.ended_incarnations.push_back(EndedIncarnation {
             key,
             short_id,
@@ -179,16 +166,12 @@
     }
 
     fn remove(&mut self, instance: &str) -> Option<RemovedServer> {
-        let key = self.by_instance.remove(instance)?;
+        let key = self.servers.by_instance(instance)?;
         let server = self.servers.remove(key)?;
-        self.by_short_id.remove(&server.short_id);
         if server.is_draining() {
             self.draining.add_ended(server.short_id);
         }
         self.limits.retain_limit(&server);
-        if let Some(keys) = self.by_service.get_mut(&server.record.service) {
-            keys.retain(|&other| other != key);
-        }
         Some(RemovedServer {
             key,
             short_id: server.short_id,
@@ -203,14 +186,19 @@
 
     /// Returns the servers of a service, in the same order on all nodes.
     pub fn of_service(&self, service: &str) -> &[ServerKey] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
+        self.servers.of_service(service)
+    }
+
+    /// Returns the servers of a service.
+    pub(crate) fn servers_of<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Server> {
+        let keys = self.of_service(service).iter();
+        keys.filter_map(|&key| self.servers.get(key))
     }
 
     /// Returns how many servers of a service are in which state.
     pub fn service_status(&self, service: &str, now: Instant) -> ServiceStatus {
         let mut status = ServiceStatus::default();
-        for &key in self.of_service(service) {
-            let server = &self.servers[key];
+        for server in self.servers_of(service) {
             status.registered += 1;
             if server.is_draining() {
                 status.draining += 1;
@@ -223,11 +211,6 @@
         status
     }
 
-    /// Returns the number of servers of the largest service.
-    pub fn largest_service_size(&self) -> usize {
-        self.by_service.values().map(Vec::len).max().unwrap_or(0)
-    }
-
     /// Sets the group of this node.
     pub fn set_group(&mut self, group: Group, now: Instant) {
         if self.group != group {
@@ -241,7 +224,10 @@
     pub fn servers_in_use(&self, service: &str, now: Instant) -> &[ServerKey] {
         let all = self.of_service(service);
         let own = self.group.subset(all);
-        let is_available = |key: &ServerKey| self.servers[*key].is_available(now);
+        let is_available = |&key: &ServerKey| {
+            let server = self.servers.get(key);
+            server.is_some_and(|server| server.is_available(now))
+        };
         match own.iter().any(is_available) {
             true => own,
             false => all,
@@ -250,14 +236,23 @@
 
     /// Returns the server with this short id.
     pub fn by_short_id(&self, short_id: u32) -> Option<ServerKey> {
-        self.by_short_id.get(&short_id).copied()
+        self.servers.by_short_id(short_id)
     }
 
-    /// Returns a server at this address.
+    /// Returns the server at this address, of several the one that started last.
     pub fn by_addr(&self, addr: SocketAddr) -> Option<ServerKey> {
-        let mut servers = self.servers.iter();
-        let found = servers.find(|(_, server)| server.record.addr == addr);
-        found.map(|(key, _)| key)
+        self.servers.at_addr(addr, |_, _| true)
+    }
+
+    /// Returns the server at this address whose service `is_wanted` accepts, of several the
+    /// one that started last.
+    pub(crate) fn by_addr_and_service(
+        &self,
+        addr: SocketAddr,
+        is_wanted: impl Fn(&str) -> bool,
+    ) -> Option<ServerKey> {
+        let is_wanted = |_, server: &Server| is_wanted(&server.record().service);
+        self.servers.at_addr(addr, is_wanted)
     }
 
     /// Returns all servers.
@@ -267,16 +262,12 @@
 
     /// Returns the server with this instance id.
     pub fn by_instance(&self, instance: &str) -> Option<ServerKey> {
-        self.by_instance.get(instance).copied()
+        self.servers.by_instance(instance)
     }
 
     /// Returns a server other than `key` at this address.
     pub fn other_server_at(&self, addr: SocketAddr, key: Option<ServerKey>) -> Option<ServerKey> {
-        let mut servers = self.servers.iter();
-        let is_other = |(other, server): &(ServerKey, &Server)| {
-            server.record.addr == addr && Some(*other) != key
-        };
-        servers.find(is_other).map(|(other, _)| other)
+        self.servers.at_addr(addr, |other, _| Some(other) != key)
     }
 
     /// Applies a notice from a server; returns whether it changes anything.
@@ -301,11 +292,12 @@
     /// Marks an incarnation as draining on a peer's report; returns the server if that is
     /// new.
     pub fn apply_reported_draining(&mut self, short_id: u32) -> Option<ServerKey> {
-        let Some(&key) = self.by_short_id.get(&short_id) else {
+        let Some(key) = self.servers.by_short_id(short_id) else {
             self.draining.add_reported(short_id);
             return None;
         };
-        self.servers[key].apply_reported_draining().then_some(key)
+        let server = self.servers.get_mut(key)?;
+        server.apply_reported_draining().then_some(key)
     }
 
     /// Returns whether draining servers are to be published without delay.
@@ -322,9 +314,12 @@
     /// are draining. Reports from peers are not rebroadcast, since they would circulate after
     /// the incarnation has ended.
     pub fn draining_to_publish(&self, max: usize) -> Vec<u32> {
-        let servers = self.servers.values();
-        let draining = servers.filter(|server| server.announced_draining());
-        draining.map(|server| server.short_id).take(max).collect()
+        let servers = self.servers.iter();
+        let draining = servers.filter(|(_, server)| server.announced_draining());
+        draining
+            .map(|(_, server)| server.short_id)
+            .take(max)
+            .collect()
     }
 
     /// Returns whether a server has responded successfully after `since`.
--- a/crates/notchwalk_route/src/fleet/server.rs
+++ b/crates/notchwalk_route/src/fleet/server.rs
@@ -85,8 +85,8 @@
 /// A server and its observed state.
 #[derive(Clone, Debug)]
 pub struct Server {
-    /// Its registration.
-    pub record: ServerRecord,
+    /// Its registration; changes only with the indexes of the table.
+    record: ServerRecord,
     /// The short id of its incarnation, the same on all nodes.
     pub short_id: u32,
     /// Consecutive failed requests.
@@ -134,6 +134,11 @@
         }
     }
 
+    /// Returns its registration.
+    pub fn record(&self) -> &ServerRecord {
+        &self.record
+    }
+
     /// Returns whether this node may send new work to the server.
     pub fn is_available(&self, now: Instant) -> bool {
         self.time_until_available(now) == Some(Duration::ZERO)
@@ -247,7 +252,8 @@
         self.failure_rate * 0.5f64.powf(halvings)
     }
 
-    /// Applies a newer registration of the same incarnation.
+    /// Applies a newer registration of the same incarnation. Called by the table only, which
+    /// updates its indexes.
     pub(super) fn update(&mut self, record: ServerRecord) {
         if draining_from(&record) == Draining::Announced {
             self.draining = Draining::Announced;
--- a/crates/notchwalk_route/src/fleet/sharing.rs
+++ b/crates/notchwalk_route/src/fleet/sharing.rs
@@ -77,7 +77,9 @@
 impl Fleet {
     /// Restores the limit of a server that has registered again.
     pub(super) fn restore_limit(&mut self, key: ServerKey, now: Instant) {
-        let server = &mut self.servers[key];
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
         if let Some(retained) = self.limits.take_retained(server.short_id) {
             server.limit = retained;
             self.track_limit(key, now);
@@ -117,7 +119,7 @@
         let Some(server) = self.servers.get(key) else {
             return 0.0;
         };
-        let servers = self.of_service(&server.record.service).len();
+        let servers = self.of_service(&server.record().service).len();
         let groups = self.group.groups_sharing(servers);
         f64::from(sharing.reachable) / f64::from(sharing.registered.max(1)) / groups as f64
     }
@@ -202,7 +204,8 @@
                 }
             }
             let Some((peer, name)) = from else { continue };
-            if let Some(limited) = self.servers[key].limit.active_mut() {
+            let server = self.servers.get_mut(key);
+            if let Some(limited) = server.and_then(|server| server.limit.active_mut()) {
                 let bucket = &mut limited.bucket;
                 bucket.apply_peer(peer, short_id_of(name), update.sent, update.has_demand, now);
             }
@@ -248,7 +251,7 @@
             limit: latest.limit,
             age_ms: now.since(latest.requested_at).as_millis() as u32,
         });
-        let last_demand = self.limits.last_demand.get(&server.record.service);
+        let last_demand = self.limits.last_demand.get(&server.record().service);
         Some(LimitUpdate {
             server: server.short_id,
             observed,
@@ -323,7 +326,7 @@
             let Some(server) = self.servers.get_mut(key) else {
                 continue;
             };
-            let last_demand = self.limits.last_demand.get(&server.record.service);
+            let last_demand = self.limits.last_demand.get(&server.record().service);
             let has_demand = last_demand.is_some_and(|&at| now.since(at) < SERVICE_DEMAND_TTL);
             let is_allowed = server.time_until_allowed(now) == Some(Duration::ZERO);
             if is_allowed || !has_demand || now < server.next_exhausted_report {
@@ -343,11 +346,11 @@
         attempted: &[ServerKey],
         now: Instant,
     ) -> Availability {
-        let servers = self.of_service(service).iter();
-        let servers = servers.filter(|key| !attempted.contains(key));
         let (mut limited, mut later) = (None, None);
-        for &key in servers {
-            let server = &self.servers[key];
+        for &key in self.of_service(service) {
+            let Some(server) = self.servers.get(key).filter(|_| !attempted.contains(&key)) else {
+                continue;
+            };
             let Some(until_available) = server.time_until_available(now) else {
                 continue;
             };
@@ -371,8 +374,7 @@
     /// Returns this node's share of the limits of a service's servers, in requests per
     /// second.
     pub fn own_allowed_rate(&self, service: &str, now: Instant) -> f64 {
-        let servers = self.of_service(service).iter();
-        let servers = servers.map(|&key| &self.servers[key]);
+        let servers = self.servers_of(service);
         let available =
             servers.filter(|server| server.time_until_available(now) == Some(Duration::ZERO));
         let limits = available.filter_map(|server| server.limit.active());
--- a/crates/notchwalk_route/src/load_view.rs
+++ b/crates/notchwalk_route/src/load_view.rs
@@ -286,7 +286,7 @@
     pub(crate) fn shares(&self, fleet: &Fleet, now: Instant) -> Shares {
         let mut shares = Shares::default();
         for (server, works) in &self.work {
-            let slots = fleet.get(server).map_or(1, |server| server.record.slots);
+            let slots = fleet.get(server).map_or(1, |server| server.record().slots);
             for work in works {
                 let slot = match work.phase {
                     WorkPhase::Prefill | WorkPhase::Decode => 1.0 / f64::from(slots.max(1)),
--- a/crates/notchwalk_route/src/placement/call.rs
+++ b/crates/notchwalk_route/src/placement/call.rs
@@ -30,12 +30,12 @@
             continue;
         }
         let load = load_view.load(key, now);
-        let domain_cost = if server.record.failure_domain == local_domain {
+        let domain_cost = if server.record().failure_domain == local_domain {
             0.0
         } else {
             REMOTE_DOMAIN_COST
         };
-        let used_slots = load.occupied() as f64 / f64::from(server.record.slots.max(1));
+        let used_slots = load.occupied() as f64 / f64::from(server.record().slots.max(1));
         let crash_cost = crash_risk * load.occupied() as f64;
         let cost =
             used_slots + FAILURE_RATE_COST * server.failure_rate(now) + domain_cost + crash_cost;
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -162,13 +162,12 @@
             return;
         };
         let server = request.server;
+        let faulty_server = end.faulty_server().and_then(|addr| {
+            let is_wanted = |service: &str| service == request.service;
+            self.fleet.by_addr_and_service(addr, is_wanted)
+        });
         // Excludes a prefill worker that rejected its segment from further attempts.
-        if let AttemptEnd::NotRun {
-            faulty_server: Some(addr),
-            ..
-        } = end
-        {
-            let faulty_server = self.fleet.by_addr(addr);
+        if end.faulty_server().is_some() {
             if faulty_server != server {
                 request.prefill_worker_failures += 1;
             }
@@ -186,14 +185,14 @@
         if matches!(end, AttemptEnd::NotConnected | AttemptEnd::NotSent) {
             self.roll_back_sends(key, now);
         }
-        self.record_server_outcome(server, end, now, out);
+        self.record_server_outcome(server, faulty_server, end, now, out);
         self.release_reservations(key, now, out);
         self.remove_from_servers(key);
         if matches!(end, AttemptEnd::Delivered { .. }) {
             return self.remove_request(key, now, out);
         }
         if matches!(end, AttemptEnd::NotConnected | AttemptEnd::ConnectionLost) {
-            self.check_links_after_failure(server, now, out);
+            self.check_links_after_failure(key, server, now, out);
         }
         if self.may_retry(key, end, now, out) {
             self.restrict_suspect(key, now);
@@ -206,6 +205,7 @@
     pub(super) fn record_server_outcome(
         &mut self,
         server: Option<ServerKey>,
+        faulty_server: Option<ServerKey>,
         end: AttemptEnd,
         now: Instant,
         out: &mut Vec<Effect>,
@@ -219,10 +219,9 @@
             }
             AttemptEnd::Delivered { is_success: false } => return,
             AttemptEnd::NotRun {
-                faulty_server: Some(addr),
+                faulty_server: Some(_),
                 ..
             } => {
-                let faulty_server = self.fleet.by_addr(addr);
                 match faulty_server.filter(|&faulty_server| faulty_server != server) {
                     // A worker that rejects a segment is unreachable, draining or full. It
                     // would reject the next segment too.
--- a/crates/notchwalk_route/src/router/link_checks.rs
+++ b/crates/notchwalk_route/src/router/link_checks.rs
@@ -7,7 +7,7 @@
 use rand::seq::SliceRandom;
 
 use super::Router;
-use crate::{request::Request, shares::short_id_of, Effect, ServerKey};
+use crate::{request::Request, shares::short_id_of, Effect, RequestKey, ServerKey};
 
 /// Maximum time that a further attempt waits for a check of the links. A check that passes
 /// takes less.
@@ -31,21 +31,23 @@
     pub fn is_link_lost(&self, server: ServerKey) -> bool {
         self.fleet
             .get(server)
-            .is_some_and(|server| self.links.is_unreachable(&server.record.service))
+            .is_some_and(|server| self.links.is_unreachable(&server.record().service))
     }
 
-    /// Checks the links to the service of a server after a failure.
+    /// Checks the links to the service of a request whose attempt at a server failed.
     pub(super) fn check_links_after_failure(
         &mut self,
+        key: RequestKey,
         server: Option<ServerKey>,
         now: Instant,
         out: &mut Vec<Effect>,
     ) {
-        let server = server.and_then(|server| self.fleet.get(server));
-        if let Some(server) = server {
-            self.links.request_check(&server.record.service);
-            self.start_link_checks(now, out);
-        }
+        let is_registered = server.is_some_and(|server| self.fleet.get(server).is_some());
+        let Some(Some(request)) = self.requests.get(key).filter(|_| is_registered) else {
+            return;
+        };
+        self.links.request_check(&request.service);
+        self.start_link_checks(now, out);
     }
 
     pub(super) fn handle_service_silent(
@@ -54,13 +56,21 @@
         now: Instant,
         out: &mut Vec<Effect>,
     ) {
-        if let Some(server) = self.fleet.get(server) {
-            let service = &server.record.service;
-            self.links.request_check_after_silence(service, now);
+        if let Some(service) = self.configured_service_of(server) {
+            let service = service.to_owned();
+            self.links.request_check_after_silence(&service, now);
             self.start_link_checks(now, out);
         }
     }
 
+    /// Returns the service of a server if it is configured. No connection is opened to the
+    /// servers of others.
+    pub(super) fn configured_service_of(&self, server: ServerKey) -> Option<&str> {
+        let service = &self.fleet.get(server)?.record().service;
+        let (service, _) = self.services.get_key_value(service)?;
+        Some(service)
+    }
+
     /// Starts the checks of links that are due.
     pub(super) fn start_link_checks(&mut self, now: Instant, out: &mut Vec<Effect>) {
         for service in self.links.take_due_checks(now) {
@@ -69,7 +79,7 @@
                 self.record_link_check(&service, true, now);
                 continue;
             }
-            let addr = |&key: &ServerKey| Some(self.fleet.get(key)?.record.addr);
+            let addr = |&key: &ServerKey| Some(self.fleet.get(key)?.record().addr);
             let servers = servers.iter().filter_map(addr).collect();
             out.push(Effect::CheckLinks { service, servers });
         }
@@ -82,7 +92,7 @@
         servers.retain(|&key| self.fleet.get(key).is_some_and(|s| !s.is_draining()));
         servers.shuffle(&mut self.rng);
         servers.sort_by_key(|&key| self.fleet.get(key).is_none_or(|s| !s.is_available(now)));
-        let domain = |key: ServerKey| self.fleet.get(key).map(|s| &s.record.failure_domain);
+        let domain = |key: ServerKey| self.fleet.get(key).map(|s| &s.record().failure_domain);
         let mut chosen: Vec<ServerKey> = Vec::with_capacity(SERVERS_PER_CHECK);
         for &key in &servers {
             let is_new_domain = chosen.iter().all(|&other| domain(other) != domain(key));
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -21,7 +21,7 @@
 mod suspects;
 mod waiting;
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use notchwalk_core::Instant;
 use notchwalk_quarantine::Quarantine;
@@ -147,6 +147,23 @@
         &self.fleet
     }
 
+    /// Returns the number of servers of the largest configured service.
+    pub fn largest_service_size(&self) -> usize {
+        let sizes = self.services.keys();
+        let sizes = sizes.map(|service| self.fleet.of_service(service).len());
+        sizes.max().unwrap_or(0)
+    }
+
+    /// Returns the engine at this address. Servers of other services may be registered there
+    /// as well.
+    pub fn engine_at(&self, addr: SocketAddr) -> Option<ServerKey> {
+        let is_engine = |service: &str| {
+            let service = self.services.get(service);
+            service.is_some_and(|service| service.engine.is_some())
+        };
+        self.fleet.by_addr_and_service(addr, is_engine)
+    }
+
     /// Takes the rate-limit updates to broadcast to peers.
     pub fn take_limit_updates(&mut self, now: Instant) -> Vec<LimitUpdate> {
         self.fleet.take_limit_updates(now)
--- a/crates/notchwalk_route/src/router/reserving.rs
+++ b/crates/notchwalk_route/src/router/reserving.rs
@@ -87,7 +87,8 @@
             .attempted
             .retain(|server| Some(*server) != request.server);
         for engine in failed {
-            let Some(server) = self.fleet.by_addr(engine.addr) else {
+            let is_wanted = |service: &str| service == request.service;
+            let Some(server) = self.fleet.by_addr_and_service(engine.addr, is_wanted) else {
                 continue;
             };
             request.attempted.push(server);
@@ -154,7 +155,7 @@
     }
 
     fn count_order(&mut self, order: &ReservationOrder, now: Instant) {
-        if let Some(engine) = self.fleet.by_addr(order.addr) {
+        if let Some(engine) = self.engine_at(order.addr) {
             self.fleet.count_message(engine, now);
         }
     }
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -217,8 +217,8 @@
         };
         let assignment = Assignment {
             server: plan.primary.server,
-            addr: server.record.addr,
-            instance: server.record.instance.clone(),
+            addr: server.record().addr,
+            instance: server.record().instance.clone(),
             prefill_workers: Vec::new(),
             priority: priority(&request.facts),
             deadline: request.facts.deadline,
@@ -237,7 +237,7 @@
                 continue;
             };
             workers.push(PrefillWorker {
-                addr: server.record.addr,
+                addr: server.record().addr,
                 reservation: None,
             });
             let segment = Work {
--- a/crates/notchwalk_route/src/router/suspects.rs
+++ b/crates/notchwalk_route/src/router/suspects.rs
@@ -188,7 +188,7 @@
             } => {
                 // The segment may have crashed the worker, if the worker was alive when the
                 // segment was sent.
-                let worker = self.fleet.by_addr(addr).filter(|&key| key != server);
+                let worker = self.engine_at(addr).filter(|&key| key != server);
                 let was_alive = |&key: &ServerKey| self.fleet.has_responded_since(key, sent_at);
                 match worker.filter(was_alive).and_then(|key| self.short_id(key)) {
                     Some(short_id) => {
@@ -354,9 +354,9 @@
     /// Records that a server refused a connection; the next check of the links shows whether
     /// it ended.
     fn record_refused_connection(&mut self, server: ServerKey, short_id: u32) {
-        if let Some(known) = self.fleet.get(server) {
-            let service = &known.record.service;
-            self.links.record_refused_connection(service, short_id);
+        if let Some(service) = self.configured_service_of(server) {
+            let service = service.to_owned();
+            self.links.record_refused_connection(&service, short_id);
         }
     }
 
@@ -367,7 +367,7 @@
             let Some(known) = server_key.and_then(|key| self.fleet.get(key)) else {
                 continue;
             };
-            let addr = known.record.addr;
+            let addr = known.record().addr;
             out.push(Effect::ProbePort { server, addr });
         }
     }
--- a/crates/notchwalk_route/src/router/waiting.rs
+++ b/crates/notchwalk_route/src/router/waiting.rs
@@ -182,9 +182,9 @@
     /// Returns whether the queue is longer than this node's share of a service's slots can
     /// serve.
     fn is_queue_full(&self, service: &str) -> bool {
-        let servers = self.fleet.iter().map(|(_, server)| &server.record);
-        let of_service = servers.filter(|record| record.service == service);
-        let slots: u32 = of_service.map(|record| record.slots).sum();
+        let slots = self.fleet.servers_of(service);
+        let slots = slots.map(|server| server.record().slots);
+        let slots = slots.fold(0, u32::saturating_add);
         let node_slots = slots / self.node_count.unwrap_or(1).max(1);
         self.queue.len() as u32 > node_slots / SLOTS_PER_QUEUED_REQUEST
     }
--- a/crates/notchwalk_route/tests/decisions/main.rs
+++ b/crates/notchwalk_route/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod placement;
 mod random_runs;
+mod registrations;
 mod reservations;
 mod retries;
 mod retry_budget;
--- a/crates/notchwalk_route/tests/decisions/placement.rs
+++ b/crates/notchwalk_route/tests/decisions/placement.rs
@@ -172,7 +172,7 @@
             load.occupied() + load.prefill_segments,
             0,
             "{}",
-            server.record.instance
+            server.record().instance
         );
         assert_eq!(load.context_tokens, 0.0);
     }
--- a/crates/notchwalk_route/tests/decisions/random_runs.rs
+++ b/crates/notchwalk_route/tests/decisions/random_runs.rs
@@ -163,7 +163,7 @@
             .get(to.server)
             .expect("server is registered");
         assert_eq!(
-            record.record.stage,
+            record.record().stage,
             ServerStage::Ready,
             "sent to a draining server"
         );
@@ -390,7 +390,8 @@
     fn broadcast_peer_work(&mut self, server: u8, count: u8) {
         let instance = record(ENGINES, server).instance;
         let mut servers = self.node.router.fleet().iter();
-        let Some((_, known)) = servers.find(|(_, known)| known.record.instance == instance) else {
+        let Some((_, known)) = servers.find(|(_, known)| known.record().instance == instance)
+        else {
             return;
         };
         let short_id = known.short_id;
@@ -427,7 +428,7 @@
         for (key, server) in self.node.router.fleet().iter() {
             let load = self.node.router.load_view().load(key, self.node.now);
             let left = load.occupied() + load.prefill_segments;
-            assert_eq!(left, 0, "{} still has work", server.record.instance);
+            assert_eq!(left, 0, "{} still has work", server.record().instance);
             assert_eq!(load.context_tokens, 0.0);
         }
     }
--- a/crates/notchwalk_route/tests/decisions/reservations.rs
+++ b/crates/notchwalk_route/tests/decisions/reservations.rs
@@ -306,7 +306,7 @@
     let server = node.router.fleet().get(key).expect("server is registered");
     let restarted = ServerRecord {
         started_ms: Some(2),
-        ..server.record.clone()
+        ..server.record().clone()
     };
     node.step(Event::Servers(ServerChange::Registered(restarted)));
     take_orders(&mut node);
--- a/crates/notchwalk_route/tests/decisions/suspects.rs
+++ b/crates/notchwalk_route/tests/decisions/suspects.rs
@@ -189,7 +189,7 @@
                     .by_addr(worker.addr)
                     .expect("server is registered");
                 let server = node.router.fleet().get(key).expect("server is registered");
-                server.record.instance.clone()
+                server.record().instance.clone()
             }
             None => to.instance.clone(),
         };
@@ -309,7 +309,7 @@
     let fleet = node.router.fleet();
     let is_unavailable = |now: Instant| {
         let mut servers = fleet.iter();
-        servers.any(|(_, server)| server.record.instance == instance && !server.is_available(now))
+        servers.any(|(_, server)| server.record().instance == instance && !server.is_available(now))
     };
     assert!(is_unavailable(node.now));
     node.take_sends();
@@ -325,7 +325,7 @@
     let fleet = node.router.fleet();
     let mut servers = fleet.iter();
     let (key, server) = servers
-        .find(|(_, server)| server.record.instance == instance)
+        .find(|(_, server)| server.record().instance == instance)
         .expect("server is registered");
     assert!(server.is_available(node.now));
     assert_eq!(server.failure_rate(node.now), 0.0);
@@ -335,7 +335,7 @@
     // Registering the same incarnation again retains its key.
     let key_again = |node: &TestRouter| {
         let mut servers = node.router.fleet().iter();
-        let found = servers.find(|(_, server)| server.record.instance == instance);
+        let found = servers.find(|(_, server)| server.record().instance == instance);
         found.map(|(key, _)| key)
     };
     node.step(Event::Servers(ServerChange::Registered(plain_server(
