notchwalkd: servers of a long prompt's plan outlive the VM list

What callers saw: a daemon crashed ("invalid SlotMap key used") when an engine went from the VM list while a long prompt reserved memory or prefilled a segment there; all its callers were cut off.

Evidence: engine_that_leaves_the_list_during_a_long_prompt_crashes_no_node panics in own_reservations without the change and passes with it. Why it holds: a server is dropped only if no plan names it; a removed server gets no new work, so its plans end by themselves.

--- a/crates/notchwalk_decide/src/long_work.rs
+++ b/crates/notchwalk_decide/src/long_work.rs
@@ -6,7 +6,7 @@
 //! in the order of server numbers and released in reverse order. A denied
 //! reservation releases the granted ones, so there is no deadlock.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use notchwalk_core::{Attempt, Instant, RequestId, ServerId, Tokens};
 use notchwalk_wire::{
@@ -397,6 +397,14 @@
     }
 }
 
+/// Returns the servers that the plans of this node's requests name.
+pub(crate) fn planned_servers(node: &Node) -> HashSet<ServerKey> {
+    let plans = node.requests.values().filter_map(|req| req.plan.as_ref());
+    plans
+        .flat_map(|plan| plan.servers.iter().copied())
+        .collect()
+}
+
 /// Returns the reservations of this node's requests, for heartbeats.
 pub(crate) fn own_reservations(node: &Node) -> Vec<LongReservation> {
     let mut reservations = Vec::new();
--- a/crates/notchwalk_decide/src/server.rs
+++ b/crates/notchwalk_decide/src/server.rs
@@ -1,7 +1,10 @@
 //! Backend servers: their reports, this node's work on them, and whether they
 //! may get new work.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use notchwalk_core::{Instant, ServerId, Tokens};
 use notchwalk_wire::{LoadReport, ServerShare};
@@ -297,16 +300,13 @@
         key
     }
 
-    /// Drops servers that the VM list no longer contains and that have nothing
-    /// running.
-    pub fn drop_removed(&mut self) {
-        let removed = |s: &Server| s.removed && s.running == 0;
-        let keys = self
-            .arena
-            .iter()
-            .filter(|(_, s)| removed(s))
-            .map(|(key, _)| key);
-        let keys: Vec<_> = keys.collect();
+    /// Drops servers that the VM list no longer contains, that have nothing
+    /// running and that no plan in `planned` names.
+    pub fn drop_removed(&mut self, planned: &HashSet<ServerKey>) {
+        let servers = self.arena.iter();
+        let unused = servers.filter(|(_, s)| s.removed && s.running == 0);
+        let keys = unused.map(|(key, _)| key);
+        let keys: Vec<_> = keys.filter(|key| !planned.contains(key)).collect();
         for key in &keys {
             if let Some(server) = self.arena.remove(*key) {
                 self.by_id.remove(&server.id);
--- a/crates/notchwalk_decide/src/sweep.rs
+++ b/crates/notchwalk_decide/src/sweep.rs
@@ -11,6 +11,7 @@
     credit,
     effect::Effect,
     event::{ServerKind, ServerRecord},
+    long_work,
     node::{Cx, Node},
     request::Phase,
     schedule,
@@ -198,7 +199,7 @@
             node.servers.set_loaded(key, loaded);
         }
     }
-    node.servers.drop_removed();
+    node.servers.drop_removed(&long_work::planned_servers(node));
     let known: Vec<ServerId> = node.servers.arena.values().map(|s| s.id).collect();
     node.cancels
         .pending
--- a/crates/notchwalk_decide/tests/decisions/common.rs
+++ b/crates/notchwalk_decide/tests/decisions/common.rs
@@ -6,7 +6,7 @@
 use notchwalk_core::{Attempt, BootNumber, Instant, RequestId, ServerId, VmId};
 use notchwalk_decide::{
     Arrival, AttemptEnd, CallWork, CallerKey, Dispatch, Effect, Event, Failure, GenerateWork, Node,
-    NodeConfig, RequestKey, ServerKind, ServerRecord, Work,
+    NodeConfig, RequestKey, ServerDump, ServerKind, ServerRecord, Work,
 };
 use notchwalk_quarantine::Fingerprint;
 use notchwalk_wire::{LoadReport, LoadedModel};
@@ -128,6 +128,14 @@
         }
     }
 
+    /// Returns the known servers, by their ids.
+    pub fn servers(&mut self) -> Vec<ServerDump> {
+        let now = Instant::from_millis(self.now_ms);
+        let mut servers = self.inner.dump(now).servers;
+        servers.sort_by_key(|server| server.id);
+        servers
+    }
+
     /// Takes the effects so far.
     pub fn take_effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.out)
--- a/crates/notchwalk_decide/tests/decisions/main.rs
+++ b/crates/notchwalk_decide/tests/decisions/main.rs
@@ -6,3 +6,4 @@
 mod orders;
 mod policy;
 mod suspects;
+mod vm_list;
