notchwalkd: a changed entry of the VM list changes the server

What callers saw: after a VM's entry had changed its kind or service, calls and prompts were still sent by its former one, and its former load polls could stop calls to it.

Cause: an entry of a known id was only used to see whether it is there; kind and failure domain stayed those of the first entry. Of two entries with one id, the first gave the kind and the last the address.

Why it holds: the record is applied in one place, and what was learned of the former program is dropped with its kind. An engine is polled for as long as the list has it as an engine.

--- a/crates/notchwalk_decide/src/node.rs
+++ b/crates/notchwalk_decide/src/node.rs
@@ -304,6 +304,11 @@
         self.costs[group.index()].record_prompt_size(bytes, tokens);
     }
 
+    /// Returns whether a server is an engine.
+    pub fn is_engine(&self, server: notchwalk_core::ServerId) -> bool {
+        self.servers.engine_key_of(server).is_some()
+    }
+
     /// Returns the event number after which to query a server's cache events.
     pub fn cache_events_after(&mut self, server: notchwalk_core::ServerId) -> u64 {
         self.servers
--- a/crates/notchwalk_decide/src/schedule.rs
+++ b/crates/notchwalk_decide/src/schedule.rs
@@ -248,7 +248,7 @@
 
 /// Handles an engine's load report.
 pub(crate) fn on_load(node: &mut Node, cx: &mut Cx<'_>, id: ServerId, report: LoadReport) {
-    let Some(key) = node.servers.key_of(id) else {
+    let Some(key) = node.servers.engine_key_of(id) else {
         return;
     };
     suspects::on_server_reachable(node, key);
@@ -308,7 +308,7 @@
 
 /// Handles a load poll that got no response.
 pub(crate) fn on_load_poll_failed(node: &mut Node, cx: &mut Cx<'_>, id: ServerId) {
-    if let Some(key) = node.servers.key_of(id) {
+    if let Some(key) = node.servers.engine_key_of(id) {
         suspects::on_server_unreachable(node, cx, key);
         server_failed(node, cx, key);
     }
--- a/crates/notchwalk_decide/src/server.rs
+++ b/crates/notchwalk_decide/src/server.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     catalog::GroupKey,
-    event::ServerKind,
+    event::{ServerKind, ServerRecord},
     lane::{Lane, LANES},
     prefix::PrefixIndex,
 };
@@ -272,6 +272,12 @@
         self.by_id.get(&id).copied()
     }
 
+    /// Returns the key of a server if it is an engine.
+    pub fn engine_key_of(&self, id: ServerId) -> Option<ServerKey> {
+        let is_engine = |key: &ServerKey| self.arena[*key].kind == ServerKind::Engine;
+        self.key_of(id).filter(is_engine)
+    }
+
     /// Returns a server by its id.
     pub fn by_id(&mut self, id: ServerId) -> Option<&mut Server> {
         let key = self.key_of(id)?;
@@ -283,21 +289,37 @@
         self.by_group.get(group.index()).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns the key of a server, which is added if it is unknown.
-    pub fn get_or_insert(
-        &mut self,
-        id: ServerId,
-        kind: ServerKind,
-        failure_domain: &str,
-    ) -> ServerKey {
-        if let Some(key) = self.key_of(id) {
+    /// Applies a record of the VM list and returns the key of its server.
+    pub fn upsert(&mut self, record: ServerRecord) -> ServerKey {
+        let Some(key) = self.key_of(record.id) else {
+            let id = record.id;
+            let server = Server::new(id, record.kind, record.failure_domain);
+            let key = self.arena.insert(server);
+            self.by_id.insert(id, key);
+            self.epoch += 1;
             return key;
+        };
+        self.set_kind(key, record.kind);
+        let server = &mut self.arena[key];
+        server.failure_domain = record.failure_domain;
+        server.removed = false;
+        key
+    }
+
+    /// Sets the kind of a server. If it changes, another program runs on the VM, and what is
+    /// known of the former one does not apply to it.
+    fn set_kind(&mut self, key: ServerKey, kind: ServerKind) {
+        let server = &mut self.arena[key];
+        if server.kind == kind {
+            return;
         }
-        let server = Server::new(id, kind, failure_domain.to_owned());
-        let key = self.arena.insert(server);
-        self.by_id.insert(id, key);
+        server.kind = kind;
+        server.draining = false;
+        server.report = None;
+        server.circuit = Circuit::Closed { failures: 0 };
+        server.prefix = PrefixIndex::default();
         self.epoch += 1;
-        key
+        self.set_loaded(key, Vec::new());
     }
 
     /// Drops servers that the VM list no longer contains, that have nothing
--- a/crates/notchwalk_decide/src/sweep.rs
+++ b/crates/notchwalk_decide/src/sweep.rs
@@ -187,12 +187,9 @@
         server.removed = true;
     }
     for record in records {
-        let kind = record.kind.clone();
-        let key = node
-            .servers
-            .get_or_insert(record.id, record.kind, &record.failure_domain);
-        node.servers.arena[key].removed = false;
-        if record.draining {
+        let (kind, draining) = (record.kind.clone(), record.draining);
+        let key = node.servers.upsert(record);
+        if draining {
             schedule::mark_draining(node, cx, key);
         } else if let ServerKind::Service(name) = kind {
             let loaded = schedule::service_group(node, &name);
--- a/crates/notchwalkd/src/engine_poll.rs
+++ b/crates/notchwalkd/src/engine_poll.rs
@@ -18,12 +18,13 @@
 /// Maximum size of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
-/// Polls an engine until it is removed from the VM list.
+/// Polls an engine until the VM list no longer contains it as an engine.
 pub async fn poll(shell: Rc<Shell>, server: ServerId) {
     // Starts at the server's id to spread the cache polls of different engines.
     let mut polls: u32 = server.0;
     loop {
-        let Some(addr) = shell.server_address(server) else {
+        let is_engine = shell.with_node(|node| node.is_engine(server));
+        let Some(addr) = shell.server_address(server).filter(|_| is_engine) else {
             return;
         };
         let load = get_json::<LoadReport>(&shell, addr, "/v1/load").await;
