A stopping node responds to every request before it exits

The log said that all requests had ended.

Cause: at the end of the grace period the process exited whatever was open. Nothing refused what was queued, what waited for engine memory, what was still being read, or answered what a server was running. The exit looked at the router's requests only, so a 503 that was not yet written was lost as well.

Why this holds: once the shutdown has begun, every decision on a request is checked against its predicted end (1.3 times the time to first token and the output). What can end before the exit is served as before; the rest is refused as not run at once, with a Retry-After after which the directory no longer lists the node. Reads end when the node accepts no more; a request that a server may be running gets a 502 0.2 s before the exit. The process exits once no exchange is open, counted from the first byte of a request to the last one of its response, or at the end of the grace period; the log says how many are left.

--- a/crates/notchwalk_core/src/log_event.rs
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -37,7 +37,7 @@
     DaemonStarted = 1001, Info, "the daemon is listening on its addresses";
     DaemonReady = 1002, Info, "a bundle is active; the daemon is ready";
     DrainStarted = 1003, Info, "a shutdown was requested; the daemon is draining";
-    DaemonStopped = 1004, Info, "all requests have ended; the daemon is exiting";
+    DaemonStopped = 1004, Info, "the daemon is exiting";
     RequestPanicked = 1005, Error, "a task panicked; its request failed, and the daemon continues";
     SettingsReloaded = 1006, Info, "the settings file was reloaded";
     MachineResumed = 1008, Info, "the machine resumed from suspension";
--- a/crates/notchwalk_http/src/lib.rs
+++ b/crates/notchwalk_http/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod event_scanner;
 mod head;
+mod open_exchanges;
 mod server;
 mod tasks;
 
@@ -22,7 +23,8 @@
 pub use error::HttpError;
 pub use event_scanner::EventScanner;
 pub use head::{encode_chunk, encode_request_head, encode_response_head, CHUNK_END};
-pub use server::{serve, Exchange, ServerLimits, Service};
+pub use open_exchanges::OpenExchanges;
+pub use server::{serve, serve_counted, Exchange, ServerLimits, Service};
 pub use tasks::{abort_all, spawn};
 
 /// A boxed future that is not `Send`, for monoio tasks.
--- a/crates/notchwalk_http/src/server.rs
+++ b/crates/notchwalk_http/src/server.rs
@@ -11,8 +11,8 @@
 use serde::Serialize;
 
 use crate::{
-    encode_chunk, encode_response_head, BodyReader, Connection, HttpError, LocalBoxFuture,
-    CHUNK_END,
+    encode_chunk, encode_response_head, open_exchanges::OpenExchangeGuard, BodyReader, Connection,
+    HttpError, LocalBoxFuture, OpenExchanges, CHUNK_END,
 };
 
 /// Maximum size of an unread request body that is read and discarded to keep the connection
@@ -89,10 +89,16 @@
     limits: ServerLimits,
     sent: Sent,
     keep_alive: bool,
+    open: Option<OpenExchangeGuard>,
 }
 
 impl Exchange {
-    fn new(conn: Connection, head: RequestHead, limits: ServerLimits) -> Self {
+    fn new(
+        conn: Connection,
+        head: RequestHead,
+        limits: ServerLimits,
+        open: OpenExchangeGuard,
+    ) -> Self {
         let connection = head.headers.get(header::CONNECTION);
         let requests_close =
             connection.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
@@ -104,6 +110,7 @@
             limits,
             sent: Sent::Nothing,
             keep_alive,
+            open: Some(open),
         }
     }
 
@@ -334,6 +341,10 @@
         }
         if self.sent == Sent::All {
             self.conn.shutdown().await;
+            if self.body.is_done() {
+                // The system delivers the response even if the process exits.
+                self.open = None;
+            }
             // Closing with unread bytes resets the connection, which can discard the
             // response before the peer reads it.
             let _ = monoio::time::timeout(LINGER_TIMEOUT, self.conn.closed()).await;
@@ -360,6 +371,16 @@
 
 /// Accepts connections indefinitely and serves each in its own task.
 pub async fn serve(listener: TcpListener, limits: ServerLimits, service: Rc<dyn Service>) {
+    serve_counted(listener, limits, service, OpenExchanges::default()).await;
+}
+
+/// Like [`serve`], and counts the open exchanges.
+pub async fn serve_counted(
+    listener: TcpListener,
+    limits: ServerLimits,
+    service: Rc<dyn Service>,
+    open: OpenExchanges,
+) {
     const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
     let open_connections = Rc::new(Cell::new(0));
     loop {
@@ -372,10 +393,10 @@
             continue;
         }
         let guard = OpenConnectionGuard::new(&open_connections);
-        let service = service.clone();
+        let (service, open) = (service.clone(), open.clone());
         crate::spawn(async move {
             let _guard = guard;
-            serve_connection(stream, peer, limits, service).await;
+            serve_connection(stream, peer, limits, service, open).await;
         });
     }
 }
@@ -385,6 +406,7 @@
     _peer: SocketAddr,
     limits: ServerLimits,
     service: Rc<dyn Service>,
+    open: OpenExchanges,
 ) {
     let Ok(mut conn) = Connection::new(stream) else {
         return;
@@ -393,13 +415,14 @@
         if !wait_for_request(&mut conn, limits, &*service).await {
             return;
         }
+        let open = open.open();
         let limits = service.limits(limits);
         let read = monoio::time::timeout(limits.head_timeout, conn.read_request_head()).await;
         let head = read.unwrap_or(Err(HttpError::TimedOut));
         let (mut exchange, error) = match head {
             Ok(head) => {
                 let framing = BodyReader::for_request(&head.headers);
-                let mut exchange = Exchange::new(conn, head, limits);
+                let mut exchange = Exchange::new(conn, head, limits, open);
                 match framing {
                     Ok(body) => {
                         exchange.body = body;
@@ -409,7 +432,7 @@
                 }
             }
             Err(HttpError::Closed | HttpError::Io(_)) => return,
-            Err(e) => (Exchange::new(conn, empty_head(), limits), Some(e)),
+            Err(e) => (Exchange::new(conn, empty_head(), limits, open), Some(e)),
         };
         let call = match error {
             None => service.call(&mut exchange),
--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -13,7 +13,7 @@
     active_request::ActiveRequest,
     forwarding,
     server_notices::{self, ResponseOrigin},
-    shell::Shell,
+    shell::{EndOfWait, Shell},
     stream_events::EventSplitter,
     BackendRequest, ResponseKind,
 };
@@ -81,6 +81,8 @@
     CallerDisconnected,
     /// The request's deadline passed.
     DeadlinePassed,
+    /// This node exits before the response begins.
+    NodeStops,
 }
 
 /// A server's own error, retained until it is certain that no other server serves the
@@ -179,6 +181,19 @@
     DeadlinePassed,
     /// The server's idle timeout passed.
     ServerIdle,
+    /// This node exits before the response begins.
+    NodeStops,
+}
+
+/// What ends the wait for a server besides its response, the caller and the deadline.
+#[derive(Clone, Copy)]
+struct ServerWait {
+    /// The server whose links are watched; `None` for a peer.
+    server: Option<ServerKey>,
+    idle_timeout: Option<Duration>,
+    /// Whether the caller has a part of the response. It then gets the rest for as long as the
+    /// process runs.
+    has_response: bool,
 }
 
 /// Sleeps for an idle timeout; forever if there is none. Time during which the machine
@@ -207,25 +222,30 @@
     }
 }
 
-/// Waits for `future`, until the caller disconnects, the request's deadline passes, the
-/// server's idle timeout passes or the link to it is lost. The latter two end the wait only if
+/// Waits for `future`, until the caller disconnects, the request's deadline passes, this node
+/// exits, the server's idle timeout passes or the link to it is lost. The latter two end the wait only if
 /// the request may be sent elsewhere.
 async fn await_server<T>(
     shell: &Rc<Shell>,
     exchange: &mut Exchange,
     req: &ActiveRequest,
-    server: Option<ServerKey>,
-    idle_timeout: Option<Duration>,
+    wait: ServerWait,
     future: impl std::future::Future<Output = T>,
 ) -> Awaited<T> {
     let mut future = std::pin::pin!(future);
-    let mut server = server;
-    let mut idle_timeout = idle_timeout;
+    let ServerWait {
+        mut server,
+        mut idle_timeout,
+        has_response,
+    } = wait;
     loop {
         monoio::select! {
             done = &mut future => return Awaited::Done(done),
             () = exchange.peer_closed() => return Awaited::CallerDisconnected,
-            () = shell.sleep_until(req.deadline) => return Awaited::DeadlinePassed,
+            end = shell.wait_for_end(req.deadline, !has_response) => return match end {
+                EndOfWait::DeadlinePassed => Awaited::DeadlinePassed,
+                EndOfWait::NodeStops => Awaited::NodeStops,
+            },
             () = sleep_idle_timeout(idle_timeout) => idle_timeout = None,
             () = watch_link(shell, server) => server = None,
         }
@@ -251,7 +271,7 @@
             .predicted_first_event
             .get_or_insert(waited + to.predicted_first_event);
     }
-    let head = send_and_read_head(shell, req, delivery.last_event_id, to, exchange);
+    let head = send_and_read_head(shell, req, delivery, to, exchange);
     let head = head.await;
     let response = match head {
         Awaited::Done(Ok(Some(response))) => response,
@@ -267,6 +287,7 @@
         Awaited::ServerIdle => return AttemptOutcome::Ended(AttemptEnd::IdleTimeout),
         Awaited::CallerDisconnected => return AttemptOutcome::CallerDisconnected,
         Awaited::DeadlinePassed => return AttemptOutcome::DeadlinePassed,
+        Awaited::NodeStops => return AttemptOutcome::NodeStops,
     };
     delivery.framing = Some(response.framing());
     delivery.partial_event_bytes = 0;
@@ -364,11 +385,12 @@
 async fn send_and_read_head(
     shell: &Rc<Shell>,
     req: &ActiveRequest,
-    last_event_id: Option<u64>,
+    delivery: &Delivery,
     to: Destination<'_>,
     exchange: &mut Exchange,
 ) -> Awaited<Result<Option<StreamedResponse>, HttpError>> {
     let head = exchange.head.clone();
+    let (last_event_id, has_response) = (delivery.last_event_id, delivery.head_sent);
     let send = async {
         let mut conn = shell
             .client
@@ -403,8 +425,12 @@
             _ => Err(e.into()),
         }
     };
-    let idle_timeout = to.first_output_timeout();
-    await_server(shell, exchange, req, to.server(), idle_timeout, send).await
+    let wait = ServerWait {
+        server: to.server(),
+        idle_timeout: to.first_output_timeout(),
+        has_response,
+    };
+    await_server(shell, exchange, req, wait, send).await
 }
 
 /// Reads the head of the response to `req`; skips responses to other requests.
@@ -464,13 +490,19 @@
     let status = response.status;
     let headers = end_to_end_headers(&mut response.headers);
     let read = response.collect(MAX_BUFFERED_RESPONSE_BYTES);
-    let body = match await_server(shell, exchange, req, to.server(), None, read).await {
+    let wait = ServerWait {
+        server: to.server(),
+        idle_timeout: None,
+        has_response: delivery.head_sent,
+    };
+    let body = match await_server(shell, exchange, req, wait, read).await {
         Awaited::Done(Ok(response)) => response.body,
         Awaited::Done(Err(_)) | Awaited::ServerIdle => {
             return AttemptOutcome::Ended(AttemptEnd::ConnectionLost)
         }
         Awaited::CallerDisconnected => return AttemptOutcome::CallerDisconnected,
         Awaited::DeadlinePassed => return AttemptOutcome::DeadlinePassed,
+        Awaited::NodeStops => return AttemptOutcome::NodeStops,
     };
     if kind == ResponseKind::Failure && status.is_server_error() {
         delivery.server_error = Some(RetainedError {
@@ -509,7 +541,12 @@
     let mut survived = false;
     loop {
         let next = response.next();
-        let awaited = await_server(shell, exchange, req, to.server(), idle_timeout, next).await;
+        let wait = ServerWait {
+            server: to.server(),
+            idle_timeout,
+            has_response: delivery.head_sent,
+        };
+        let awaited = await_server(shell, exchange, req, wait, next).await;
         let chunk = match awaited {
             Awaited::Done(Ok(chunk)) => chunk,
             Awaited::Done(Err(e)) => {
@@ -523,6 +560,7 @@
             }
             Awaited::CallerDisconnected => return AttemptOutcome::CallerDisconnected,
             Awaited::DeadlinePassed => return AttemptOutcome::DeadlinePassed,
+            Awaited::NodeStops => return AttemptOutcome::NodeStops,
         };
         let Some(chunk) = chunk else { break };
         if let Some(server) = to.server() {
--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -5,22 +5,14 @@
 use monoio::net::{udp::UdpSocket, TcpListener};
 use notchwalk_core::{Clock, LogEvent, LogEventKind};
 use notchwalk_daemon::{bind, block_on, boot_number, log_sink, DaemonError, Signals, StallWatch};
-use notchwalk_http::{serve, Client, ServerLimits, Service};
+use notchwalk_http::{serve, serve_counted, Client, ServerLimits, Service};
 use notchwalk_platform::RowStore;
 use notchwalk_route::{Event, Router, RouterConfig};
 
 use crate::{
-    config_watch::ConfigReader,
-    directory::Directory,
-    effects::EffectDispatcher,
-    front::Front,
-    operator::Operator,
-    peer_link, presence,
-    server_watch::ServerReader,
-    shell::{Shell, Stopping},
-    store_repair,
-    table_watch::follow,
-    Dialect, RelaySettings,
+    config_watch::ConfigReader, directory::Directory, effects::EffectDispatcher, front::Front,
+    operator::Operator, peer_link, presence, server_watch::ServerReader, shell::Shell, shutdown,
+    store_repair, table_watch::follow, Dialect, RelaySettings,
 };
 
 /// Interval at which the router's timers run, signals are polled and logs are flushed.
@@ -28,19 +20,6 @@
 /// Connect timeout of backend servers, which are in the same region. Connections are
 /// established within a few milliseconds, unless the server is unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// How long a stopping node still accepts requests: callers cache the directory's
-/// response, some beyond its TTL.
-const ACCEPT_WHILE_STOPPING: Duration = Duration::from_millis(3_000);
-/// How long before its exit a stopping node refuses requests that peers forward. Callers of
-/// these peers can't go elsewhere. Calls end within this time; streams that don't are resumed
-/// by the peer.
-const REFUSE_PEERS_BEFORE_EXIT: Duration = Duration::from_millis(1_500);
-/// How long before the end of the stop grace period the process exits.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
-/// Minimum time for which a stopping process stays reachable, for callers that hold its
-/// address from the directory.
-const MIN_STOP_TIME: Duration = Duration::from_millis(3_200);
-
 /// The environment that a daemon runs in.
 pub struct Environment {
     /// The settings file.
@@ -171,15 +150,19 @@
             body_read_timeout: Duration::from_secs(5),
             write_timeout: Duration::from_secs(10),
         };
-        serve_at(listeners.caller, limits, Front::for_callers(shell.clone()));
+        let open = shell.open_exchanges.clone();
+        let for_callers = Rc::new(Front::for_callers(shell.clone()));
+        let callers = serve_counted(listeners.caller, limits, for_callers, open.clone());
+        monoio::spawn(callers);
         let forward_limits = ServerLimits {
             max_connections: shell.settings.max_descriptors / 8,
             // Longer than connections stay in the pool of the peer that opened them.
             idle_timeout: Duration::from_secs(60),
             ..limits
         };
-        let for_peers = Front::for_peers(shell.clone());
-        serve_at(listeners.forwarded, forward_limits, for_peers);
+        let for_peers = Rc::new(Front::for_peers(shell.clone()));
+        let peers = serve_counted(listeners.forwarded, forward_limits, for_peers, open);
+        monoio::spawn(peers);
         serve_at(listeners.ready, limits, Directory::new(shell.clone()));
         serve_at(listeners.directory, limits, Directory::new(shell.clone()));
         serve_at(listeners.operator, limits, Operator::new(shell.clone()));
@@ -236,11 +219,7 @@
             }
         }
         presence::withdraw(shell).await;
-        LogEvent::new(
-            LogEventKind::DaemonStopped,
-            format!("name={}", shell.settings.name),
-        )
-        .emit();
+        shutdown::finish(shell).await;
         log_sink::flush();
     }
 
@@ -257,30 +236,16 @@
     /// Advances the shutdown by one step; returns whether the process may exit.
     async fn advance_shutdown(&self) -> bool {
         let shell = &self.shell;
-        let now = shell.now();
-        let Stopping::Since(since) = shell.stopping.get() else {
-            shell.stopping.set(Stopping::Since(now));
-            shell.step(Event::NodeDraining {
-                after: ACCEPT_WHILE_STOPPING,
-                after_for_peers: self
-                    .max_stop_time()
-                    .saturating_sub(REFUSE_PEERS_BEFORE_EXIT)
-                    .max(ACCEPT_WHILE_STOPPING),
-            });
-            peer_link::publish_stopping(shell, &self.socket).await;
-            let open = shell.router.borrow().open_requests();
-            let facts = format!("open_requests={open}");
-            LogEvent::new(LogEventKind::DrainStarted, facts).emit();
-            return false;
-        };
-        let stopping_for = now.since(since);
-        let idle = shell.router.borrow().open_requests() == 0;
-        (idle && stopping_for >= MIN_STOP_TIME) || stopping_for >= self.max_stop_time()
-    }
-
-    /// Returns the time after which a stopping process exits although requests are open.
-    fn max_stop_time(&self) -> Duration {
-        let stop_grace = self.shell.settings.stop_grace;
-        stop_grace.saturating_sub(EXIT_MARGIN)
+        if let Some(schedule) = shell.draining.get() {
+            return shutdown::may_exit(shell, &schedule);
+        }
+        let schedule = shutdown::schedule(&shell.settings, shell.now());
+        shell.draining.set(Some(schedule));
+        shell.step(Event::NodeDraining(schedule));
+        peer_link::publish_stopping(shell, &self.socket).await;
+        let open = shell.router.borrow().open_requests();
+        let facts = format!("open_requests={open}");
+        LogEvent::new(LogEventKind::DrainStarted, facts).emit();
+        false
     }
 }
--- a/crates/notchwalk_relay/src/front/accept.rs
+++ b/crates/notchwalk_relay/src/front/accept.rs
@@ -1,15 +1,18 @@
 //! Reads a request within its size and time limits, and finds its route and workspace.
 
-use std::{rc::Rc, time::Duration};
+use std::{future::Future, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use futures_util::future::{select, Either};
 use http::StatusCode;
 use notchwalk_core::Instant;
 use notchwalk_http::prelude::*;
 use notchwalk_quarantine::{Fingerprint, FingerprintBuilder, RequestHead};
-use notchwalk_route::{host_name, RequestFacts, RequestKey, RouteLookup, WorkspaceShortId};
+use notchwalk_route::{
+    host_name, DrainSchedule, RequestFacts, RequestKey, RouteLookup, WorkspaceShortId,
+};
 
-use super::Front;
+use super::{Front, Source};
 use crate::{active_request::ActiveRequest, forwarding::ForwardedHead, CallerFacts};
 
 /// Caller timeout of requests that give none.
@@ -95,7 +98,13 @@
         let request_timeout = caller_timeout.min(route.timeout.saturating_sub(TIMEOUT_MARGIN));
         let name = workspace.as_ref().map(|(name, _)| name.as_ref());
         let read = self.read_body(exchange, limits.body_bytes, request_timeout, name);
-        let (body, content) = match read.await {
+        let Some(read) = self.unless_refused(read).await else {
+            exchange.close_after();
+            let reason = "this node is shutting down";
+            let rejection = rejected(StatusCode::SERVICE_UNAVAILABLE, reason);
+            return Err(rejection.with_retry_after(self.draining_retry_after()));
+        };
+        let (body, content) = match read {
             Ok(read) => read,
             Err(None) => return Err(Rejection::CallerDisconnected),
             Err(Some((status, reason))) => {
@@ -143,6 +152,25 @@
         Ok(Accepted { req, facts })
     }
 
+    /// Reads a request until it is complete; `None` once this node refuses it in any case
+    /// because it shuts down.
+    async fn unless_refused<T>(&self, read: impl Future<Output = T>) -> Option<T> {
+        let refuses_from = |schedule: &DrainSchedule| match self.source {
+            Source::Callers => schedule.refuses_callers_from,
+            Source::Peers => schedule.refuses_peers_from,
+        };
+        let refused = self.shell.wait_for_refusal(refuses_from);
+        match select(pin!(read), pin!(refused)).await {
+            Either::Left((read, _)) => Some(read),
+            Either::Right(_) => None,
+        }
+    }
+
+    fn draining_retry_after(&self) -> Duration {
+        let router = self.shell.router.borrow();
+        router.draining_retry_after(self.shell.now())
+    }
+
     fn look_up_route(&self, exchange: &Exchange, caller: &CallerFacts) -> RouteLookup {
         let router = self.shell.router.borrow();
         router
--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -15,7 +15,7 @@
     active_request::ActiveRequest,
     attempt::{self, AttemptOutcome, Delivery, Destination},
     forwarding::{self, ForwardedHead, OpenForwardedGuard},
-    shell::{Inbox, Shell, Stopping},
+    shell::{Inbox, Shell},
 };
 use accept::Rejection;
 use record::Outcome;
@@ -85,7 +85,7 @@
     /// Serves a request of a caller or a peer. The headers of forwarded requests have no
     /// meaning in requests of callers.
     async fn serve(&self, exchange: &mut Exchange) {
-        if self.shell.stopping.get() != Stopping::No {
+        if self.shell.draining.get().is_some() {
             exchange.close_after();
         }
         let head = ForwardedHead::take(&mut exchange.head.headers);
@@ -227,6 +227,9 @@
             AttemptOutcome::DeadlinePassed => {
                 return Some(self.time_out(exchange, req, delivery).await);
             }
+            AttemptOutcome::NodeStops => {
+                return Some(self.end_at_shutdown(exchange, req, delivery).await);
+            }
         };
         if end == AttemptEnd::IdleTimeout {
             self.shell.client.close_idle();
@@ -263,6 +266,19 @@
             .await
     }
 
+    /// Ends a request that a server or a peer may be running when this node exits. Its caller
+    /// learns that the outcome is unknown.
+    async fn end_at_shutdown(
+        &self,
+        exchange: &mut Exchange,
+        req: &ActiveRequest,
+        delivery: &mut Delivery,
+    ) -> Outcome {
+        self.shell.step(Event::Abandoned { request: req.key });
+        exchange.close_after();
+        self.deliver_server_error(exchange, delivery).await
+    }
+
     /// Responds to a request that no server has responded to; aborts the stream if the
     /// head was already sent.
     async fn refuse(
--- a/crates/notchwalk_relay/src/lib.rs
+++ b/crates/notchwalk_relay/src/lib.rs
@@ -28,6 +28,7 @@
 mod server_watch;
 mod settings;
 mod shell;
+mod shutdown;
 mod store_repair;
 mod stream_events;
 mod table_watch;
--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -16,11 +16,7 @@
 };
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
-use crate::{
-    peers::PeerState,
-    presence_record::PresenceRecord,
-    shell::{Shell, Stopping},
-};
+use crate::{peers::PeerState, presence_record::PresenceRecord, shell::Shell};
 
 /// One in this many heartbeats carries all work in progress.
 const HEARTBEATS_PER_FULL_UPDATE: u32 = 4;
@@ -280,7 +276,7 @@
 
 /// Notifies all peers that this node is stopping.
 pub(crate) async fn publish_stopping(shell: &Shell, socket: &UdpSocket) {
-    debug_assert!(shell.stopping.get() != Stopping::No);
+    debug_assert!(shell.draining.get().is_some());
     let mut outgoing = message(shell, Vec::new(), Vec::new());
     outgoing.record = Some(shell.presence_record());
     outgoing.retries = Some(shell.router.borrow().own_retries(shell.now()));
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -6,9 +6,9 @@
 use local_sync::mpsc::unbounded;
 use notchwalk_core::{Clock, Instant, LogEvent, LogEventKind};
 use notchwalk_daemon::{SuspensionWatch, Wake};
-use notchwalk_http::Client;
+use notchwalk_http::{Client, OpenExchanges};
 use notchwalk_platform::{RowPage, RowStore, StoreVersion};
-use notchwalk_route::{CallerLimits, Effect, Event, RequestKey, Router, ServerKey};
+use notchwalk_route::{CallerLimits, DrainSchedule, Effect, Event, RequestKey, Router, ServerKey};
 use slotmap::SecondaryMap;
 
 use crate::{
@@ -28,14 +28,13 @@
 /// Receives the effects for one request.
 pub(crate) type Inbox = unbounded::Rx<Effect>;
 
-/// Progress of the shutdown.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum Stopping {
-    /// Not stopping.
-    #[default]
-    No,
-    /// Stopping since this time.
-    Since(Instant),
+/// Why a wait for a response ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EndOfWait {
+    /// The request's deadline passed.
+    DeadlinePassed,
+    /// This node exits soon.
+    NodeStops,
 }
 
 /// The shared state of one process.
@@ -51,7 +50,10 @@
     pub metrics: Metrics,
     pub peers: RefCell<Peers>,
     pub limits: std::cell::Cell<CallerLimits>,
-    pub stopping: std::cell::Cell<Stopping>,
+    /// The schedule of the shutdown, if it has started.
+    pub draining: std::cell::Cell<Option<DrainSchedule>>,
+    /// The requests of callers and peers that have no complete response.
+    pub open_exchanges: OpenExchanges,
     /// Whether the last poll of the store succeeded.
     pub store_up: std::cell::Cell<bool>,
     /// The newest change of the server table that was seen; published to peers.
@@ -108,7 +110,8 @@
             client,
             metrics: Metrics::new(),
             limits: std::cell::Cell::default(),
-            stopping: std::cell::Cell::default(),
+            draining: std::cell::Cell::default(),
+            open_exchanges: OpenExchanges::default(),
             store_up: std::cell::Cell::new(false),
             newest_server_change: std::cell::Cell::default(),
             server_table_version: std::cell::Cell::default(),
@@ -231,10 +234,43 @@
         }
     }
 
+    /// Waits until `at`, or if `may_end_early` until this node responds to all open requests
+    /// because it exits; returns which comes first.
+    pub async fn wait_for_end(&self, at: Instant, may_end_early: bool) -> EndOfWait {
+        loop {
+            let now = self.now();
+            let draining = self.draining.get().filter(|_| may_end_early);
+            let stops_at = draining.map_or(at, |draining| draining.responses_end_at);
+            let left = at.min(stops_at).since(now);
+            if left.is_zero() {
+                return match now >= at {
+                    true => EndOfWait::DeadlinePassed,
+                    false => EndOfWait::NodeStops,
+                };
+            }
+            monoio::time::sleep(left.min(CLOCK_CHECK_INTERVAL)).await;
+        }
+    }
+
+    /// Waits until this node refuses new requests because it stops. `refuses_from` chooses the
+    /// time from the schedule of the shutdown.
+    pub async fn wait_for_refusal(&self, refuses_from: impl Fn(&DrainSchedule) -> Instant) {
+        loop {
+            let draining = self.draining.get();
+            let left = draining.map_or(CLOCK_CHECK_INTERVAL, |draining| {
+                refuses_from(&draining).since(self.now())
+            });
+            if left.is_zero() {
+                return;
+            }
+            monoio::time::sleep(left.min(CLOCK_CHECK_INTERVAL)).await;
+        }
+    }
+
     /// Returns whether requests can be served: a configuration is active and the
     /// process is not stopping.
     pub fn is_ready(&self) -> bool {
-        self.stopping.get() == Stopping::No && self.router.borrow().version() > 0
+        self.draining.get().is_none() && self.router.borrow().version() > 0
     }
 
     /// Records that a server sent something.
--- a/crates/notchwalk_route/src/event.rs
+++ b/crates/notchwalk_route/src/event.rs
@@ -5,9 +5,9 @@
 use notchwalk_quarantine::{Fingerprint, QuarantineUpdate, SubjectKind};
 
 use crate::{
-    Group, LimitSharing, LimitUpdate, PeerStatus, PeerWork, ProcessRetries, Refusal, RequestFacts,
-    RequestKey, ReservationOrder, ServerChange, ServerKey, ServerNotice, ServiceRetries,
-    SiteConfig,
+    DrainSchedule, Group, LimitSharing, LimitUpdate, PeerStatus, PeerWork, ProcessRetries, Refusal,
+    RequestFacts, RequestKey, ReservationOrder, ServerChange, ServerKey, ServerNotice,
+    ServiceRetries, SiteConfig,
 };
 
 /// How an attempt to send a request to a server ended.
@@ -231,10 +231,5 @@
         suspended: Duration,
     },
     /// This node is shutting down.
-    NodeDraining {
-        /// Time after which new requests of callers are refused.
-        after: Duration,
-        /// Time after which requests that peers forward are refused.
-        after_for_peers: Duration,
-    },
+    NodeDraining(DrainSchedule),
 }
--- a/crates/notchwalk_route/src/lib.rs
+++ b/crates/notchwalk_route/src/lib.rs
@@ -23,8 +23,10 @@
 //! | `reservations` | memory reservations on engines for the longest prompts |
 //! | `retry_budget` | budgets for retries |
 //! | `retry_history` | retries of processes that ended, kept by their peers |
+//! | `drain_schedule` | when a node that shuts down stops its work |
 //! | `router/` | the reducer |
 
+mod drain_schedule;
 mod effect;
 mod engine_cost;
 mod event;
@@ -48,6 +50,7 @@
 
 pub mod prelude;
 
+pub use drain_schedule::DrainSchedule;
 pub use effect::{
     Assignment, Effect, Forwarding, PlacementReason, PrefillWorker, Refusal, ReservationOrder,
 };
--- a/crates/notchwalk_route/src/placement/long.rs
+++ b/crates/notchwalk_route/src/placement/long.rs
@@ -182,6 +182,31 @@
         segment_ms + self.cost().engine_step_ms(1, demand.prompt_tokens)
     }
 
+    /// Returns the duration of a request on engines without other work, in milliseconds.
+    pub fn min_duration_ms(&self, service: &str, demand: &RequestDemand) -> f64 {
+        let engines = self.fleet.servers_in_use(service, self.now).len();
+        let limit = self.max_engines(demand).min(EXPECTED_FREE_ENGINES);
+        let limit = limit.min(engines).max(1) as f64;
+        let cost = self.cost();
+        let segment_ms = cost.prefill_ms(demand.prompt_tokens / limit, demand.prompt_tokens);
+        segment_ms + self.output_ms(demand, cost.engine_step_ms(1, demand.prompt_tokens))
+    }
+
+    /// Predicts the duration of a request's decode on an engine with its current load, in
+    /// milliseconds.
+    pub fn decode_ms(&self, server: ServerKey, demand: &RequestDemand) -> f64 {
+        let load = self.load_view.load(server, self.now);
+        let requests = load.decoding + load.prefilling + 1;
+        let context = load.step_tokens + demand.prompt_tokens;
+        self.output_ms(demand, self.cost().engine_step_ms(requests, context))
+    }
+
+    /// Returns the duration of the engine steps that decode a request's output.
+    fn output_ms(&self, demand: &RequestDemand, engine_step_ms: f64) -> f64 {
+        let steps = demand.output_tokens / self.parameters.decode_steps_per_engine_step.max(1.0);
+        steps.max(1.0) * engine_step_ms
+    }
+
     /// Chooses one engine that serves a late long prompt within `limit_ms`: the engine with
     /// the fewest short requests, then the fewest long ones, then the least prefill.
     ///
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -110,7 +110,7 @@
         self.remove_request(key, now, out);
         let retry_after = match reason {
             Refusal::NotReady => Some(Duration::from_millis(500)),
-            Refusal::Draining => Some(Duration::from_millis(50)),
+            Refusal::Draining => Some(self.draining_retry_after(now)),
             Refusal::Overloaded => Some(RETRY_AFTER_OVERLOAD),
             Refusal::Suspected => Some(RETRY_AFTER_SUSPECTED),
             Refusal::Quarantined => quarantine_left,
--- a/crates/notchwalk_route/src/router/mod.rs
+++ b/crates/notchwalk_route/src/router/mod.rs
@@ -10,6 +10,7 @@
 //! | `link_checks` | checks the links to the servers of a service |
 //! | `forwarding` | forwards requests to peers that reach their service |
 //! | `limits` | queues requests for rate-limited servers |
+//! | `shutdown` | limits what is still served before this node exits |
 //! | `suspects` | attributes crashes to request contents and quarantines them |
 
 mod ending;
@@ -18,6 +19,7 @@
 mod link_checks;
 mod reserving;
 mod sending;
+mod shutdown;
 mod suspects;
 mod waiting;
 
@@ -33,9 +35,9 @@
     first_attempt::FirstAttempts, forward_peers::ForwardPeers, links::Links,
     placement::EnginePlacement, request::Request, reservations::Reservations,
     retry_budget::RetryBudgets, retry_history::RetryHistory, shares::Shares, wait_queue::WaitQueue,
-    Effect, Event, Fleet, LimitUpdate, LoadView, ProcessRetries, RequestKey, RetryBudget,
-    RetryUsage, RouteTable, ServerChange, ServerKey, ServerNotice, Service, ServiceRetries,
-    SiteConfig,
+    DrainSchedule, Effect, Event, Fleet, LimitUpdate, LoadView, ProcessRetries, RequestKey,
+    RetryBudget, RetryUsage, RouteTable, ServerChange, ServerKey, ServerNotice, Service,
+    ServiceRetries, SiteConfig,
 };
 
 /// Time without updates after which a peer's work expires. The driver usually reports earlier
@@ -47,13 +49,6 @@
 /// Time after start until all peers have broadcast their work, which they do once a second.
 const PEER_SYNC_TIME: Duration = Duration::from_millis(1_000);
 
-/// When this node refuses requests because it is shutting down.
-#[derive(Clone, Copy, Debug)]
-struct Draining {
-    refuses_callers_from: Instant,
-    refuses_peers_from: Instant,
-}
-
 /// Settings of a [`Router`].
 #[derive(Clone, Debug)]
 pub struct RouterConfig {
@@ -97,7 +92,7 @@
     links: Links,
     forward_peers: ForwardPeers,
     reservation_number: u64,
-    draining: Option<Draining>,
+    draining: Option<DrainSchedule>,
     rng: Pcg64Mcg,
 }
 
@@ -367,15 +362,7 @@
             Event::ReservationUnanswered(order) => self.reservations.record_unanswered(&order, now),
             Event::Tick => self.tick(now, out),
             Event::MachineResumed { suspended } => self.quarantine.record_resume(suspended, now),
-            Event::NodeDraining {
-                after,
-                after_for_peers,
-            } => {
-                self.draining = Some(Draining {
-                    refuses_callers_from: now.after(after),
-                    refuses_peers_from: now.after(after_for_peers),
-                });
-            }
+            Event::NodeDraining(schedule) => self.start_draining(schedule),
         }
         self.emit_findings(out);
     }
@@ -453,6 +440,7 @@
         for order in self.reservations.due(now) {
             self.send_order(order, now, out);
         }
+        self.refuse_late_reservations(now, out);
         self.dispatch_queued(now, out);
     }
 
--- a/crates/notchwalk_route/src/router/reserving.rs
+++ b/crates/notchwalk_route/src/router/reserving.rs
@@ -60,6 +60,8 @@
         now: Instant,
         out: &mut Vec<Effect>,
     ) {
+        let request = self.requests.get(key).and_then(Option::as_ref);
+        let is_in_time = request.is_some_and(|request| self.can_end_before_exit(request, now));
         let Some(Some(request)) = self.requests.get_mut(key) else {
             // The caller disconnected, and the memory was released.
             return;
@@ -75,7 +77,7 @@
                 .get(key)
                 .is_some_and(|server| server.accepts_requests(now))
         };
-        if failed.is_empty() && servers.into_iter().all(is_ready) {
+        if failed.is_empty() && is_in_time && servers.into_iter().all(is_ready) {
             return self.send(key, assignment, now, out);
         }
         // No server received the request. Retry with other engines.
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -51,18 +51,6 @@
         self.enqueue_and_dispatch(key, now, out);
     }
 
-    fn refuses_because_draining(&self, key: RequestKey, now: Instant) -> bool {
-        let Some(draining) = &self.draining else {
-            return false;
-        };
-        let request = self.requests.get(key).and_then(Option::as_ref);
-        let is_forwarded = request.is_some_and(|request| request.facts.forwarded.is_some());
-        now >= match is_forwarded {
-            true => draining.refuses_peers_from,
-            false => draining.refuses_callers_from,
-        }
-    }
-
     /// Chooses one of the route's services at random, by weight.
     pub(super) fn choose_service(&mut self, facts: &RequestFacts) -> String {
         let backends = &facts.route.backends;
--- a/crates/notchwalk_route/src/router/waiting.rs
+++ b/crates/notchwalk_route/src/router/waiting.rs
@@ -51,7 +51,7 @@
 const CALLER_TIMEOUT_MARGIN_MS: f64 = 100.0;
 
 /// What to do with a request.
-enum Decision {
+pub(super) enum Decision {
     /// Keep it queued.
     Wait,
     /// Send it; `None` if no server is available.
@@ -101,6 +101,11 @@
     }
 
     fn decide(&self, request: &Request, ahead: &mut QueuedAhead, now: Instant) -> Decision {
+        let decision = self.decide_by_load(request, ahead, now);
+        self.limit_to_shutdown(request, decision, now)
+    }
+
+    fn decide_by_load(&self, request: &Request, ahead: &mut QueuedAhead, now: Instant) -> Decision {
         match self.check_content(request, now) {
             ContentCheck::Allowed => {}
             ContentCheck::Wait => return Decision::Wait,
--- a/crates/notchwalk_route/tests/decisions/common.rs
+++ b/crates/notchwalk_route/tests/decisions/common.rs
@@ -5,10 +5,10 @@
 use notchwalk_core::Instant;
 use notchwalk_quarantine::{Fingerprint, FingerprintBuilder, RequestHead};
 use notchwalk_route::{
-    Assignment, AttemptEnd, Backend, Effect, EngineParameters, Event, ForwardedSend, Forwarding,
-    LimitSharing, PeerStatus, Refusal, Repeatability, RequestFacts, RequestKey, Route, RouteLookup,
-    Router, RouterConfig, ServerChange, ServerKey, ServerRecord, ServerStage, Service, SiteConfig,
-    Workspace, WorkspaceShortId,
+    Assignment, AttemptEnd, Backend, DrainSchedule, Effect, EngineParameters, Event, ForwardedSend,
+    Forwarding, LimitSharing, PeerStatus, Refusal, Repeatability, RequestFacts, RequestKey, Route,
+    RouteLookup, Router, RouterConfig, ServerChange, ServerKey, ServerRecord, ServerStage, Service,
+    SiteConfig, Workspace, WorkspaceShortId,
 };
 
 pub const ENGINES: &str = "engines";
@@ -322,6 +322,19 @@
     }
 }
 
+/// Returns the schedule of a node that starts to shut down now and exits after 7.6 s.
+pub fn drain_schedule(now: Instant) -> DrainSchedule {
+    let after_ms = |ms| now.after(Duration::from_millis(ms));
+    DrainSchedule {
+        started_at: now,
+        unlisted_at: after_ms(2_000),
+        refuses_callers_from: after_ms(3_000),
+        refuses_peers_from: after_ms(6_100),
+        responses_end_at: after_ms(7_400),
+        exits_at: after_ms(7_600),
+    }
+}
+
 /// Returns a registration of a plain server with the start time of its incarnation.
 pub fn plain_server(number: u8, started_ms: u64) -> ServerRecord {
     ServerRecord {
--- a/crates/notchwalk_route/tests/decisions/forwarding.rs
+++ b/crates/notchwalk_route/tests/decisions/forwarding.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use notchwalk_route::{
-    AttemptEnd, Effect, Event, ForwardedSend, Refusal, RequestKey, ServerNotice,
+    AttemptEnd, DrainSchedule, Effect, Event, ForwardedSend, Refusal, RequestKey, ServerNotice,
 };
 
-use crate::common::{content, server_key, TestRouter, ENGINES, PLAIN_SERVICE};
+use crate::common::{content, drain_schedule, server_key, TestRouter, ENGINES, PLAIN_SERVICE};
 
 const PEER: u32 = 1;
 const OTHER_PEER: u32 = 2;
@@ -322,10 +322,11 @@
 #[test]
 fn draining_node_serves_peers_longer_than_callers() {
     let mut node = peer(ForwardedSend::FirstAttempt);
-    node.step(Event::NodeDraining {
-        after: Duration::from_secs(3),
-        after_for_peers: Duration::from_secs(6),
-    });
+    let schedule = DrainSchedule {
+        refuses_peers_from: node.now.after(Duration::from_secs(6)),
+        ..drain_schedule(node.now)
+    };
+    node.step(Event::NodeDraining(schedule));
     node.advance(Duration::from_secs(4));
     node.arrive("/again/", 0);
     assert_eq!(node.take_sends().len(), 1);
--- a/crates/notchwalk_route/tests/decisions/main.rs
+++ b/crates/notchwalk_route/tests/decisions/main.rs
@@ -16,5 +16,6 @@
 mod routes;
 mod server_notices;
 mod shares;
+mod shutdown;
 mod suspects;
 mod waiting;
