notchwalkd: a drained daemon exits once all responses are written

What callers saw: a request that was still being read when the last running one ended got no response; its connection closed as the daemon exited. So did a response that a slow caller had not read.

Cause: the reducer stops the daemon once it has no request left; the tasks that read requests and write responses were then aborted. Why this holds: the daemon waits until no exchange is open, at most 12 s, which is longer than the timeouts of reads; new requests are refused by then.

--- a/crates/notchwalkd/src/daemon.rs
+++ b/crates/notchwalkd/src/daemon.rs
@@ -12,7 +12,7 @@
 use notchwalk_core::{BootNumber, LogEvent, LogEventKind};
 use notchwalk_daemon::{bind, block_on, boot_number, log_sink, DaemonError, Signals, StallWatch};
 use notchwalk_decide::Event;
-use notchwalk_http::{serve, Client, ServerLimits, Service};
+use notchwalk_http::{serve, serve_counted, Client, OpenExchanges, ServerLimits, Service};
 use notchwalk_platform::HttpPlatform;
 
 use crate::{
@@ -23,6 +23,10 @@
 /// Interval between `Event::Tick`s.
 const TICK_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Maximum time that a drained daemon waits for callers that send or read slowly. Longer than
+/// the timeouts of the parts of a request.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(12);
+
 /// The addresses a daemon listens on, with the ports actually bound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BoundAddresses {
@@ -109,7 +113,15 @@
         notchwalk_http::spawn(serve(listener(std)?, limits, service));
         Ok(())
     };
-    serve_on(listeners.caller, Rc::new(CallerApi::new(shell.clone())))?;
+    let open = OpenExchanges::default();
+    let callers = Rc::new(CallerApi::new(shell.clone()));
+    let caller_listener = listener(listeners.caller)?;
+    notchwalk_http::spawn(serve_counted(
+        caller_listener,
+        limits,
+        callers,
+        open.clone(),
+    ));
     serve_on(listeners.operator, Rc::new(OperatorApi::new(shell.clone())))?;
     notchwalk_http::spawn(peer_link::accept(shell.clone(), listener(listeners.peer)?));
     notchwalk_http::spawn(vm_watch::watch(shell.clone()));
@@ -123,8 +135,12 @@
     );
     LogEvent::new(LogEventKind::DaemonStarted, facts).emit();
     tick_until_stopped(&shell, &signals).await;
+    if !signals.kill_requested() {
+        finish_responses(&shell, &open).await;
+    }
+    let facts = format!("vm={} unfinished_requests={}", shell.vm().0, open.count());
     notchwalk_http::abort_all().await;
-    LogEvent::new(LogEventKind::DaemonStopped, format!("vm={}", shell.vm().0)).emit();
+    LogEvent::new(LogEventKind::DaemonStopped, facts).emit();
     log_sink::flush();
     Ok(())
 }
@@ -145,6 +161,15 @@
     }
 }
 
+/// Waits until all requests that were received have their response. By now, no request is
+/// running, and new ones are refused.
+async fn finish_responses(shell: &Rc<Shell>, open: &OpenExchanges) {
+    let deadline = shell.now().after(RESPONSE_TIMEOUT);
+    while open.count() > 0 && shell.now() < deadline {
+        monoio::time::sleep(TICK_INTERVAL).await;
+    }
+}
+
 /// A daemon running in a thread of this process, for demos and tests.
 pub struct RunningDaemon {
     /// The addresses it listens on.
