Fleet: notices of a server outlive its registration

Cause: the notice "draining" came in answers after the entry had gone. Its server's key was no longer in the fleet, so the notice was dropped, and the restored entry counted as a new server. For the same reason a backoff was forgotten when an entry lapsed and returned.

Why this holds: the state of a removed incarnation is kept with its short id; notices for its former keys apply to it, or to its present registration, and a registration of the same incarnation starts from it.

Evidence: three new tests in server_notices.rs fail without the change and pass with it.

--- a/crates/notchwalk_route/src/fleet/mod.rs
+++ b/crates/notchwalk_route/src/fleet/mod.rs
@@ -3,12 +3,13 @@
 mod draining_incarnations;
 mod limit;
 mod limit_update;
+mod removed_servers;
 mod server;
 mod shared_bucket;
 mod sharing;
 mod table;
 
-use std::{collections::VecDeque, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use notchwalk_core::Instant;
 use slotmap::new_key_type;
@@ -16,6 +17,8 @@
 use crate::{Group, ServerNotice};
 use draining_incarnations::DrainingIncarnations;
 pub use limit_update::{LimitScope, LimitSharing, LimitUpdate, ObservedLimit};
+pub(crate) use removed_servers::RemovedIncarnation;
+use removed_servers::RemovedServers;
 pub use server::{Server, ServerRecord, ServerStage};
 pub use sharing::Availability;
 use sharing::Limits;
@@ -63,25 +66,13 @@
     pub was_draining: bool,
 }
 
-/// The previous incarnation of a server that has restarted.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct EndedIncarnation {
-    pub key: ServerKey,
-    /// Its short id.
-    pub short_id: u32,
-    /// The address that it listened on.
-    pub addr: SocketAddr,
-}
-
 /// All servers.
 #[derive(Debug, Default)]
 pub struct Fleet {
     servers: ServerTable,
     /// The group of this node, which uses a subset of the servers.
     group: Group,
-    /// Previous incarnations of restarted servers, oldest first: a request may still be
-    /// assigned to one.
-    ended_incarnations: VecDeque<EndedIncarnation>,
+    removed: RemovedServers,
     draining: DrainingIncarnations,
     /// Servers that announced in a response that they are draining, to be published
     /// without delay.
@@ -101,7 +92,7 @@
                 self.upsert(record, now).into_iter().collect()
             }
             ServerChange::Restored(record) => self.upsert(record, now).into_iter().collect(),
-            ServerChange::Removed(instance) => self.remove(&instance).into_iter().collect(),
+            ServerChange::Removed(instance) => self.remove(&instance, false).into_iter().collect(),
             ServerChange::All(records) => {
                 let mut removed = Vec::new();
                 let known: Vec<String> = self.servers.instances().map(str::to_owned).collect();
@@ -109,7 +100,7 @@
                     if records.iter().any(|record| record.instance == instance) {
                         continue;
                     }
-                    removed.extend(self.remove(&instance));
+                    removed.extend(self.remove(&instance, false));
                 }
                 for record in records {
                     removed.extend(self.upsert(record, now));
@@ -130,48 +121,45 @@
         if self.draining.contains(server.short_id) {
             server.apply_reported_draining();
         }
+        self.restore_state(&mut server);
         let key = self.servers.insert(server);
-        self.restore_limit(key, now);
+        self.track_restored_limit(key, now);
         ended
     }
 
     /// Removes the previous incarnation of a server that restarts under its instance id:
     /// its work, failures and connections do not carry over.
     fn end_other_incarnation(&mut self, record: &ServerRecord) -> Option<RemovedServer> {
-        /// Maximum number of retained incarnations: as many as can end while requests are
-        /// still assigned to them.
-        const MAX_ENDED: usize = 64;
         let key = self.servers.by_instance(&record.instance)?;
         let known = self.servers.get(key)?;
         if known.record().started_ms == record.started_ms {
             return None;
         }
-        let (short_id, addr) = (known.short_id, known.record().addr);
-        self.ended_incarnations.push_back(EndedIncarnation {
-            key,
-            short_id,
-            addr,
-        });
-        if self.ended_incarnations.len() > MAX_ENDED {
-            self.ended_incarnations.pop_front();
-        }
-        self.remove(&record.instance)
+        self.remove(&record.instance, true)
     }
 
     /// Returns the previous incarnation of a restarted server.
-    pub(crate) fn ended_incarnation(&self, key: ServerKey) -> Option<&EndedIncarnation> {
-        self.ended_incarnations
-            .iter()
-            .find(|incarnation| incarnation.key == key)
+    pub(crate) fn ended_incarnation(&self, key: ServerKey) -> Option<&RemovedIncarnation> {
+        self.removed
+            .get(key)
+            .filter(|removed| removed.has_restarted)
+    }
+
+    /// Restores what this node knows of an incarnation that registers again.
+    fn restore_state(&self, server: &mut Server) {
+        if let Some(removed) = self.removed.last_of(server.short_id) {
+            server.limit = removed.limit.clone();
+            server.backoff_until = removed.backoff_until;
+        }
     }
 
-    fn remove(&mut self, instance: &str) -> Option<RemovedServer> {
+    fn remove(&mut self, instance: &str, has_restarted: bool) -> Option<RemovedServer> {
         let key = self.servers.by_instance(instance)?;
         let server = self.servers.remove(key)?;
         if server.is_draining() {
             self.draining.add_ended(server.short_id);
         }
-        self.limits.retain_limit(&server);
+        self.removed.add(key, &server, has_restarted);
         Some(RemovedServer {
             key,
             short_id: server.short_id,
@@ -272,6 +260,7 @@
 
     /// Applies a notice from a server; returns whether it changes anything.
     pub fn apply_notice(&mut self, key: ServerKey, notice: ServerNotice, now: Instant) -> bool {
+        let key = self.current_key(key);
         if let ServerNotice::Limit {
             limit,
             requested_at,
@@ -280,6 +269,7 @@
             return self.record_limit(key, limit, requested_at, now);
         }
         let Some(server) = self.servers.get_mut(key) else {
+            self.apply_notice_to_removed(key, notice, now);
             return false;
         };
         let is_new = server.apply_notice(notice, now);
@@ -289,6 +279,33 @@
         is_new
     }
 
+    /// Returns the key of a server that has registered again since it had this key.
+    fn current_key(&self, key: ServerKey) -> ServerKey {
+        let removed = self.removed.get(key);
+        let registered = removed.and_then(|removed| self.servers.by_short_id(removed.short_id));
+        registered.unwrap_or(key)
+    }
+
+    /// Records a notice of a server whose registration was removed: an older snapshot of the
+    /// store may restore it.
+    fn apply_notice_to_removed(&mut self, key: ServerKey, notice: ServerNotice, now: Instant) {
+        let short_id = self.removed.get(key).map(|removed| removed.short_id);
+        let Some(removed) = short_id.and_then(|id| self.removed.last_of_mut(id)) else {
+            return;
+        };
+        match notice {
+            ServerNotice::Draining if self.draining.contains(removed.short_id) => {}
+            ServerNotice::Draining => {
+                self.draining.add_ended(removed.short_id);
+                self.draining_updates.push(removed.short_id);
+            }
+            ServerNotice::Backoff(time) => {
+                removed.backoff_until = removed.backoff_until.max(now.after(time));
+            }
+            ServerNotice::Limit { .. } => {}
+        }
+    }
+
     /// Marks an incarnation as draining on a peer's report; returns the server if that is
     /// new.
     pub fn apply_reported_draining(&mut self, short_id: u32) -> Option<ServerKey> {
--- a/crates/notchwalk_route/src/fleet/server.rs
+++ b/crates/notchwalk_route/src/fleet/server.rs
@@ -104,7 +104,7 @@
     /// another stage is older.
     draining: Draining,
     /// End of the backoff that it requested with `Retry-After`.
-    backoff_until: Instant,
+    pub(super) backoff_until: Instant,
     /// Its rate limit for all nodes together.
     pub(super) limit: ServerLimit,
     /// Number of requests, prompt segments and reservation orders that this node has sent to
--- a/crates/notchwalk_route/src/fleet/sharing.rs
+++ b/crates/notchwalk_route/src/fleet/sharing.rs
@@ -1,15 +1,12 @@
 //! Servers that announce a rate limit: updates that nodes exchange about them, and the time
 //! until they accept a request.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    time::Duration,
-};
+use std::{collections::HashMap, time::Duration};
 
 use notchwalk_core::Instant;
 
 use super::{
-    limit::{LimitObservation, ServerLimit},
+    limit::LimitObservation,
     limit_update::{LimitScope, LimitSharing, LimitUpdate, ObservedLimit},
     Fleet, Server, ServerKey,
 };
@@ -19,9 +16,6 @@
 const SERVICE_DEMAND_TTL: Duration = Duration::from_secs(1);
 /// Minimum interval between two reports that a server's limit is exhausted.
 const EXHAUSTED_REPORT_INTERVAL: Duration = Duration::from_secs(5);
-/// Maximum number of retained limits of deregistered servers. Registrations expire while the
-/// store is unavailable.
-const MAX_RETAINED: usize = 64;
 
 /// When a service accepts another request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,44 +38,17 @@
     servers: Vec<ServerKey>,
     /// Servers with an update that is to be published without delay.
     pending: Vec<ServerKey>,
-    /// Limits of deregistered servers by their short ids, oldest first.
-    retained: VecDeque<(u32, ServerLimit)>,
     /// Time of the last request for each service.
     last_demand: HashMap<String, Instant>,
     /// Number of messages sent to limited servers.
     sent: u64,
 }
 
-impl Limits {
-    /// Retains the limit of a server that is deregistered.
-    pub fn retain_limit(&mut self, server: &Server) {
-        if server.limit().is_none() {
-            return;
-        }
-        self.retained
-            .push_back((server.short_id, server.limit.clone()));
-        if self.retained.len() > MAX_RETAINED {
-            self.retained.pop_front();
-        }
-    }
-
-    fn take_retained(&mut self, incarnation: u32) -> Option<ServerLimit> {
-        let index = self
-            .retained
-            .iter()
-            .position(|(short_id, _)| *short_id == incarnation)?;
-        self.retained.remove(index).map(|(_, limit)| limit)
-    }
-}
-
 impl Fleet {
-    /// Restores the limit of a server that has registered again.
-    pub(super) fn restore_limit(&mut self, key: ServerKey, now: Instant) {
-        let Some(server) = self.servers.get_mut(key) else {
-            return;
-        };
-        if let Some(retained) = self.limits.take_retained(server.short_id) {
-            server.limit = retained;
+    /// Tracks the limit of a server that has registered again, if it has one.
+    pub(super) fn track_restored_limit(&mut self, key: ServerKey, now: Instant) {
+        let server = self.servers.get(key);
+        if server.is_some_and(|server| server.limit().is_some()) {
             self.track_limit(key, now);
         }
     }
--- a/crates/notchwalk_route/tests/decisions/server_notices.rs
+++ b/crates/notchwalk_route/tests/decisions/server_notices.rs
@@ -367,3 +367,58 @@
     let to_failing = sends.iter().filter(|(_, to)| to.server == failing);
     assert!(to_failing.count() > 5, "not used after a success");
 }
+
+/// Guards against requests to a server that left before it said so, after a restore of the
+/// store from a snapshot that still has its registration.
+#[test]
+fn draining_notice_after_the_registration_went_outlives_a_restore() {
+    for record in [record(PLAIN_SERVICE, 0), plain_server(0, 1_000)] {
+        let mut node = TestRouter::new();
+        register(&mut node, record.clone());
+        let server = server_key(&node, PLAIN_SERVICE, 0);
+        let removed = ServerChange::Removed(record.instance.clone());
+        node.step(Event::Servers(removed));
+        let notice = ServerNotice::Draining;
+        node.step(Event::NoticeReceived { server, notice });
+        assert_eq!(node.router.take_draining_updates().len(), 1);
+        node.step(Event::NoticeReceived { server, notice });
+        assert!(node.router.take_draining_updates().is_empty());
+        node.step(Event::Servers(ServerChange::Restored(record)));
+        assert!(!is_used(&mut node, "desk-0"));
+    }
+}
+
+/// Guards against a notice that is lost because its server has registered again since the
+/// request was sent.
+#[test]
+fn notice_for_a_former_registration_applies_to_the_present_one() {
+    let mut node = TestRouter::new();
+    let server = server_key(&node, PLAIN_SERVICE, 0);
+    let removed = ServerChange::Removed("desk-0".to_owned());
+    node.step(Event::Servers(removed));
+    register(&mut node, record(PLAIN_SERVICE, 0));
+    let notice = ServerNotice::Draining;
+    node.step(Event::NoticeReceived { server, notice });
+    assert!(!is_used(&mut node, "desk-0"));
+}
+
+/// Guards against requests during a backoff whose server's registration lapses and returns.
+#[test]
+fn backoff_outlives_a_lapsed_registration() {
+    let mut node = TestRouter::new();
+    let server = server_key(&node, PLAIN_SERVICE, 0);
+    announce_backoff(&mut node, 0, 5);
+    let removed = || ServerChange::Removed("desk-0".to_owned());
+    node.step(Event::Servers(removed()));
+    register(&mut node, record(PLAIN_SERVICE, 0));
+    assert!(!is_used(&mut node, "desk-0"));
+    node.step(Event::Servers(removed()));
+    // Also one that the server requests while it has no registration.
+    let notice = ServerNotice::Backoff(Duration::from_secs(10));
+    node.step(Event::NoticeReceived { server, notice });
+    register(&mut node, record(PLAIN_SERVICE, 0));
+    node.advance(Duration::from_secs(6));
+    assert!(!is_used(&mut node, "desk-0"));
+    node.advance(Duration::from_secs(6));
+    assert!(is_used(&mut node, "desk-0"));
+}
