Peers: a lower boot number after a silence is that of a newer process

What callers saw: nothing at once; a node whose record in the store had a higher boot number than its process, or whose VM's clock was set back between two starts, was ignored by all peers for good: missing in their directory, its work and its share of limits unknown to them.

Cause: messages with a lower boot number than the known one count as late ones of a former process, and the known number came from the store's record. Why this holds: a late message arrives within moments; after a second without any, or before the first one, the sender is the present process.

Evidence: node_whose_record_has_a_higher_boot_number_is_a_peer times out without the change and passes with it.

--- a/crates/notchwalk_relay/src/peers.rs
+++ b/crates/notchwalk_relay/src/peers.rs
@@ -42,6 +42,10 @@
 /// over all groups within seconds, at a bounded number of datagrams.
 const OTHER_PEERS_PER_HEARTBEAT: usize = 8;
 
+/// Silence after which a lower boot number is that of a newer process, not of a late message.
+/// Boot numbers are times of day, which may be set back, and a presence record may be of
+/// another writer.
+const FORMER_BOOT_SILENCE: Duration = Duration::from_secs(1);
 /// Number of heartbeats with which the state sync of a new peer is repeated.
 const SYNC_REPEATS: u32 = 2;
 
@@ -293,7 +297,7 @@
         targets
     }
 
-    /// Applies a message to the peer table. Returns `None` for messages of a former
+    /// Applies a message to the peer table. Returns `None` for late messages of a former
     /// boot, and for those of unknown senders without a presence record.
     pub fn receive(
         &mut self,
@@ -307,10 +311,11 @@
             self.add(record, now);
         }
         let peer = self.by_addr.get_mut(&from)?;
-        if boot < peer.record.boot {
+        let is_current = |at: Instant| now.since(at) < FORMER_BOOT_SILENCE;
+        if boot < peer.record.boot && peer.last_seen.is_some_and(is_current) {
             return None;
         }
-        let restarted = boot > peer.record.boot;
+        let restarted = boot != peer.record.boot;
         let is_new = peer.last_seen.is_none() || restarted;
         peer.record.boot = boot;
         if let Some(record) = record {
--- a/crates/notchwalk_route/src/fleet/removed_servers.rs
+++ b/crates/notchwalk_route/src/fleet/removed_servers.rs
@@ -51,7 +51,6 @@
         self.0.iter().rev().find(|removed| removed.key == key)
     }
 
-
     /// Returns the last removal of an incarnation.
     pub fn last_of(&self, short_id: u32) -> Option<&RemovedIncarnation> {
         let mut removed = self.0.iter().rev();
