Presence: a record that names another node than its key is not used

What operators saw: a node counted a peer twice or at a former address, which lowers its share of limits, if a row of the table had been copied to another key. Cause: only the name in the record was looked at. Evidence: record_under_another_key_is_not_used fails without the check and passes with it.

--- a/crates/notchwalk_relay/src/presence.rs
+++ b/crates/notchwalk_relay/src/presence.rs
@@ -180,6 +180,9 @@
         return;
     };
     match ciborium::from_reader::<PresenceRecord, _>(value.as_ref()) {
+        Ok(record) if record.name != row.key => {
+            log::warn!("the presence record of node {} names another node", row.key);
+        }
         Ok(record) if record.name == shell.settings.name => {}
         Ok(record) => shell.peers.borrow_mut().add(&record, shell.now()),
         Err(e) => log::warn!("can't decode the presence record of node {}: {e}", row.key),
