HTTP server: the rest of a body is discarded until the caller has the response

What callers saw: a response that was sent before a long body was read could be lost: a caller that was still sending got a reset instead.

Cause: before it closes a connection the server waits for the peer to close, but stopped reading at 64 KB; closing with unread bytes resets the connection. Why this holds: what arrives in that time is discarded.

Evidence: response_sent_before_a_long_body_is_read_reaches_the_caller fails without the change (broken pipe) and passes with it.

--- a/crates/notchwalk_http/src/connection.rs
+++ b/crates/notchwalk_http/src/connection.rs
@@ -211,6 +211,17 @@
         }
     }
 
+    /// Discards what the peer sends until it closes or resets the connection.
+    pub async fn discard_until_closed(&mut self) {
+        loop {
+            self.rbuf.clear();
+            match self.read_more().await {
+                Ok(n) if n > 0 => continue,
+                _ => return,
+            }
+        }
+    }
+
     /// Returns whether the peer closed the idle connection or sent unsolicited bytes, so
     /// that it must not be reused.
     pub async fn is_stale(&mut self) -> bool {
--- a/crates/notchwalk_http/src/server.rs
+++ b/crates/notchwalk_http/src/server.rs
@@ -347,7 +347,8 @@
             }
             // Closing with unread bytes resets the connection, which can discard the
             // response before the peer reads it.
-            let _ = monoio::time::timeout(LINGER_TIMEOUT, self.conn.closed()).await;
+            let closed = self.conn.discard_until_closed();
+            let _ = monoio::time::timeout(LINGER_TIMEOUT, closed).await;
         }
         None
     }
--- a/crates/notchwalk_http/tests/slow_peers.rs
+++ b/crates/notchwalk_http/tests/slow_peers.rs
@@ -68,3 +68,17 @@
         assert!(response.starts_with("HTTP/1.1 408"), "{response}");
     }
 }
+
+/// Guards against a response that a reset discards because the rest of the body is not read.
+#[test]
+fn response_sent_before_a_long_body_is_read_reaches_the_caller() {
+    let addr = start_server();
+    let mut stream = TcpStream::connect(addr).expect("a connection");
+    let body = vec![b'x'; 4 << 20];
+    let head = format!("POST / HTTP/1.1\r\ncontent-length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes()).expect("sent");
+    stream.write_all(&body).expect("the body was not taken");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).expect("a response");
+    assert!(response.starts_with("HTTP/1.1 400"), "{response}");
+}
