Log events stay on one line

What operators saw: an entry of another writer with a line break in its service wrote log lines of its own. Cause: facts were logged as they are. Evidence: facts_stay_on_one_line fails without the escape and passes with it.

--- a/crates/notchwalk_core/src/log_event.rs
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -109,12 +109,15 @@
 }
 
 impl LogEvent {
-    /// Creates an event.
+    /// Creates an event. Control characters in its facts are escaped, since names may come
+    /// from other programs and an event is one line.
     pub fn new(kind: LogEventKind, facts: impl Into<String>) -> Self {
-        Self {
-            kind,
-            facts: facts.into(),
-        }
+        let facts = facts.into();
+        let facts = match facts.contains(char::is_control) {
+            true => escape_control_characters(&facts),
+            false => facts,
+        };
+        Self { kind, facts }
     }
 
     /// Logs the event.
@@ -123,3 +126,14 @@
         log::log!(target: "notchwalk", self.kind.level(), "NW{number} {} {}", self.kind.text(), self.facts);
     }
 }
+
+fn escape_control_characters(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len() + 8);
+    for c in text.chars() {
+        match c.is_control() {
+            true => escaped.extend(c.escape_default()),
+            false => escaped.push(c),
+        }
+    }
+    escaped
+}
