--- a/crates/notchwalk_route/src/fleet/mod.rs
+++ b/crates/notchwalk_route/src/fleet/mod.rs
@@ -18,7 +18,7 @@
 use draining_incarnations::DrainingIncarnations;
 pub use limit_update::{LimitScope, LimitSharing, LimitUpdate, ObservedLimit};
 pub(crate) use removed_servers::RemovedIncarnation;
-use removed_servers::RemovedServers;
+use removed_servers::{RemovalReason, RemovedServers};
 pub use server::{Server, ServerRecord, ServerStage};
 pub use sharing::Availability;
 use sharing::Limits;
@@ -72,6 +72,7 @@
     servers: ServerTable,
     /// The group of this node, which uses a subset of the servers.
     group: Group,
+    /// Servers whose registrations were removed.
     removed: RemovedServers,
     draining: DrainingIncarnations,
     /// Servers that announced in a response that they are draining, to be published
@@ -92,7 +93,10 @@
                 self.upsert(record, now).into_iter().collect()
             }
             ServerChange::Restored(record) => self.upsert(record, now).into_iter().collect(),
-            ServerChange::Removed(instance) => self.remove(&instance, false).into_iter().collect(),
+            ServerChange::Removed(instance) => self
+                .remove(&instance, RemovalReason::Deregistered)
+                .into_iter()
+                .collect(),
             ServerChange::All(records) => {
                 let mut removed = Vec::new();
                 let known: Vec<String> = self.servers.instances().map(str::to_owned).collect();
@@ -100,7 +104,7 @@
                     if records.iter().any(|record| record.instance == instance) {
                         continue;
                     }
-                    removed.extend(self.remove(&instance, false));
+                    removed.extend(self.remove(&instance, RemovalReason::Deregistered));
                 }
                 for record in records {
                     removed.extend(self.upsert(record, now));
@@ -135,14 +139,13 @@
         if known.record().started_ms == record.started_ms {
             return None;
         }
-        self.remove(&record.instance, true)
+        self.remove(&record.instance, RemovalReason::Restarted)
     }
 
     /// Returns the previous incarnation of a restarted server.
     pub(crate) fn ended_incarnation(&self, key: ServerKey) -> Option<&RemovedIncarnation> {
-        self.removed
-            .get(key)
-            .filter(|removed| removed.has_restarted)
+        let removed = self.removed.get(key);
+        removed.filter(|removed| removed.reason == RemovalReason::Restarted)
     }
 
     /// Restores what this node knows of an incarnation that registers again.
@@ -153,13 +156,13 @@
         }
     }
 
-    fn remove(&mut self, instance: &str, has_restarted: bool) -> Option<RemovedServer> {
+    fn remove(&mut self, instance: &str, reason: RemovalReason) -> Option<RemovedServer> {
         let key = self.servers.by_instance(instance)?;
         let server = self.servers.remove(key)?;
         if server.is_draining() {
             self.draining.add_ended(server.short_id);
         }
-        self.removed.add(key, &server, has_restarted);
+        self.removed.add(key, &server, reason);
         Some(RemovedServer {
             key,
             short_id: server.short_id,
@@ -279,8 +282,12 @@
         is_new
     }
 
-    /// Returns the key of a server that has registered again since it had this key.
+    /// Returns the key under which a server is registered that had this key before; the same
+    /// key if it is not registered.
     fn current_key(&self, key: ServerKey) -> ServerKey {
+        if self.servers.get(key).is_some() {
+            return key;
+        }
         let removed = self.removed.get(key);
         let registered = removed.and_then(|removed| self.servers.by_short_id(removed.short_id));
         registered.unwrap_or(key)
--- a/crates/notchwalk_route/src/fleet/removed_servers.rs
+++ b/crates/notchwalk_route/src/fleet/removed_servers.rs
@@ -10,6 +10,15 @@
 /// servers may expire together while the store is unavailable.
 const CAPACITY: usize = 1_024;
 
+/// Why the registration of an incarnation was removed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RemovalReason {
+    /// It is no longer in the registry.
+    Deregistered,
+    /// Another incarnation registered under its instance id.
+    Restarted,
+}
+
 /// A server whose registration was removed. Requests may still be assigned to it, and its
 /// incarnation may register again.
 #[derive(Clone, Debug)]
@@ -20,8 +29,8 @@
     pub short_id: u32,
     /// The address that it listened on.
     pub addr: SocketAddr,
-    /// Whether another incarnation has taken its place.
-    pub has_restarted: bool,
+    /// Why its registration was removed.
+    pub reason: RemovalReason,
     /// Its rate limit.
     pub(super) limit: ServerLimit,
     /// End of the backoff that it requested.
@@ -33,12 +42,12 @@
 pub(super) struct RemovedServers(VecDeque<RemovedIncarnation>);
 
 impl RemovedServers {
-    pub fn add(&mut self, key: ServerKey, server: &Server, has_restarted: bool) {
+    pub fn add(&mut self, key: ServerKey, server: &Server, reason: RemovalReason) {
         self.0.push_back(RemovedIncarnation {
             key,
             short_id: server.short_id,
             addr: server.record().addr,
-            has_restarted,
+            reason,
             limit: server.limit.clone(),
             backoff_until: server.backoff_until,
         });
