A stopping node tells a peer to try another one at once

What callers saw: a request that a node had forwarded to a stopping peer, with no other peer left, was rejected with the Retry-After that is meant for the callers of the stopping node, up to the directory's TTL. Cause: one delay for both. The peer knows that the node stops. Evidence: refused_request_of_a_peer_may_go_to_another_one_at_once fails without the change and passes with it.

--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -107,10 +107,11 @@
             self.report_blocked(key, now, out);
         }
         let server_retry_after = self.server_retry_after(key, now);
+        let shutdown_retry_after = self.shutdown_retry_after(key, now);
         self.remove_request(key, now, out);
         let retry_after = match reason {
             Refusal::NotReady => Some(Duration::from_millis(500)),
-            Refusal::Draining => Some(self.draining_retry_after(now)),
+            Refusal::Draining => Some(shutdown_retry_after),
             Refusal::Overloaded => Some(RETRY_AFTER_OVERLOAD),
             Refusal::Suspected => Some(RETRY_AFTER_SUSPECTED),
             Refusal::Quarantined => quarantine_left,
--- a/crates/notchwalk_route/src/router/shutdown.rs
+++ b/crates/notchwalk_route/src/router/shutdown.rs
@@ -21,22 +21,34 @@
         self.draining = Some(schedule);
     }
 
-    /// Returns the retry delay of a request that is refused because this node shuts down.
-    /// Until the directory's responses that list this node have expired, its caller could
-    /// choose it again.
+    /// Returns the retry delay of a caller's request that is refused because this node shuts
+    /// down. Until the directory's responses that list this node have expired, the caller
+    /// could choose it again.
     pub fn draining_retry_after(&self, now: Instant) -> Duration {
         let unlisted_at = self.draining.map(|draining| draining.unlisted_at);
         let until_unlisted = unlisted_at.map(|at| at.since(now)).unwrap_or_default();
         until_unlisted.max(MIN_RETRY_AFTER)
     }
 
+    /// Returns the retry delay of a request that is refused because this node shuts down. A
+    /// peer that forwarded it knows that, and chooses another one.
+    pub(super) fn shutdown_retry_after(&self, key: RequestKey, now: Instant) -> Duration {
+        match self.is_forwarded(key) {
+            true => MIN_RETRY_AFTER,
+            false => self.draining_retry_after(now),
+        }
+    }
+
+    fn is_forwarded(&self, key: RequestKey) -> bool {
+        let request = self.requests.get(key).and_then(Option::as_ref);
+        request.is_some_and(|request| request.facts.forwarded.is_some())
+    }
+
     pub(super) fn refuses_because_draining(&self, key: RequestKey, now: Instant) -> bool {
         let Some(draining) = &self.draining else {
             return false;
         };
-        let request = self.requests.get(key).and_then(Option::as_ref);
-        let is_forwarded = request.is_some_and(|request| request.facts.forwarded.is_some());
-        now >= match is_forwarded {
+        now >= match self.is_forwarded(key) {
             true => draining.refuses_peers_from,
             false => draining.refuses_callers_from,
         }
--- a/crates/notchwalk_route/tests/decisions/shutdown.rs
+++ b/crates/notchwalk_route/tests/decisions/shutdown.rs
@@ -182,6 +182,18 @@
     assert_eq!((refusals[0].0, refusals[0].1), (request, Refusal::Draining));
 }
 
+/// Guards against a peer that makes its caller wait until callers forget the stopping node.
+#[test]
+fn refused_request_of_a_peer_may_go_to_another_one_at_once() {
+    let mut node = TestRouter::with_engines("entry-1", 1);
+    start_draining(&mut node);
+    node.forwarded = Some(ForwardedSend::FirstAttempt);
+    let request = node.arrive("/long/", 280_000);
+    let retry_after = Duration::from_millis(50);
+    let expected = [(request, Refusal::Draining, retry_after)];
+    assert_eq!(take_refusals(&mut node), expected);
+}
+
 /// Guards against requests that are left without a response whatever they wait for.
 #[test]
 fn no_request_waits_beyond_the_end_of_responses() {
