Shutdown: a stream with output is resumed until the exit, whatever attempt it is at

What callers saw: a stream whose second attempt failed before its first event, while the node stopped, could end although the caller had a part of it and other servers were free. Cause: "started" is reset by each attempt. The request now remembers that it has output.

The randomised runs end with a shutdown and check that no request is left without a response, except at servers and peers; without the limit to the shutdown they fail.

Names: one function gives the retry delay of a refusal, for callers and peers; the duration of a plan has its own.

--- a/crates/notchwalk_relay/src/front/accept.rs
+++ b/crates/notchwalk_relay/src/front/accept.rs
@@ -102,7 +102,7 @@
             exchange.close_after();
             let reason = "this node is shutting down";
             let rejection = rejected(StatusCode::SERVICE_UNAVAILABLE, reason);
-            return Err(rejection.with_retry_after(self.draining_retry_after()));
+            return Err(rejection.with_retry_after(self.shutdown_retry_after()));
         };
         let (body, content) = match read {
             Ok(read) => read,
@@ -166,9 +166,10 @@
         }
     }
 
-    fn draining_retry_after(&self) -> Duration {
+    fn shutdown_retry_after(&self) -> Duration {
+        let is_forwarded = self.source == Source::Peers;
         let router = self.shell.router.borrow();
-        router.draining_retry_after(self.shell.now())
+        router.shutdown_retry_after(is_forwarded, self.shell.now())
     }
 
     fn look_up_route(&self, exchange: &Exchange, caller: &CallerFacts) -> RouteLookup {
--- a/crates/notchwalk_route/src/request.rs
+++ b/crates/notchwalk_route/src/request.rs
@@ -109,8 +109,10 @@
     pub sent_at: Instant,
     /// Start of the current wait to be sent.
     pub waiting_since: Instant,
-    /// Whether an event of its stream has been delivered.
+    /// Whether the current attempt has delivered an event of its stream.
     pub started: bool,
+    /// Whether an event has been delivered by this or an earlier attempt.
+    pub has_output: bool,
     /// Whether its stream went on for long enough to show that its prompt does not crash its
     /// server.
     pub survived: bool,
@@ -149,6 +151,7 @@
             pending_assignment: None,
             holds_reservations: false,
             started: false,
+            has_output: false,
             survived: false,
         }
     }
--- a/crates/notchwalk_route/src/router/ending.rs
+++ b/crates/notchwalk_route/src/router/ending.rs
@@ -30,6 +30,7 @@
             return;
         };
         request.started = true;
+        request.has_output = true;
         let Some(server) = request.server else {
             return;
         };
@@ -107,11 +108,11 @@
             self.report_blocked(key, now, out);
         }
         let server_retry_after = self.server_retry_after(key, now);
-        let shutdown_retry_after = self.shutdown_retry_after(key, now);
+        let is_forwarded = self.is_forwarded(key);
         self.remove_request(key, now, out);
         let retry_after = match reason {
             Refusal::NotReady => Some(Duration::from_millis(500)),
-            Refusal::Draining => Some(shutdown_retry_after),
+            Refusal::Draining => Some(self.shutdown_retry_after(is_forwarded, now)),
             Refusal::Overloaded => Some(RETRY_AFTER_OVERLOAD),
             Refusal::Suspected => Some(RETRY_AFTER_SUSPECTED),
             Refusal::Quarantined => quarantine_left,
--- a/crates/notchwalk_route/src/router/shutdown.rs
+++ b/crates/notchwalk_route/src/router/shutdown.rs
@@ -7,7 +7,7 @@
 use notchwalk_core::Instant;
 
 use super::{after_ms, waiting::Decision, Router};
-use crate::{request::Request, DrainSchedule, Effect, Refusal, RequestKey};
+use crate::{placement::Plan, request::Request, DrainSchedule, Effect, Refusal, RequestKey};
 
 /// Ratio of the time allowed for a request to its predicted duration.
 const DURATION_MARGIN: f64 = 1.3;
@@ -21,25 +21,17 @@
         self.draining = Some(schedule);
     }
 
-    /// Returns the retry delay of a caller's request that is refused because this node shuts
-    /// down. Until the directory's responses that list this node have expired, the caller
-    /// could choose it again.
-    pub fn draining_retry_after(&self, now: Instant) -> Duration {
-        let unlisted_at = self.draining.map(|draining| draining.unlisted_at);
-        let until_unlisted = unlisted_at.map(|at| at.since(now)).unwrap_or_default();
-        until_unlisted.max(MIN_RETRY_AFTER)
+    /// Returns the retry delay of a request that is refused because this node shuts down.
+    ///
+    /// Until the directory's responses that list this node have expired, a caller could choose
+    /// it again. A peer that forwarded the request knows that it stops.
+    pub fn shutdown_retry_after(&self, is_forwarded: bool, now: Instant) -> Duration {
+        let draining = self.draining.filter(|_| !is_forwarded);
+        let until_unlisted = draining.map(|draining| draining.unlisted_at.since(now));
+        until_unlisted.unwrap_or_default().max(MIN_RETRY_AFTER)
     }
 
-    /// Returns the retry delay of a request that is refused because this node shuts down. A
-    /// peer that forwarded it knows that, and chooses another one.
-    pub(super) fn shutdown_retry_after(&self, key: RequestKey, now: Instant) -> Duration {
-        match self.is_forwarded(key) {
-            true => MIN_RETRY_AFTER,
-            false => self.draining_retry_after(now),
-        }
-    }
-
-    fn is_forwarded(&self, key: RequestKey) -> bool {
+    pub(super) fn is_forwarded(&self, key: RequestKey) -> bool {
         let request = self.requests.get(key).and_then(Option::as_ref);
         request.is_some_and(|request| request.facts.forwarded.is_some())
     }
@@ -62,19 +54,12 @@
         now: Instant,
     ) -> Decision {
         // The caller keeps what it has of a stream, so each further event is useful.
-        if self.draining.is_none() || request.started {
+        if self.draining.is_none() || request.has_output {
             return decision;
         }
         let duration_ms = match &decision {
             Decision::Refuse(_) | Decision::Send(None) => return decision,
-            Decision::Send(Some(plan)) => {
-                let placement = self.engine_placement(&request.service, now);
-                let placement = placement.map(|placement| {
-                    let demand = self.demand(request, now);
-                    plan.ttft_ms + placement.decode_ms(plan.primary.server, &demand)
-                });
-                placement.unwrap_or_else(|| call_duration_ms(request))
-            }
+            Decision::Send(Some(plan)) => self.planned_duration_ms(request, plan, now),
             Decision::Wait | Decision::Forward(_) => self.min_duration_ms(request, now),
         };
         match self.ends_before_exit(duration_ms, now) {
@@ -85,7 +70,7 @@
 
     /// Returns whether a request that is sent now can end before this node exits.
     pub(super) fn can_end_before_exit(&self, request: &Request, now: Instant) -> bool {
-        request.started || self.ends_before_exit(self.min_duration_ms(request, now), now)
+        request.has_output || self.ends_before_exit(self.min_duration_ms(request, now), now)
     }
 
     fn ends_before_exit(&self, duration_ms: f64, now: Instant) -> bool {
@@ -94,6 +79,15 @@
             .is_none_or(|draining| ends_at <= draining.responses_end_at)
     }
 
+    /// Returns the predicted duration of a request that is sent as planned, in milliseconds.
+    fn planned_duration_ms(&self, request: &Request, plan: &Plan, now: Instant) -> f64 {
+        let Some(placement) = self.engine_placement(&request.service, now) else {
+            return call_duration_ms(request);
+        };
+        let demand = self.demand(request, now);
+        plan.ttft_ms + placement.decode_ms(plan.primary.server, &demand)
+    }
+
     /// Returns the duration of a request if its servers have nothing else to do, in
     /// milliseconds.
     fn min_duration_ms(&self, request: &Request, now: Instant) -> f64 {
--- a/crates/notchwalk_route/tests/decisions/random_runs.rs
+++ b/crates/notchwalk_route/tests/decisions/random_runs.rs
@@ -13,7 +13,7 @@
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
 };
 
-use crate::common::{record, site, TestRouter, ENGINES, PLAIN_SERVICE};
+use crate::common::{drain_schedule, record, site, TestRouter, ENGINES, PLAIN_SERVICE};
 
 #[derive(Clone, Debug)]
 enum Action {
@@ -64,6 +64,8 @@
     sent_before: bool,
     /// Whether its last attempt reached a server.
     reached: bool,
+    /// Whether a part of its response has been delivered.
+    has_output: bool,
     reserving: bool,
     ended: bool,
 }
@@ -245,8 +247,9 @@
             Action::End(which, end) => self.end(which, end),
             Action::Start(which) => {
                 if let Some(request) = self.pick(which) {
-                    let state = &self.states[&request].0;
+                    let (state, _, _) = self.states.get_mut(&request).expect("request arrived");
                     if state.open_send.is_some() || state.open_forward {
+                        state.has_output = true;
                         self.node.step(Event::Started { request });
                     }
                 }
@@ -414,8 +417,29 @@
         });
     }
 
+    /// Shuts the node down and checks that no request is left without a response, except for
+    /// those at a server or a peer and those that have a part of it.
+    fn shut_down(&mut self) {
+        const TICK: Duration = Duration::from_millis(100);
+        let schedule = drain_schedule(self.node.now);
+        self.node.step(Event::NodeDraining(schedule));
+        while self.node.now < schedule.responses_end_at {
+            self.check_effects();
+            self.node.advance(TICK);
+        }
+        self.check_effects();
+        for (state, _, _) in self.states.values() {
+            let is_in_flight = state.open_send.is_some() || state.open_forward;
+            assert!(
+                state.ended || is_in_flight || state.has_output,
+                "a request is left without a response at the shutdown"
+            );
+        }
+    }
+
     /// Ends all requests and checks that no state remains.
     fn finish(mut self) {
+        self.shut_down();
         self.node.step(Event::PeerExpired { peer: 1 });
         for request in std::mem::take(&mut self.order) {
             if !self.states[&request].0.ended {
--- a/crates/notchwalk_route/tests/decisions/registrations.rs
+++ b/crates/notchwalk_route/tests/decisions/registrations.rs
@@ -1,6 +1,9 @@
 //! Registrations as any writer may leave them: changed, removed, repeated and restored.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use notchwalk_route::{
     AttemptEnd, Effect, Event, Fleet, RequestKey, ServerChange, ServerRecord, ServerStage,
@@ -203,6 +206,8 @@
 struct Table {
     node: TestRouter,
     last: BTreeMap<String, ServerRecord>,
+    /// The services of the requests that arrived.
+    services: HashMap<RequestKey, &'static str>,
     sent: Vec<RequestKey>,
 }
 
@@ -213,6 +218,7 @@
         Self {
             node,
             last: BTreeMap::new(),
+            services: HashMap::new(),
             sent: Vec::new(),
         }
     }
@@ -257,10 +263,11 @@
                 }
             }
             Step::Arrive(is_stream) => {
-                match is_stream {
-                    true => self.node.arrive("/short/", 3_000),
-                    false => self.node.arrive("/again/", 0),
+                let (request, service) = match is_stream {
+                    true => (self.node.arrive("/short/", 3_000), ENGINES),
+                    false => (self.node.arrive("/again/", 0), PLAIN_SERVICE),
                 };
+                self.services.insert(request, service);
             }
             Step::End(end) => {
                 let Some(request) = self.sent.pop() else {
@@ -288,9 +295,7 @@
             let last = &self.last[&to.instance];
             assert_eq!(to.addr, last.addr);
             assert_eq!(last.stage, ServerStage::Ready);
-            let is_call = to.first_output_timeout < Some(Duration::from_secs(1));
-            let service = if is_call { PLAIN_SERVICE } else { ENGINES };
-            assert_eq!(last.service, service);
+            assert_eq!(last.service, self.services[&request]);
             self.sent.push(request);
         }
     }
