Shutdown: the exit waits for exchanges only; notchwalkd sends callers elsewhere sooner

A request of the router is always part of an open exchange, so the second condition went. A draining notchwalkd told callers to return after a second, although lists no longer name it and the other nodes accept the request immediately: 0.2 s now (the assertion in draining_node_refuses_after_list_ttl_and_stops_only_when_idle fails before).

--- a/crates/notchwalk_decide/src/admission.rs
+++ b/crates/notchwalk_decide/src/admission.rs
@@ -74,7 +74,8 @@
         return Err((FailureCode::NotReady, Some(DEFAULT_RETRY_AFTER_MS)));
     };
     if node.drain.refuses(cx.now) {
-        return Err((FailureCode::Draining, Some(DEFAULT_RETRY_AFTER_MS)));
+        // Other nodes accept the request immediately.
+        return Err((FailureCode::Draining, Some(MIN_RETRY_AFTER_MS)));
     }
     if node.requests.len() >= bundle.policy.max_requests as usize {
         return Err((FailureCode::NodeFull, Some(DEFAULT_RETRY_AFTER_MS)));
--- a/crates/notchwalk_decide/tests/decisions/policy.rs
+++ b/crates/notchwalk_decide/tests/decisions/policy.rs
@@ -130,9 +130,11 @@
     );
     node.advance(5_100, 1);
     node.generate(100, 1, 60_000);
-    assert_eq!(
-        failures(&node.take_effects())[0].code,
-        FailureCode::Draining
+    let refused = failures(&node.take_effects())[0];
+    assert_eq!(refused.code, FailureCode::Draining);
+    assert!(
+        refused.retry_after_ms <= Some(250),
+        "other nodes accept it immediately"
     );
     node.frame(&dispatch, id, 0, 1);
     node.complete(&dispatch, 1);
--- a/crates/notchwalk_relay/src/shutdown.rs
+++ b/crates/notchwalk_relay/src/shutdown.rs
@@ -46,24 +46,17 @@
 /// no longer choose this node, or the grace period ends.
 pub(crate) fn may_exit(shell: &Shell, schedule: &DrainSchedule) -> bool {
     let now = shell.now();
-    let is_idle = open_work(shell) == 0 && now >= schedule.started_at.after(MIN_STOP_TIME);
-    is_idle || now >= schedule.exits_at
-}
-
-/// Returns the number of requests that are not finished: those that are being read, served or
-/// responded to.
-fn open_work(shell: &Shell) -> usize {
-    let served = shell.router.borrow().open_requests();
-    served.max(shell.open_exchanges.count())
+    let is_unlisted = now >= schedule.started_at.after(MIN_STOP_TIME);
+    is_unlisted && shell.open_exchanges.count() == 0 || now >= schedule.exits_at
 }
 
 /// Waits until the responses to requests that arrived last are written, and logs the exit.
 pub(crate) async fn finish(shell: &Shell) {
     let deadline = shell.now().after(LAST_WRITE_TIMEOUT);
-    while open_work(shell) > 0 && shell.now() < deadline {
+    while shell.open_exchanges.count() > 0 && shell.now() < deadline {
         monoio::time::sleep(LAST_WRITE_CHECK_INTERVAL).await;
     }
-    let name = &shell.settings.name;
-    let facts = format!("name={name} unfinished_requests={}", open_work(shell));
+    let (name, unfinished) = (&shell.settings.name, shell.open_exchanges.count());
+    let facts = format!("name={name} unfinished_requests={unfinished}");
     LogEvent::new(LogEventKind::DaemonStopped, facts).emit();
 }
