--- a/crates/notchwalk_decide/tests/decisions/vm_list.rs
+++ b/crates/notchwalk_decide/tests/decisions/vm_list.rs
@@ -81,8 +81,7 @@
     assert_eq!(calls[0].server, ServerId(900));
 }
 
-/// Guards against prompts to an engine that has become a plain server, and against load
-/// reports that arrive afterwards.
+/// Guards against prompts to a former engine, and against its load reports that arrive late.
 #[test]
 fn engine_that_becomes_a_plain_server_gets_no_more_prompts() {
     let mut node = TestNode::new(1);
--- a/crates/notchwalk_route/tests/decisions/registrations.rs
+++ b/crates/notchwalk_route/tests/decisions/registrations.rs
@@ -67,8 +67,7 @@
     assert_eq!(node.take_only_send().instance, "desk-1");
 }
 
-/// Guards against a limit, a draining state or a failure that is lost while another writer's
-/// registration replaces that of a live server.
+/// Guards against limits and failures that are lost while another writer overwrites a record.
 #[test]
 fn server_keeps_its_state_while_its_registration_names_another_service() {
     let mut node = TestRouter::new();
--- a/crates/notchwalk_route/tests/decisions/server_notices.rs
+++ b/crates/notchwalk_route/tests/decisions/server_notices.rs
@@ -368,8 +368,7 @@
     assert!(to_failing.count() > 5, "not used after a success");
 }
 
-/// Guards against requests to a server that left before it said so, after a restore of the
-/// store from a snapshot that still has its registration.
+/// Guards against requests to a server that left, once a snapshot restores its registration.
 #[test]
 fn draining_notice_after_the_registration_went_outlives_a_restore() {
     for record in [record(PLAIN_SERVICE, 0), plain_server(0, 1_000)] {
@@ -388,8 +387,7 @@
     }
 }
 
-/// Guards against a notice that is lost because its server has registered again since the
-/// request was sent.
+/// Guards against a notice that is lost because its server has registered again.
 #[test]
 fn notice_for_a_former_registration_applies_to_the_present_one() {
     let mut node = TestRouter::new();
