Relay: waiting for a server and relaying its response are modules of their own

Callers see no difference: attempt.rs had grown to 627 lines with three jobs. server_wait has what ends the wait for a server, relay_response has what the caller has received and how it gets the rest; attempt sends the request and reads the head.

--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -1,37 +1,27 @@
-//! Sends a request to one backend server, or forwards it to a peer, and relays the response.
+//! Sends a request to one backend server, or forwards it to a peer, and reads the response head.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::Bytes;
-use http::{header, HeaderMap, Method, StatusCode};
-use notchwalk_core::Instant;
-use notchwalk_http::{encode_chunk, encode_request_head, prelude::*};
-use notchwalk_quarantine::SURVIVAL_TIME;
-use notchwalk_route::{Assignment, AttemptEnd, Event, Forwarding, Refusal, ServerKey};
+use http::{header, HeaderMap, Method};
+use notchwalk_http::{encode_request_head, prelude::*};
+use notchwalk_route::{Assignment, AttemptEnd, Forwarding, Refusal, ServerKey};
 
 use crate::{
     active_request::ActiveRequest,
     forwarding,
+    relay_response::{relay_buffered, relay_stream, Delivery, MAX_BUFFERED_RESPONSE_BYTES},
     server_notices::{self, ResponseOrigin},
-    shell::{EndOfWait, Shell},
-    stream_events::EventSplitter,
+    server_wait::{await_server, Awaited, ServerWait},
+    shell::Shell,
     BackendRequest, ResponseKind,
 };
 
-/// The largest response that is buffered before it is relayed, in bytes.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 1 << 20;
 /// Maximum number of responses to other requests that are skipped on one connection.
 const MAX_SKIPPED_RESPONSES: usize = 3;
 /// How long to wait for a response after writing the request failed: a server may
 /// respond and close the connection before it has read the body.
 const EARLY_RESPONSE_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// How long a server may be silent until the links to its service are checked. Engines that
-/// respond to several requests send events more often.
-const SILENCE_BEFORE_CHECK: Duration = Duration::from_millis(200);
-/// Interval between the further checks of a silence.
-const SILENCE_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Where an attempt sends the request.
 #[derive(Clone, Copy)]
 pub(crate) enum Destination<'a> {
@@ -50,21 +40,21 @@
     }
 
     /// Returns the server; `None` for a peer.
-    fn server(self) -> Option<ServerKey> {
+    pub fn server(self) -> Option<ServerKey> {
         match self {
             Self::Server(to) => Some(to.server),
             Self::Peer(_) => None,
         }
     }
 
-    fn first_output_timeout(self) -> Option<Duration> {
+    pub fn first_output_timeout(self) -> Option<Duration> {
         match self {
             Self::Server(to) => to.first_output_timeout,
             Self::Peer(to) => to.first_output_timeout,
         }
     }
 
-    fn inter_token_timeout(self) -> Option<Duration> {
+    pub fn inter_token_timeout(self) -> Option<Duration> {
         match self {
             Self::Server(to) => to.inter_token_timeout,
             Self::Peer(to) => to.inter_token_timeout,
@@ -85,75 +75,6 @@
     NodeStops,
 }
 
-/// A server's own error, retained until it is certain that no other server serves the
-/// request.
-pub(crate) struct RetainedError {
-    pub status: StatusCode,
-    pub headers: HeaderMap,
-    pub body: Bytes,
-}
-
-/// Progress of the delivery of a response to the caller.
-pub(crate) struct Delivery {
-    /// Whether the response head was sent.
-    pub head_sent: bool,
-    /// When the first event or the complete response was sent.
-    pub first_at: Option<Instant>,
-    /// When data was last sent.
-    pub last_at: Option<Instant>,
-    /// The longest time between two writes of events.
-    pub max_event_gap: Duration,
-    /// Number of writes of events.
-    pub event_writes: u32,
-    /// Time from arrival to the first event, as predicted at the first attempt.
-    pub predicted_first_event: Option<Duration>,
-    /// Number of attempts.
-    pub attempts: u32,
-    /// Why the connection of the last attempt failed, for logs.
-    pub last_error: Option<String>,
-    /// How the body of the last response was framed, for logs.
-    pub framing: Option<BodyFraming>,
-    /// Number of bytes that the last stream held after its last complete event, for logs.
-    pub partial_event_bytes: usize,
-    /// The last error that a server returned.
-    pub server_error: Option<RetainedError>,
-    /// Splits the stream at event boundaries.
-    pub splitter: EventSplitter,
-    /// The id of the last event that the caller has.
-    pub last_event_id: Option<u64>,
-}
-
-impl Delivery {
-    /// Starts a delivery; `last_event_id` names the last event that the caller has from an
-    /// earlier request.
-    pub fn new(last_event_id: Option<u64>) -> Self {
-        Self {
-            head_sent: false,
-            first_at: None,
-            last_at: None,
-            max_event_gap: Duration::ZERO,
-            event_writes: 0,
-            predicted_first_event: None,
-            attempts: 0,
-            last_error: None,
-            framing: None,
-            partial_event_bytes: 0,
-            server_error: None,
-            splitter: EventSplitter::default(),
-            last_event_id,
-        }
-    }
-
-    fn record_write(&mut self, now: Instant) {
-        self.first_at.get_or_insert(now);
-        self.event_writes += 1;
-        if let Some(last) = self.last_at {
-            self.max_event_gap = self.max_event_gap.max(now.since(last));
-        }
-        self.last_at = Some(now);
-    }
-}
-
 /// Returns the label of an attempt's end in logs and metrics.
 pub(crate) fn end_label(end: AttemptEnd) -> &'static str {
     match end {
@@ -173,89 +94,6 @@
     }
 }
 
-/// Result of a wait for a server.
-enum Awaited<T> {
-    Done(T),
-    CallerDisconnected,
-    /// The request's deadline passed.
-    DeadlinePassed,
-    /// The server's idle timeout passed.
-    ServerIdle,
-    /// This node exits before the response begins.
-    NodeStops,
-}
-
-/// What ends the wait for a server besides its response, the caller and the deadline.
-#[derive(Clone, Copy)]
-struct ServerWait {
-    /// The server whose links are watched; `None` for a peer.
-    server: Option<ServerKey>,
-    idle_timeout: Option<Duration>,
-    /// Whether the caller has a part of the response. It then gets the rest for as long as the
-    /// process runs.
-    has_response: bool,
-}
-
-/// Sleeps for an idle timeout; forever if there is none. Time during which the machine
-/// is suspended does not count, since nothing can be received then.
-async fn sleep_idle_timeout(idle_timeout: Option<Duration>) {
-    match idle_timeout {
-        Some(idle_timeout) => monoio::time::sleep(idle_timeout).await,
-        None => std::future::pending().await,
-    }
-}
-
-/// Resolves once the links to the service of `server` are known to be lost while nothing is
-/// received. Never resolves for a peer.
-async fn watch_link(shell: &Rc<Shell>, server: Option<ServerKey>) {
-    let Some(server) = server else {
-        return std::future::pending().await;
-    };
-    let since = shell.now();
-    monoio::time::sleep(SILENCE_BEFORE_CHECK).await;
-    loop {
-        shell.report_silence(server, since);
-        if shell.router.borrow().is_link_lost(server) {
-            return;
-        }
-        monoio::time::sleep(SILENCE_INTERVAL).await;
-    }
-}
-
-/// Waits for `future`, until the caller disconnects, the request's deadline passes, this node
-/// exits, the server's idle timeout passes or the link to it is lost. The latter two end the wait only if
-/// the request may be sent elsewhere.
-async fn await_server<T>(
-    shell: &Rc<Shell>,
-    exchange: &mut Exchange,
-    req: &ActiveRequest,
-    wait: ServerWait,
-    future: impl std::future::Future<Output = T>,
-) -> Awaited<T> {
-    let mut future = std::pin::pin!(future);
-    let ServerWait {
-        mut server,
-        mut idle_timeout,
-        has_response,
-    } = wait;
-    loop {
-        monoio::select! {
-            done = &mut future => return Awaited::Done(done),
-            () = exchange.peer_closed() => return Awaited::CallerDisconnected,
-            end = shell.wait_for_end(req.deadline, !has_response) => return match end {
-                EndOfWait::DeadlinePassed => Awaited::DeadlinePassed,
-                EndOfWait::NodeStops => Awaited::NodeStops,
-            },
-            () = sleep_idle_timeout(idle_timeout) => idle_timeout = None,
-            () = watch_link(shell, server) => server = None,
-        }
-        let now = shell.now();
-        if shell.router.borrow().may_retry_elsewhere(req.key, now) {
-            return Awaited::ServerIdle;
-        }
-    }
-}
-
 /// Sends the request and relays the response.
 pub(crate) async fn run(
     shell: &Rc<Shell>,
@@ -461,167 +299,3 @@
     }
     Ok(response)
 }
-
-/// Takes the headers and removes the hop-by-hop ones.
-fn end_to_end_headers(headers: &mut HeaderMap) -> HeaderMap {
-    let mut headers = std::mem::take(headers);
-    for name in [
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "upgrade",
-    ] {
-        headers.remove(name);
-    }
-    headers
-}
-
-async fn relay_buffered(
-    shell: &Rc<Shell>,
-    exchange: &mut Exchange,
-    req: &ActiveRequest,
-    delivery: &mut Delivery,
-    to: Destination<'_>,
-    mut response: StreamedResponse,
-    kind: ResponseKind,
-) -> AttemptOutcome {
-    let status = response.status;
-    let headers = end_to_end_headers(&mut response.headers);
-    let read = response.collect(MAX_BUFFERED_RESPONSE_BYTES);
-    let wait = ServerWait {
-        server: to.server(),
-        idle_timeout: None,
-        has_response: delivery.head_sent,
-    };
-    let body = match await_server(shell, exchange, req, wait, read).await {
-        Awaited::Done(Ok(response)) => response.body,
-        Awaited::Done(Err(_)) | Awaited::ServerIdle => {
-            return AttemptOutcome::Ended(AttemptEnd::ConnectionLost)
-        }
-        Awaited::CallerDisconnected => return AttemptOutcome::CallerDisconnected,
-        Awaited::DeadlinePassed => return AttemptOutcome::DeadlinePassed,
-        Awaited::NodeStops => return AttemptOutcome::NodeStops,
-    };
-    if kind == ResponseKind::Failure && status.is_server_error() {
-        delivery.server_error = Some(RetainedError {
-            status,
-            headers,
-            body,
-        });
-        return AttemptOutcome::Ended(AttemptEnd::ServerError);
-    }
-    if delivery.head_sent {
-        // A complete response can't follow events already delivered.
-        return AttemptOutcome::Ended(AttemptEnd::InvalidResponse);
-    }
-    exchange.respond(status, headers, &body).await;
-    delivery.record_write(shell.now());
-    AttemptOutcome::Delivered(AttemptEnd::Delivered {
-        is_success: kind == ResponseKind::Success,
-    })
-}
-
-async fn relay_stream(
-    shell: &Rc<Shell>,
-    exchange: &mut Exchange,
-    req: &ActiveRequest,
-    delivery: &mut Delivery,
-    to: Destination<'_>,
-    mut response: StreamedResponse,
-) -> AttemptOutcome {
-    if response.framing() == BodyFraming::UntilClose {
-        response.expect_event_stream();
-    }
-    let status = response.status;
-    let headers = end_to_end_headers(&mut response.headers);
-    let mut idle_timeout = to.first_output_timeout();
-    let mut started_at = None;
-    let mut survived = false;
-    loop {
-        let next = response.next();
-        let wait = ServerWait {
-            server: to.server(),
-            idle_timeout,
-            has_response: delivery.head_sent,
-        };
-        let awaited = await_server(shell, exchange, req, wait, next).await;
-        let chunk = match awaited {
-            Awaited::Done(Ok(chunk)) => chunk,
-            Awaited::Done(Err(e)) => {
-                delivery.last_error = Some(e.to_string());
-                delivery.partial_event_bytes = delivery.splitter.drop_partial();
-                return AttemptOutcome::Ended(AttemptEnd::ConnectionLost);
-            }
-            Awaited::ServerIdle => {
-                delivery.partial_event_bytes = delivery.splitter.drop_partial();
-                return AttemptOutcome::Ended(AttemptEnd::IdleTimeout);
-            }
-            Awaited::CallerDisconnected => return AttemptOutcome::CallerDisconnected,
-            Awaited::DeadlinePassed => return AttemptOutcome::DeadlinePassed,
-            Awaited::NodeStops => return AttemptOutcome::NodeStops,
-        };
-        let Some(chunk) = chunk else { break };
-        if let Some(server) = to.server() {
-            shell.record_heard(server);
-        }
-        let mut events = delivery.splitter.push(&chunk).to_vec();
-        while let Ok(Some(chunk)) = response.buffered() {
-            events.extend_from_slice(&delivery.splitter.push(&chunk));
-        }
-        if events.is_empty() {
-            continue;
-        }
-        let now = shell.now();
-        match started_at {
-            None => {
-                started_at = Some(now);
-                idle_timeout = to.inter_token_timeout();
-                shell.step(Event::Started { request: req.key });
-            }
-            Some(started_at) if !survived && now.since(started_at) >= SURVIVAL_TIME => {
-                survived = true;
-                shell.step(Event::Survived { request: req.key });
-            }
-            Some(_) => {}
-        }
-        if write_events(exchange, delivery, status, &headers, &events)
-            .await
-            .is_err()
-        {
-            return AttemptOutcome::CallerDisconnected;
-        }
-        delivery.last_event_id = delivery.splitter.last_id().or(delivery.last_event_id);
-        delivery.record_write(shell.now());
-    }
-    let rest = delivery.splitter.take_rest();
-    if (!rest.is_empty() || !delivery.head_sent)
-        && write_events(exchange, delivery, status, &headers, &rest)
-            .await
-            .is_err()
-    {
-        return AttemptOutcome::CallerDisconnected;
-    }
-    if exchange.finish_stream().await.is_err() {
-        return AttemptOutcome::CallerDisconnected;
-    }
-    response.release();
-    AttemptOutcome::Delivered(AttemptEnd::Delivered { is_success: true })
-}
-
-async fn write_events(
-    exchange: &mut Exchange,
-    delivery: &mut Delivery,
-    status: StatusCode,
-    headers: &HeaderMap,
-    events: &[u8],
-) -> Result<(), HttpError> {
-    if !delivery.head_sent {
-        delivery.head_sent = true;
-        return exchange.start_stream(status, headers.clone(), events).await;
-    }
-    let mut framed = Vec::with_capacity(events.len() + 16);
-    encode_chunk(&mut framed, events);
-    exchange.write_chunks(&framed).await
-}
--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -13,8 +13,9 @@
 
 use crate::{
     active_request::ActiveRequest,
-    attempt::{self, AttemptOutcome, Delivery, Destination},
+    attempt::{self, AttemptOutcome, Destination},
     forwarding::{self, ForwardedHead, OpenForwardedGuard},
+    relay_response::Delivery,
     shell::{Inbox, Shell},
 };
 use accept::Rejection;
--- a/crates/notchwalk_relay/src/front/record.rs
+++ b/crates/notchwalk_relay/src/front/record.rs
@@ -8,8 +8,9 @@
 use super::Front;
 use crate::{
     active_request::ActiveRequest,
-    attempt::{self, Delivery, Destination},
+    attempt::{self, Destination},
     quarantine::kind_label,
+    relay_response::Delivery,
 };
 
 /// How a request ended.
