Stand-ins of the second independent review

Store, servers that crash and come back, callers that check every byte, and real nodes as processes.

--- /dev/null
+++ b/review/standin-2/src/main.rs
@@ -0,0 +1,71 @@
+//! Plays one case of the second independent review: starts real nodes between stand-ins and
+//! checks a rule. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+
+mod http;
+mod no_content;
+mod node;
+mod order;
+mod parts;
+mod server;
+mod setup;
+mod store;
+
+use std::{path::Path, process::ExitCode, time::Duration};
+
+use order::Streams;
+use setup::Case;
+
+fn play(name: &str, case: &Case) -> Result<bool, String> {
+    match name {
+        "large-events" => {
+            let streams = Streams {
+                line_end: "\n",
+                event_bytes: 300_000,
+                events: 10,
+                pause: Duration::from_millis(200),
+            };
+            order::run(case, streams)
+        }
+        "line-ends" => {
+            let streams = Streams {
+                line_end: "\r",
+                event_bytes: 65,
+                events: 10,
+                pause: Duration::from_millis(200),
+            };
+            order::run(case, streams)
+        }
+        // Of 42 parts the 41st, and for comparison the 5th.
+        "late-part" => parts::run(case, 41),
+        "early-part" => parts::run(case, 5),
+        "no-content" => no_content::run(case),
+        _ => Err(format!("no case {name:?}")),
+    }
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [name, folder, record] = arguments.as_slice() else {
+        eprintln!("usage: review-standin-2 CASE FOLDER RECORD");
+        return ExitCode::from(2);
+    };
+    let played = Case::new(Path::new(folder), Path::new(record))
+        .map_err(|e| e.to_string())
+        .and_then(|case| {
+            let held = play(name, &case);
+            match &held {
+                Ok(true) => case.result("the rule held"),
+                Ok(false) => case.result("the rule was broken"),
+                Err(e) => case.result(format!("the case couldn't run: {e}")),
+            }
+            held
+        });
+    match played {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(2)
+        }
+    }
+}
