Review case 8: a configuration stays unknown while one zone has lost the store

All nodes that poll the store are of the zone that is first by name, and those that take over from them too.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -8,6 +8,7 @@
 mod parts;
 mod server;
 mod setup;
+mod stale;
 mod store;
 
 use std::{path::Path, process::ExitCode, time::Duration};
@@ -39,6 +40,7 @@
         "late-part" => parts::run(case, 41),
         "early-part" => parts::run(case, 5),
         "no-content" => no_content::run(case),
+        "zone-without-store" => stale::run(case),
         _ => Err(format!("no case {name:?}")),
     }
 }
--- a/review/standin-2/src/node.rs
+++ b/review/standin-2/src/node.rs
@@ -18,10 +18,10 @@
 
 impl Node {
     /// Starts the program of `deploy/system.toml` on free ports and waits until it listens.
-    pub fn start(folder: &Path, name: &str, store: SocketAddr) -> Result<Self, String> {
+    pub fn start(folder: &Path, name: &str, zone: &str, store: SocketAddr) -> Result<Self, String> {
         let settings = folder.join(format!("{name}.ini"));
         let text = format!(
-            "[entry]\nname = {name}\nfailure_domain = ruwi\ncaller_address = 127.0.0.1:0\n\
+            "[entry]\nname = {name}\nfailure_domain = {zone}\ncaller_address = 127.0.0.1:0\n\
              ready_address = 127.0.0.1:0\ndirectory_address = 127.0.0.1:0\n\
              peer_address = 127.0.0.1:0\noperator_address = 127.0.0.1:0\nstop_grace_s = 8\n\
              max_descriptors = 4200\n\n[store]\naddress = {store}\n\n\
--- a/review/standin-2/src/setup.rs
+++ b/review/standin-2/src/setup.rs
@@ -78,7 +78,7 @@
             .map(|n| Server::start(&store, "lampwise", &format!("i-{n}"), handler.clone()))
             .collect();
         let nodes: Result<Vec<Node>, String> = (1..=nodes)
-            .map(|n| Node::start(&case.folder, &format!("front-{n}"), store.addr))
+            .map(|n| Node::start(&case.folder, &format!("front-ruwi-{n}"), "ruwi", store.addr))
             .collect();
         let deployment = Self {
             servers,
@@ -107,6 +107,15 @@
         })
     }
 
+    /// Sends a call that must run once at most.
+    pub fn send_call(&mut self, id: &str) -> io::Result<()> {
+        let request = format!(
+            "POST /hold/2f HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 3000\r\n\
+             Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n"
+        );
+        self.writer.write_all(request.as_bytes())
+    }
+
     pub fn send(&mut self, id: &str, parts: &str, headers: &str, body: &str) -> io::Result<()> {
         let request = format!(
             "POST /ask/2f HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {id}\r\nX-Model: m\r\n\
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::BTreeMap,
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Condvar, Mutex,
+    },
     time::{Duration, Instant},
 };
 
@@ -26,15 +29,32 @@
     pub addr: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
     started: Instant,
+    /// Whether this address gives no answers.
+    is_silent: Arc<AtomicBool>,
 }
 
 impl Store {
     pub fn start() -> Self {
+        Self::listen(Arc::default(), Instant::now())
+    }
+
+    /// Opens a further address of the same store, which can fall silent by itself.
+    pub fn other_address(&self) -> Self {
+        Self::listen(self.state.clone(), self.started)
+    }
+
+    /// Stops or resumes the answers at this address.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::SeqCst);
+    }
+
+    fn listen(state: Arc<(Mutex<State>, Condvar)>, started: Instant) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let store = Self {
             addr: listener.local_addr().expect("a bound address"),
-            state: Arc::default(),
-            started: Instant::now(),
+            state,
+            started,
+            is_silent: Arc::default(),
         };
         let served = store.clone();
         std::thread::spawn(move || {
@@ -73,6 +93,13 @@
         let mut reader = Reader::new(stream);
         while let Ok(request) = read_request(&mut reader) {
             let (status, body) = self.answer(&request);
+            // Once an answer is lost on a connection, that connection says nothing further.
+            while self.is_silent.load(Ordering::SeqCst) {
+                std::thread::sleep(Duration::from_millis(50));
+                if !self.is_silent.load(Ordering::SeqCst) {
+                    return;
+                }
+            }
             if respond(
                 &mut writer,
                 status,
