Review case 5: a configuration with a rank above 255 never applies; cases in order of gravity

Broken (CONFIG): all machines go on by the older version. Ranks are read as u8, and one that does not fit has the whole configuration rejected.

Shown: review/5/run.sh, a version moves a route and adds 300 with a rank each.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -13,7 +13,7 @@
 }
 standin=
 trap clean INT TERM HUP
-target/review-2/release/review-standin-2 large-events "$folder" review/5/record.txt &
+target/review-2/release/review-standin-2 many-ranks "$folder" review/5/record.txt &
 standin=$!
 wait "$standin"
 code=$?
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Plays one case of the second independent review: starts real nodes between stand-ins and
 //! checks a rule. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
+mod changes;
 mod http;
 mod no_content;
 mod node;
@@ -16,31 +17,36 @@
 use order::Streams;
 use setup::Case;
 
+/// Events that are larger than the node buffers.
+const LARGE_EVENTS: Streams = Streams {
+    name: "events of 300 KB",
+    line_end: "\n",
+    event_bytes: 300_000,
+    events: 10,
+    pause: Duration::from_millis(200),
+};
+/// Small events whose lines end as the format allows, though rarely seen.
+const CR_LINES: Streams = Streams {
+    name: "lines that end with CR",
+    line_end: "\r",
+    event_bytes: 65,
+    events: 10,
+    pause: Duration::from_millis(200),
+};
+
 fn play(name: &str, case: &Case) -> Result<bool, String> {
     match name {
-        "large-events" => {
-            let streams = Streams {
-                line_end: "\n",
-                event_bytes: 300_000,
-                events: 10,
-                pause: Duration::from_millis(200),
-            };
-            order::run(case, streams)
-        }
-        "line-ends" => {
-            let streams = Streams {
-                line_end: "\r",
-                event_bytes: 65,
-                events: 10,
-                pause: Duration::from_millis(200),
-            };
-            order::run(case, streams)
+        // Two ways to lose the ids of events; each must hold.
+        "lost-ids" => {
+            let large = order::run(case, LARGE_EVENTS)?;
+            Ok(order::run(case, CR_LINES)? && large)
         }
         // Of 42 parts the 41st, and for comparison the 5th.
         "late-part" => parts::run(case, 41),
         "early-part" => parts::run(case, 5),
         "no-content" => no_content::run(case),
         "zone-without-store" => stale::run(case),
+        "many-ranks" => changes::many_ranks(case),
         _ => Err(format!("no case {name:?}")),
     }
 }
--- a/review/standin-2/src/order.rs
+++ b/review/standin-2/src/order.rs
@@ -30,6 +30,7 @@
 /// What the streams of a case look like.
 #[derive(Clone, Copy)]
 pub struct Streams {
+    pub name: &'static str,
     /// The end of a line: the format allows LF, CRLF and CR.
     pub line_end: &'static str,
     pub event_bytes: usize,
@@ -139,7 +140,8 @@
     });
     let count = |counter: &AtomicUsize| counter.load(Ordering::SeqCst);
     case.result(format!(
-        "streams: {} complete, {} cut off, {} refused; with a piece twice, missing or changed: {}",
+        "{}: {} streams complete, {} cut off, {} refused; with a piece twice, missing or changed: {}",
+        streams.name,
         count(&seen.complete),
         count(&seen.cut),
         count(&seen.refused),
--- a/review/standin-2/src/stale.rs
+++ b/review/standin-2/src/stale.rs
@@ -32,11 +32,17 @@
 /// Time between two calls to a machine.
 const CALL_INTERVAL: Duration = Duration::from_millis(200);
 
-fn config(version: u32, service: &str) -> String {
+/// Returns a configuration with one route, `more_routes` whose ranks go on from its own.
+pub fn config(version: u32, service: &str, more_routes: u32) -> String {
+    let more = (1..=more_routes).map(|n| {
+        let rank = n + 2;
+        format!(r#",{{"name":"r{n}","host":"a.example","pathPrefix":"/r{n}/","kind":"idempotent","timeoutMs":1500,"goalMs":300,"priority":{rank},"service":"bookdesk","maxAttempts":1}}"#)
+    });
+    let more: String = more.collect();
     let services = ["bookdesk", "bookdesk-2"]
         .map(|name| format!(r#"{{"name":"{name}","healthPath":"/health","maxConns":410}}"#));
     format!(
-        r#"{{"version":{version},"routes":[{{"name":"hold","host":"a.example","pathPrefix":"/hold/","kind":"non_idempotent","timeoutMs":1500,"goalMs":300,"priority":2,"service":"{service}","maxAttempts":1,"public":false}}],"services":[{}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"hule930","apiKeys":["{KEY}"],"priority":1}}]}}"#,
+        r#"{{"version":{version},"routes":[{{"name":"hold","host":"a.example","pathPrefix":"/hold/","kind":"non_idempotent","timeoutMs":1500,"goalMs":300,"priority":2,"service":"{service}","maxAttempts":1,"public":false}}{more}],"services":[{}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"hule930","apiKeys":["{KEY}"],"priority":1}}]}}"#,
         services.join(",")
     )
 }
@@ -52,7 +58,7 @@
 pub fn run(case: &Case) -> Result<bool, String> {
     let store = Store::start();
     let of_first_zone = store.other_address();
-    store.put("op", "config", &config(1, "bookdesk"));
+    store.put("op", "config", &config(1, "bookdesk", 0));
     let handler: Arc<Handler> = Arc::new(|server, request, to| {
         let id = request.header("x-attempt-id").unwrap_or("");
         let headers = format!(
@@ -98,7 +104,7 @@
         }
         let cut = Instant::now();
         std::thread::sleep(CHANGE_AFTER);
-        store.put("op", "config", &config(2, "bookdesk-2"));
+        store.put("op", "config", &config(2, "bookdesk-2", 0));
         let acked = Instant::now();
         case.note("version 2 is acknowledged: the route goes to bookdesk-2");
         std::thread::sleep(CUT.saturating_sub(cut.elapsed()));
@@ -158,7 +164,7 @@
 }
 
 /// Returns the service that ran a call.
-fn ask(addr: SocketAddr, id: &str) -> io::Result<String> {
+pub fn ask(addr: SocketAddr, id: &str) -> io::Result<String> {
     let mut to = Caller::connect(addr)?;
     to.send_call(id)?;
     let head = to.read_head()?;
