Review case 8: a stream that is broken off inside an event ends as complete

Broken (ORDER, MIXED): an answer without Content-Type that has chunks or a length is not checked for its end inside an event, though its route says that it is a stream.

Shown: review/8/run.sh, two of seven servers break one stream in thirty off.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -13,7 +13,7 @@
 }
 standin=
 trap clean INT TERM HUP
-target/review-2/release/review-standin-2 no-content "$folder" review/8/record.txt &
+target/review-2/release/review-standin-2 broken-off "$folder" review/8/record.txt &
 standin=$!
 wait "$standin"
 code=$?
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Plays one case of the second independent review: starts real nodes between stand-ins and
 //! checks a rule. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
+mod broken_off;
 mod changes;
 mod http;
 mod no_content;
@@ -45,6 +46,9 @@
         "late-part" => parts::run(case, 41),
         "early-part" => parts::run(case, 5),
         "no-content" => no_content::run(case),
+        "broken-off" => broken_off::run(case, ""),
+        // For comparison.
+        "broken-off-typed" => broken_off::run(case, "Content-Type: text/event-stream\r\n"),
         "zone-without-store" => stale::run(case),
         "many-ranks" => changes::many_ranks(case),
         _ => Err(format!("no case {name:?}")),
