--- a/review/standin-2/src/broken_off.rs
+++ b/review/standin-2/src/broken_off.rs
@@ -64,7 +64,7 @@
         }
         to.write_all(b"0\r\n\r\n")
     });
-    let deployment = Deployment::start(case, &config(true), SERVERS, 1, handler)?;
+    let deployment = Deployment::start(case, &config(), SERVERS, 1, handler)?;
     let node = deployment.nodes[0].caller;
     let (whole, short, failed) = (
         AtomicUsize::new(0),
--- a/review/standin-2/src/no_content.rs
+++ b/review/standin-2/src/no_content.rs
@@ -54,7 +54,7 @@
         std::thread::sleep(Duration::from_millis(400));
         to.write_all(b"0\r\n\r\n")
     });
-    let deployment = Deployment::start(case, &config(true), SERVERS, 1, handler)?;
+    let deployment = Deployment::start(case, &config(), SERVERS, 1, handler)?;
     let node = deployment.nodes[0].caller;
     let (seen, started) = (Seen::default(), Instant::now());
     std::thread::scope(|scope| {
--- a/review/standin-2/src/order.rs
+++ b/review/standin-2/src/order.rs
@@ -108,7 +108,7 @@
             .or_default() -= 1;
         written
     });
-    let deployment = Deployment::start(case, &config(true), SERVERS, 1, handler)?;
+    let deployment = Deployment::start(case, &config(), SERVERS, 1, handler)?;
     let node = deployment.nodes[0].caller;
     let (seen, started) = (Seen::default(), Instant::now());
     std::thread::scope(|scope| {
--- a/review/standin-2/src/parts.rs
+++ b/review/standin-2/src/parts.rs
@@ -89,7 +89,7 @@
         }
         to.write_all(b"0\r\n\r\n")
     });
-    let deployment = Deployment::start(case, &config(false), SERVERS, NODES, handler)?;
+    let deployment = Deployment::start(case, &config(), SERVERS, NODES, handler)?;
     let started = Instant::now();
     let (served, lost) = (AtomicUsize::new(0), AtomicUsize::new(0));
     std::thread::scope(|scope| {
--- a/review/standin-2/src/setup.rs
+++ b/review/standin-2/src/setup.rs
@@ -19,9 +19,9 @@
 pub const KEY: &str = "key-of-hule930";
 
 /// The configuration of the operator, with the figures of `falaj-ops`.
-pub fn config(resumable: bool) -> String {
+pub fn config() -> String {
     format!(
-        r#"{{"version":1,"routes":[{{"name":"ask","host":"a.example","pathPrefix":"/ask/","kind":"streaming","timeoutMs":10000,"goalMs":300,"priority":1,"service":"lampwise","maxAttempts":2,"public":false,"sticky":true,"resumable":{resumable},"gapAimMs":250}}],"services":[{{"name":"lampwise","healthPath":"/health","maxConns":424,"engine":{{"slots":16,"kvCapacity":315000,"stride":51,"step_ms":0.85,"per_seq_ms":0.00425,"context_per_k":0.00285,"read_per_s":177000.0,"pairs_per_m":0.184,"chunk":2048,"hopMs":0.05}}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"hule930","apiKeys":["{KEY}"],"priority":1}}]}}"#
+        r#"{{"version":1,"routes":[{{"name":"ask","host":"a.example","pathPrefix":"/ask/","kind":"streaming","timeoutMs":10000,"goalMs":300,"priority":1,"service":"lampwise","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"gapAimMs":250}}],"services":[{{"name":"lampwise","healthPath":"/health","maxConns":424,"engine":{{"slots":16,"kvCapacity":315000,"stride":51,"step_ms":0.85,"per_seq_ms":0.00425,"context_per_k":0.00285,"read_per_s":177000.0,"pairs_per_m":0.184,"chunk":2048,"hopMs":0.05}}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"hule930","apiKeys":["{KEY}"],"priority":1}}]}}"#
     )
 }
 
