Streams: the route decides that a body consists of events

Cause: the end of a body was checked by the media type of the response; the relay added streaming routes only for responses without a media type and without framing.

Fix: attempt::run tells the response whether it is an event stream, once. On routes without streams the media type no longer matters (a whole body became a 502), nor in a response to another request that is skipped (the awaited response was lost with it).

--- a/crates/notchwalk_http/src/client.rs
+++ b/crates/notchwalk_http/src/client.rs
@@ -381,12 +381,11 @@
         self.framing
     }
 
-    /// Treats the body as an event stream even if the response has no `Content-Type`. Call
-    /// this before the body is read.
-    pub fn expect_event_stream(&mut self) {
-        if !self.headers.contains_key(header::CONTENT_TYPE) {
-            self.events.get_or_insert_default();
-        }
+    /// Sets whether the body is an event stream, which must not end inside an event. The
+    /// default follows from `Content-Type`. Call this before the body is read.
+    pub fn with_event_stream(mut self, is_event_stream: bool) -> Self {
+        self.events = is_event_stream.then(EventStreamCheck::default);
+        self
     }
 
     /// Reads the next piece of the body; `None` at its end.
@@ -458,7 +457,7 @@
     }
 
     /// Reads and discards the rest of this response, then reads the head of the next
-    /// response on the same connection.
+    /// response on the same connection. What the discarded body holds does not matter.
     ///
     /// # Errors
     ///
@@ -468,6 +467,7 @@
         if matches!(self.body, BodyReader::UntilClose) {
             return Err(HttpError::Closed);
         }
+        self.events = None;
         while self.next().await?.is_some() {}
         let client = Client {
             pool: self.pool,
--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -142,6 +142,9 @@
         faulty_server: facts.faulty_server,
         address_reused,
     };
+    // The route decides, since a server may omit or change the media type.
+    let is_event_stream = req.streaming && facts.kind == ResponseKind::Success;
+    let response = response.with_event_stream(is_event_stream);
     match facts.kind {
         ResponseKind::InvalidResponse | ResponseKind::Mismatched => {
             AttemptOutcome::Ended(AttemptEnd::InvalidResponse)
@@ -151,7 +154,7 @@
             AttemptOutcome::Ended(not_run(false))
         }
         ResponseKind::Misdirected => AttemptOutcome::Ended(not_run(true)),
-        ResponseKind::Success if req.streaming => {
+        ResponseKind::Success if is_event_stream => {
             relay_stream(shell, exchange, req, delivery, to, response).await
         }
         ResponseKind::Success | ResponseKind::Failure => {
--- a/crates/notchwalk_relay/src/relay_response.rs
+++ b/crates/notchwalk_relay/src/relay_response.rs
@@ -158,9 +158,6 @@
     to: Destination<'_>,
     mut response: StreamedResponse,
 ) -> AttemptOutcome {
-    if response.framing() == BodyFraming::UntilClose {
-        response.expect_event_stream();
-    }
     let status = response.status;
     let headers = end_to_end_headers(&mut response.headers);
     let mut idle_timeout = to.first_output_timeout();
