VM list: one malformed record does not hide the others

Callers saw: nothing yet. An entry of the VM list with an unknown state or kind, or no object, made the whole list unreadable: a daemon that started had no servers, a running one kept those it had.

Cause: the list was decoded as one value.

Fix: records are decoded one by one, with a log line for each that is skipped.

--- a/crates/notchwalk_platform/src/http_client.rs
+++ b/crates/notchwalk_platform/src/http_client.rs
@@ -26,6 +26,18 @@
     wait_s: f64,
 }
 
+/// Decodes a record of the VM list. Records are decoded one by one, so that a faulty one does
+/// not hide the others.
+fn vm_record(record: serde_json::Value) -> Option<VmRecord> {
+    match serde_json::from_value(record) {
+        Ok(record) => Some(record),
+        Err(e) => {
+            log::warn!("skipped a malformed record of the VM list: {e}");
+            None
+        }
+    }
+}
+
 impl HttpPlatform {
     /// Creates a client.
     pub fn new(client: Client, addr: SocketAddr) -> Self {
@@ -88,7 +100,12 @@
 
 impl VmList for HttpPlatform {
     fn vms(&self) -> PlatformFuture<'_, Vec<VmRecord>> {
-        Box::pin(self.call_json(OutgoingRequest::new(Method::GET, "/vms")))
+        Box::pin(async move {
+            let records: Vec<serde_json::Value> = self
+                .call_json(OutgoingRequest::new(Method::GET, "/vms"))
+                .await?;
+            Ok(records.into_iter().filter_map(vm_record).collect())
+        })
     }
 }
 
