Configuration: a value that can't be used costs only itself

A node that started had no configuration.

Cause: types of fields were narrower than what the operator may write (a rank was a u8, sizes and times whole numbers of 32 or 64 bits), and the configuration was decoded as one value, so that one field rejected all.

Fix: the configuration is read field by field. Numbers are capped to the types; values that can't be used become findings (NW2111). Only a version or a list that can't be read rejects a configuration. The same for slots of a server's record, the store's clock and the times of stored quarantines.

--- a/crates/notchwalk_core/src/log_event.rs
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -57,6 +57,7 @@
     ChangePollAbandoned = 2108, Info, "a poll for changes was abandoned: a peer has newer changes, and the store has not responded";
     StoreRestored = 2109, Warn, "the store was restored from an older snapshot";
     RecordsRewritten = 2110, Info, "records missing from the restored store were written again";
+    ConfigValuesIgnored = 2111, Warn, "values of a configuration can't be used; the others are in force";
     PeerReachable = 3001, Info, "a peer daemon is reachable";
     PeerSuspect = 3002, Info, "a peer's heartbeat is late; other peers are queried";
     PeerDead = 3003, Warn, "a peer daemon was declared dead";
--- a/crates/notchwalk_core/src/time.rs
+++ b/crates/notchwalk_core/src/time.rs
@@ -40,15 +40,24 @@
 
     /// Returns the instant `d` later, saturating at the end of the clock.
     pub const fn after(self, d: Duration) -> Self {
-        Self(self.0.saturating_add(d.as_micros() as u64))
+        Self(self.0.saturating_add(saturating_micros(d)))
     }
 
     /// Returns the instant `d` earlier, saturating at the origin.
     pub const fn before(self, d: Duration) -> Self {
-        Self(self.0.saturating_sub(d.as_micros() as u64))
+        Self(self.0.saturating_sub(saturating_micros(d)))
     }
 }
 
+/// Returns a duration in microseconds, capped at the range of the clock.
+const fn saturating_micros(d: Duration) -> u64 {
+    let us = d.as_micros();
+    if us > u64::MAX as u128 {
+        return u64::MAX;
+    }
+    us as u64
+}
+
 /// The time source of a [`Clock`].
 pub trait TimeSource: Send + Sync {
     /// Returns the time since an arbitrary origin, including the time that the
--- a/crates/notchwalk_relay/src/config_watch.rs
+++ b/crates/notchwalk_relay/src/config_watch.rs
@@ -2,11 +2,11 @@
 
 use std::rc::Rc;
 
-use notchwalk_core::{LogEvent, LogEventKind};
+use notchwalk_core::{Findings, LogEvent, LogEventKind};
 use notchwalk_platform::{Row, StoreVersion};
 use notchwalk_route::Event;
 
-use crate::{shell::Shell, table_watch::TableReader};
+use crate::{shell::Shell, table_watch::TableReader, DecodedConfig};
 
 /// Reads the table that holds the configuration.
 pub(crate) struct ConfigReader {
@@ -25,8 +25,8 @@
         let Some(value) = row.value.as_ref().filter(|_| row.key == key) else {
             return;
         };
-        let site = match self.shell.dialect.config(value) {
-            Ok(site) => site,
+        let DecodedConfig { site, findings } = match self.shell.dialect.config(value) {
+            Ok(decoded) => decoded,
             Err(reason) => return log_rejected(row.version.rev, &reason),
         };
         let active_version = self.shell.router.borrow().version();
@@ -36,6 +36,7 @@
             }
             return;
         }
+        log_ignored_values(site.version, &findings);
         let facts = format!(
             "version={} routes={} services={}",
             site.version,
@@ -49,6 +50,21 @@
     }
 }
 
+fn log_ignored_values(version: u64, findings: &Findings) {
+    /// Bounds the length of the line.
+    const MAX_LOGGED: usize = 5;
+    if findings.0.is_empty() {
+        return;
+    }
+    let logged = findings.0.iter().take(MAX_LOGGED).map(ToString::to_string);
+    let logged = logged.collect::<Vec<_>>().join("; ");
+    let facts = format!(
+        "version={version} count={} first={logged:?}",
+        findings.0.len()
+    );
+    LogEvent::new(LogEventKind::ConfigValuesIgnored, facts).emit();
+}
+
 fn log_rejected(version: u64, reason: &str) {
     let facts = format!("version={version} reason={reason:?}");
     LogEvent::new(LogEventKind::ConfigRejected, facts).emit();
--- a/crates/notchwalk_relay/src/dialect.rs
+++ b/crates/notchwalk_relay/src/dialect.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri};
+use notchwalk_core::Findings;
 use notchwalk_platform::Row;
 use notchwalk_quarantine::Fingerprint;
 use notchwalk_route::{Assignment, ReservationOrder, ServerRecord, SiteConfig};
@@ -59,6 +60,15 @@
     pub ttl: Duration,
 }
 
+/// The operator's configuration, with its values that can't be used.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DecodedConfig {
+    /// The configuration without those values.
+    pub site: SiteConfig,
+    /// The values that are left out, and why.
+    pub findings: Findings,
+}
+
 /// The formats of callers, backend servers and rows. Implementations only translate.
 pub trait Dialect {
     /// Decodes the head of a caller's request.
@@ -111,8 +121,8 @@
     ///
     /// # Errors
     ///
-    /// Returns why it is invalid.
-    fn config(&self, value: &[u8]) -> Result<SiteConfig, String>;
+    /// Returns why it can't be used at all.
+    fn config(&self, value: &[u8]) -> Result<DecodedConfig, String>;
 
     /// Returns the name of the table of backend servers.
     fn server_table(&self) -> &'static str;
--- a/crates/notchwalk_relay/src/lib.rs
+++ b/crates/notchwalk_relay/src/lib.rs
@@ -38,7 +38,9 @@
 pub mod prelude;
 
 pub use daemon::{run, Environment};
-pub use dialect::{BackendRequest, CallerFacts, Dialect, DirectoryResponse, MAX_SHARED_PARTS};
+pub use dialect::{
+    BackendRequest, CallerFacts, DecodedConfig, Dialect, DirectoryResponse, MAX_SHARED_PARTS,
+};
 pub use response::{AnnouncedLimit, ResponseFacts, ResponseKind, RetryAfter};
 pub use settings::RelaySettings;
 pub use stream_events::EventSplitter;
--- a/crates/notchwalk_relay/src/quarantine.rs
+++ b/crates/notchwalk_relay/src/quarantine.rs
@@ -181,7 +181,8 @@
             return;
         };
         if let Some(store_now_ms) = shell.store_now_ms() {
-            let until_ms = store_now_ms + until.since(now).as_millis() as u64;
+            let left_ms = until.since(now).as_millis() as u64;
+            let until_ms = store_now_ms.saturating_add(left_ms);
             let row = QuarantineRow { until_ms, times };
             if write(&shell, content, kind, Some(&row)).await {
                 return;
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -220,7 +220,7 @@
     /// Returns the time by the store's clock, in milliseconds, if it was ever received.
     pub fn store_now_ms(&self) -> Option<u64> {
         let (at, ms) = self.store_clock.get()?;
-        Some(ms + self.now().since(at).as_millis() as u64)
+        Some(ms.saturating_add(self.now().since(at).as_millis() as u64))
     }
 
     /// Waits until `at`. The clock advances also while the machine is suspended.
--- a/crates/notchwalk_route/src/request.rs
+++ b/crates/notchwalk_route/src/request.rs
@@ -40,7 +40,7 @@
     /// Its workspace; the default if it has no key.
     pub workspace: WorkspaceShortId,
     /// Priority of its workspace; 0 is the highest.
-    pub workspace_priority: u8,
+    pub workspace_priority: u32,
     /// When its first byte arrived.
     pub arrived_at: Instant,
     /// The timeout that its caller announced.
--- a/crates/notchwalk_route/src/router/sending.rs
+++ b/crates/notchwalk_route/src/router/sending.rs
@@ -253,5 +253,5 @@
     } else {
         SHORT_PRIORITY
     };
-    (by_size + facts.workspace_priority.min(2)).min(9)
+    (by_size + facts.workspace_priority.min(2) as u8).min(9)
 }
--- a/crates/notchwalk_route/src/routes.rs
+++ b/crates/notchwalk_route/src/routes.rs
@@ -16,7 +16,7 @@
         /// The route.
         route: Arc<Route>,
         /// The workspace of its key and that workspace's priority, if the key is valid.
-        workspace: Option<(Arc<str>, u8)>,
+        workspace: Option<(Arc<str>, u32)>,
     },
 }
 
@@ -24,7 +24,7 @@
 #[derive(Debug, Default)]
 pub struct RouteTable {
     by_host: HashMap<String, Vec<Arc<Route>>>,
-    by_key: HashMap<String, (Arc<str>, u8)>,
+    by_key: HashMap<String, (Arc<str>, u32)>,
     requires_keys: bool,
 }
 
--- a/crates/notchwalk_route/src/site.rs
+++ b/crates/notchwalk_route/src/site.rs
@@ -49,7 +49,7 @@
     /// Inter-token latency objective: the maximum time between two events.
     pub inter_token_objective: Option<Duration>,
     /// Priority; 0 is the highest.
-    pub priority: u8,
+    pub priority: u32,
     /// Maximum number of servers that a request may be sent to.
     pub max_attempts: u32,
     /// Whether callers need no key.
@@ -137,5 +137,5 @@
     /// Its keys.
     pub keys: Vec<String>,
     /// Priority; 0 is the highest. It takes precedence over the priority of the route.
-    pub priority: u8,
+    pub priority: u32,
 }
