HTTP server: heads up to the configured size are accepted

Callers saw: 431 for heads above 32 KiB although the operator's maxHeaderBytes allows them.

Cause: the parser's own limit was a constant.

--- a/crates/notchwalk_http/src/connection.rs
+++ b/crates/notchwalk_http/src/connection.rs
@@ -16,7 +16,7 @@
 
 use crate::{BodyReader, HttpError};
 
-/// Maximum size of a message head.
+/// Maximum size of a response head, and of a request head unless a server allows more.
 pub const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Minimum spare capacity of the read buffer before each read.
 const MIN_READ_CAPACITY_BYTES: usize = 4 * 1024;
@@ -75,13 +75,13 @@
         Ok(!self.rbuf.is_empty() || self.read_more().await? > 0)
     }
 
-    /// Reads a request head.
+    /// Reads a request head of at most about `max_bytes`.
     ///
     /// # Errors
     ///
     /// Fails on malformed or oversized heads and closed connections.
-    pub async fn read_request_head(&mut self) -> Result<RequestHead, HttpError> {
-        self.read_head(RequestHeadDecoder).await
+    pub async fn read_request_head(&mut self, max_bytes: usize) -> Result<RequestHead, HttpError> {
+        self.read_head(RequestHeadDecoder, max_bytes).await
     }
 
     /// Reads a response head, skipping interim responses.
@@ -91,14 +91,14 @@
     /// Fails on malformed or oversized heads and closed connections.
     pub async fn read_response_head(&mut self) -> Result<ResponseHead, HttpError> {
         loop {
-            let head = self.read_head(ResponseHeadDecoder).await?;
+            let head = self.read_head(ResponseHeadDecoder, MAX_HEAD_BYTES).await?;
             if !head.status.is_informational() {
                 return Ok(head);
             }
         }
     }
 
-    async fn read_head<D>(&mut self, mut decoder: D) -> Result<D::Item, HttpError>
+    async fn read_head<D>(&mut self, mut decoder: D, max_bytes: usize) -> Result<D::Item, HttpError>
     where
         D: Decoder<Error = DecodeError>,
     {
@@ -108,8 +108,8 @@
                 Ok(_) => {}
                 Err(e) => return Err(HttpError::Head(e.to_string())),
             }
-            if self.rbuf.len() > MAX_HEAD_BYTES {
-                return Err(HttpError::HeadTooLarge(MAX_HEAD_BYTES));
+            if self.rbuf.len() > max_bytes {
+                return Err(HttpError::HeadTooLarge(max_bytes));
             }
             if self.read_more().await? == 0 {
                 return Err(HttpError::Closed);
--- a/crates/notchwalk_http/src/server.rs
+++ b/crates/notchwalk_http/src/server.rs
@@ -26,6 +26,8 @@
 pub struct ServerLimits {
     /// Maximum number of open connections; further ones are closed immediately.
     pub max_connections: usize,
+    /// Maximum size of a request head, in bytes.
+    pub max_head_bytes: usize,
     /// How long a connection may be idle.
     pub idle_timeout: Duration,
     /// Maximum time to receive a head, from its first byte.
@@ -40,6 +42,7 @@
     fn default() -> Self {
         Self {
             max_connections: 20_000,
+            max_head_bytes: crate::MAX_HEAD_BYTES,
             idle_timeout: Duration::from_secs(120),
             head_timeout: Duration::from_secs(10),
             body_read_timeout: Duration::from_secs(10),
@@ -418,7 +421,8 @@
         }
         let open = open.open();
         let limits = service.limits(limits);
-        let read = monoio::time::timeout(limits.head_timeout, conn.read_request_head()).await;
+        let read = conn.read_request_head(limits.max_head_bytes);
+        let read = monoio::time::timeout(limits.head_timeout, read).await;
         let head = read.unwrap_or(Err(HttpError::TimedOut));
         let (mut exchange, error) = match head {
             Ok(head) => {
--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -145,6 +145,7 @@
         let shell = Rc::new(shell.with_clock(environment.clock));
         let limits = ServerLimits {
             max_connections: shell.settings.max_descriptors / 2,
+            max_head_bytes: notchwalk_http::MAX_HEAD_BYTES,
             idle_timeout: Duration::from_secs(20),
             head_timeout: Duration::from_secs(3),
             body_read_timeout: Duration::from_secs(5),
--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -367,10 +367,17 @@
     }
 
     fn limits(&self, started_with: ServerLimits) -> ServerLimits {
+        /// Room for what a head holds besides what counts against the configured size.
+        const HEAD_OVERHEAD_BYTES: usize = 4 * 1024;
+        let configured = self.shell.limits.get();
+        let head_bytes = configured.head_bytes.saturating_add(HEAD_OVERHEAD_BYTES);
+        let started_with = ServerLimits {
+            max_head_bytes: started_with.max_head_bytes.max(head_bytes),
+            ..started_with
+        };
         if self.source == Source::Peers {
             return started_with;
         }
-        let configured = self.shell.limits.get();
         ServerLimits {
             idle_timeout: configured.idle_timeout,
             head_timeout: configured.head_timeout,
