Store: followers of all failure domains, judged by the age of its response

Cause: the nodes that follow the store's changes were the first by name, all of one failure domain. Those that took over after a timeout were of the same one: a node that doesn't poll counted as one the store responds to.

Fix: followers are spread by the hash of their names. Messages carry the age of the store's last response to their sender; when the newest one in a group is older than 1.3 s, all its nodes poll. Followers poll at different times, so that one of them always has a recent response.

--- a/crates/notchwalk_relay/src/operator.rs
+++ b/crates/notchwalk_relay/src/operator.rs
@@ -108,6 +108,10 @@
             "config_version": router.version(),
             "newest_config_of_peers": shell.peers.borrow().newest_config(),
             "store_era": shell.store_epoch(),
+            "store_response_age_ms": shell
+                .store_responded_at
+                .get()
+                .map(|at| now.since(at).as_millis() as u64),
             "servers_version": shell.server_table_version.get().rev,
             "newest_change_of_servers_of_peers": shell.peers.borrow().newest_server_change().rev,
             "open_requests": router.open_requests(),
--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -73,6 +73,10 @@
     /// updates about them.
     #[serde(default)]
     unreachable: Option<Vec<u32>>,
+    /// Time since the store last responded to the sender, in milliseconds; `None` if it never
+    /// did.
+    #[serde(default)]
+    store_response_age_ms: Option<u64>,
 }
 
 fn message(shell: &Shell, servers: Vec<u32>, work: Vec<PeerWork>) -> PeerMessage {
@@ -91,6 +95,10 @@
         retries: None,
         retry_history: None,
         unreachable: None,
+        store_response_age_ms: shell
+            .store_responded_at
+            .get()
+            .map(|at| shell.now().since(at).as_millis() as u64),
     }
 }
 
@@ -344,13 +352,15 @@
     if from == shell.settings.peer_addr {
         return;
     }
+    let (boot, now) = (message.boot, shell.now());
+    let store_response_age = message.store_response_age_ms.map(Duration::from_millis);
     let state = PeerState {
         ready: message.ready,
         store_up: message.store_up,
+        store_responded_at: store_response_age.map(|age| now.before(age)),
         config_version: message.config_version,
         newest_server_change: message.newest_server_change,
     };
-    let (boot, now) = (message.boot, shell.now());
     let update = {
         let mut peers = shell.peers.borrow_mut();
         peers.receive(from, boot, message.record, state, now)
--- a/crates/notchwalk_relay/src/peers.rs
+++ b/crates/notchwalk_relay/src/peers.rs
@@ -33,11 +33,15 @@
 /// do not add up.
 const SHARE_RETENTION: Duration = Duration::from_secs(600);
 /// Minimum number of nodes per group that follow the store's changes; the others query the
-/// store when one of these has seen a newer version. With so many, a failure of some VMs
-/// leaves others in contact with the store.
+/// store when one of these has seen a newer version, or when none of them hears from it. With
+/// so many, a failure of some VMs leaves others in contact with the store.
 const MIN_FOLLOWERS: usize = 6;
 /// Nodes of a group per follower.
 const NODES_PER_FOLLOWER: usize = 6;
+/// Age of the store's newest response in the group after which all its nodes query the store:
+/// the followers may be those that the store does not respond to. With the time of a query,
+/// below the shortest time within which a change must be in force.
+const MAX_STORE_SILENCE: Duration = Duration::from_millis(1_300);
 /// Number of peers of other groups that receive each heartbeat, in rotation. News spreads
 /// over all groups within seconds, at a bounded number of datagrams.
 const OTHER_PEERS_PER_HEARTBEAT: usize = 8;
@@ -56,6 +60,8 @@
     pub ready: bool,
     /// Whether the store responds to it.
     pub store_up: bool,
+    /// When the store last responded to it; `None` if it never did.
+    pub store_responded_at: Option<Instant>,
     pub config_version: u64,
     /// The newest change of the server table that it saw.
     pub newest_server_change: StoreVersion,
@@ -140,6 +146,7 @@
             state: PeerState {
                 ready: false,
                 store_up: false,
+                store_responded_at: None,
                 config_version: 0,
                 newest_server_change: StoreVersion::default(),
             },
@@ -258,14 +265,36 @@
     }
 
     /// Returns whether this node should follow the store's changes itself: it does so if
-    /// it is, by name, among the first of its group to which the store responds.
+    /// it is among the first of its group to which the store responds, in an order that spreads
+    /// the followers over all failure domains.
     pub fn is_follower(&self, now: Instant) -> bool {
-        let own_name = self.own_name.as_str();
+        let own_order = node_order(&self.own_name);
         let in_group = |peer: &&Peer| self.group_peers.contains(&peer.record.peer);
-        let before = self.reachable(now).filter(in_group);
-        let before =
-            before.filter(|peer| peer.state.store_up && peer.record.name.as_str() < own_name);
-        before.count() < MIN_FOLLOWERS.max(self.group_size() / NODES_PER_FOLLOWER)
+        let before = self
+            .reachable(now)
+            .filter(in_group)
+            .filter(|peer| peer.state.store_up && node_order(&peer.record.name) < own_order);
+        before.count() < self.follower_count()
+    }
+
+    /// Returns the number of nodes of this group that follow the store's changes.
+    fn follower_count(&self) -> usize {
+        MIN_FOLLOWERS.max(self.group_size() / NODES_PER_FOLLOWER)
+    }
+
+    /// Returns whether some nodes of this group learn of changes from its followers.
+    pub fn relies_on_followers(&self) -> bool {
+        self.group_size() > self.follower_count()
+    }
+
+    /// Returns whether no node of this group has had a response of the store recently, which
+    /// leaves changes unnoticed. `own_response_at` is when this node last had one.
+    pub fn is_store_silent(&self, own_response_at: Option<Instant>, now: Instant) -> bool {
+        let group_peers = self.group_peers.iter();
+        let group_peers = group_peers.filter_map(|addr| self.by_addr.get(addr));
+        let of_peers = group_peers.filter_map(|peer| peer.state.store_responded_at);
+        let newest = of_peers.chain(own_response_at).max();
+        newest.is_none_or(|at| now.since(at) > MAX_STORE_SILENCE)
     }
 
     /// Returns the number of reachable peers whose names sort before this node's.
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -56,6 +56,8 @@
     pub open_exchanges: OpenExchanges,
     /// Whether the last poll of the store succeeded.
     pub store_up: std::cell::Cell<bool>,
+    /// When the store last responded to a query for rows; `None` if it never did.
+    pub store_responded_at: std::cell::Cell<Option<Instant>>,
     /// The newest change of the server table that was seen; published to peers.
     pub newest_server_change: std::cell::Cell<StoreVersion>,
     /// The store version up to which the server table is known. It may exceed
@@ -113,6 +115,7 @@
             draining: std::cell::Cell::default(),
             open_exchanges: OpenExchanges::default(),
             store_up: std::cell::Cell::new(false),
+            store_responded_at: std::cell::Cell::default(),
             newest_server_change: std::cell::Cell::default(),
             server_table_version: std::cell::Cell::default(),
             store_epoch: std::cell::Cell::default(),
--- a/crates/notchwalk_relay/src/table_watch.rs
+++ b/crates/notchwalk_relay/src/table_watch.rs
@@ -209,7 +209,7 @@
     /// The changes may exceed what a slow link transfers before a poll is abandoned.
     async fn read_changes(&mut self, after: StoreVersion) -> Result<bool, FeedError> {
         let poll = PendingPoll::now(&self.shell, Some(after));
-        let (table, poll_wait) = (self.reader.table(), self.reader.poll_wait());
+        let (table, poll_wait) = (self.reader.table(), self.poll_wait());
         let changes = self.shell.store.poll_changes(table, after, poll_wait);
         let Some(page) = wait_unless_behind(&self.shell, &self.reader, changes).await? else {
             self.abandon_poll(poll);
@@ -227,9 +227,21 @@
         Ok(true)
     }
 
+    /// Returns how long a poll waits for a change. A change ends the polls of all followers
+    /// together; they wait for different times afterwards, so that at any time one of them has
+    /// had a response recently.
+    fn poll_wait(&self) -> Duration {
+        const SHORTEST_FRACTION: f64 = 0.7;
+        let poll_wait = self.reader.poll_wait();
+        if !self.shell.peers.borrow().relies_on_followers() {
+            return poll_wait;
+        }
+        poll_wait.mul_f64(rand::rng().random_range(SHORTEST_FRACTION..1.0))
+    }
+
     /// Waits until this node has to query the store. Followers query it at once, and so
     /// does each node after an outage. Other nodes wait until a peer has seen a newer
-    /// version or the machine was suspended.
+    /// version, no node of the group hears from the store or the machine was suspended.
     async fn wait_until_query_due(&self) {
         /// Delay after a peer has seen a change, so that one poll covers changes in quick
         /// succession.
@@ -242,6 +254,10 @@
         {
             let now = self.shell.now();
             let follows = peers.borrow().is_follower(now);
+            let own_response_at = self.shell.store_responded_at.get();
+            if peers.borrow().is_store_silent(own_response_at, now) {
+                return;
+            }
             if follows || self.reader.has_lapsed_rows() || now.since(started_at) > MAX_WAIT {
                 return;
             }
@@ -287,6 +303,7 @@
     fn record_response(&mut self, version: StoreVersion) {
         self.shell.observe_store_version(version);
         self.shell.store_up.set(true);
+        self.shell.store_responded_at.set(Some(self.shell.now()));
         let Some(since) = self.unavailable_since.take() else {
             return;
         };
