--- a/crates/notchwalk_quarantine/src/lib.rs
+++ b/crates/notchwalk_quarantine/src/lib.rs
@@ -42,7 +42,8 @@
 //! |---|---|
 //! | `fingerprint` | the identity of a content or part |
 //! | `subjects` | the content and the parts of a request |
-//! | `suspect` | the evidence against one subject |
+//! | `suspect` | the evidence against one subject, or against parts that ran together |
+//! | `suspects` | all suspects, by subject |
 //! | `quarantine/` | all suspects of a node, and the rules above |
 //! | `verdict` | verdicts on requests, and findings |
 //! | `update` | updates exchanged between nodes |
@@ -54,6 +55,7 @@
 mod recent;
 mod subjects;
 mod suspect;
+mod suspects;
 mod update;
 mod verdict;
 
@@ -63,7 +65,7 @@
 pub use fingerprint::{Fingerprint, FingerprintBuilder, RequestHead};
 pub use quarantine::{Quarantine, SURVIVAL_TIME};
 pub use subjects::{CrashOrigin, PromptPart, RequestSubjects, SubjectKind};
-pub use suspect::Crash;
+pub use suspect::{Crash, MAX_RECORDED_PARTS};
 pub use update::QuarantineUpdate;
 pub use verdict::{
     EndReason, QuarantineDeclared, QuarantineFinding, RequestVerdict, SuspectView, Verdict,
--- a/crates/notchwalk_quarantine/src/quarantine/explanation.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/explanation.rs
@@ -37,37 +37,62 @@
     Dominated,
 }
 
+/// Parts with the same evidence, as an explanation of the crashes of another one.
+pub(super) struct OtherParts<'a> {
+    pub suspect: &'a Suspect,
+    /// Their fingerprints in common, as many as matter.
+    ids: Vec<Option<Fingerprint>>,
+}
+
+impl<'a> OtherParts<'a> {
+    /// Selects the members that are evidence of another part than `id` and that `is_included`
+    /// selects; `None` if there are none.
+    fn of(
+        suspect: &'a Suspect,
+        id: Option<Fingerprint>,
+        is_included: impl Fn(Fingerprint) -> bool,
+    ) -> Option<Self> {
+        let mut ids = Vec::new();
+        for member in suspect.members() {
+            let is_other = member.part != id && is_included(member.subject);
+            if is_other && !ids.contains(&member.part) {
+                ids.push(member.part);
+            }
+            if ids.len() > MAX_EXPLAINING_PARTS {
+                break;
+            }
+        }
+        (!ids.is_empty()).then_some(Self { suspect, ids })
+    }
+}
+
 impl Quarantine {
-    /// Returns the suspected parts other than that of `suspect` which did not survive a short
-    /// time ago.
+    /// Returns the suspected parts other than the one with the fingerprint in common `id` which
+    /// did not survive a short time ago, of the subjects that `is_included` selects.
     pub(super) fn other_parts<'a>(
         &'a self,
-        suspect: &'a Suspect,
+        id: Option<Fingerprint>,
+        is_included: impl Fn(Fingerprint) -> bool + Copy + 'a,
         now: Instant,
-    ) -> impl Iterator<Item = (Fingerprint, &'a Suspect)> {
-        let others = self.suspects.iter();
-        let others = others.map(|(&subject, other)| (subject, other));
-        others.filter(move |&(subject, other)| {
-            other.part.is_some()
-                && other.part_id != suspect.part_id
-                && other.applies()
-                && !self.survivors.contains(subject, now)
-        })
+    ) -> impl Iterator<Item = OtherParts<'a>> {
+        let others = self.suspects.values().filter(move |other| {
+            other.part.is_some() && other.applies() && !self.has_survived(other, now)
+        });
+        others.filter_map(move |other| OtherParts::of(other, id, is_included))
     }
 
     /// Returns how the crashes of a part are explained by some of the other parts.
     pub(super) fn explanation_by<'a>(
         &self,
-        subject: Fingerprint,
         suspect: &Suspect,
-        others: impl Iterator<Item = &'a Suspect>,
+        others: impl Iterator<Item = OtherParts<'a>>,
     ) -> Explanation {
         let mut explaining = Vec::new();
         let mut is_covered = false;
         for other in others {
-            match explained_crashes(suspect, other) {
+            match explained_crashes(suspect, other.suspect) {
                 n if n > 0 && n == suspect.crashes().len() => {
-                    if other.crashes().len() > n {
+                    if other.suspect.crashes().len() > n {
                         return Explanation::Dominated;
                     }
                     is_covered = true;
@@ -78,14 +103,16 @@
             explaining.push(other);
         }
         let causes = explaining.iter().filter(|other| {
+            let other = other.suspect;
             suspect.covers(other) && other.incidents().confirmed_score() >= base_threshold(other)
         });
-        let causes: Vec<&Suspect> = causes.copied().collect();
+        let causes: Vec<&OtherParts<'_>> = causes.collect();
         if !is_covered && part_count(&causes) > 1 && explain_most(suspect, &causes) {
             return Explanation::Composed;
         }
         // A part that never survived is more likely to be the cause than two others.
-        let has_survived = self.survivors.last_success(subject).is_some();
+        let has_survived = suspect.last_survival.is_some();
+        let explaining: Vec<&OtherParts<'_>> = explaining.iter().collect();
         if is_covered || (has_survived && explain_most(suspect, &explaining)) {
             return Explanation::Contested;
         }
@@ -95,12 +122,13 @@
     /// Returns whether a part that another one dominates may be the cause after all: each
     /// dominating part is composed of several.
     pub(super) fn is_dominated_by_composed(&self, suspect: &Suspect, now: Instant) -> bool {
-        let mut dominating = self
-            .other_parts(suspect, now)
-            .filter(|(_, other)| other.covers(suspect) && !suspect.covers(other));
-        dominating.all(|(subject, other)| {
-            let others = self.other_parts(other, now).map(|(_, other)| other);
-            self.explanation_by(subject, other, others) == Explanation::Composed
+        let others = self.other_parts(suspect.part_id(), |_| true, now);
+        let mut dominating = others
+            .map(|other| other.suspect)
+            .filter(|other| other.covers(suspect) && !suspect.covers(other));
+        dominating.all(|other| {
+            let others = self.other_parts(other.part_id(), |_| true, now);
+            self.explanation_by(other, others) == Explanation::Composed
         })
     }
 }
@@ -112,9 +140,10 @@
 }
 
 /// Returns whether a few parts explain nearly all crashes of another one.
-fn explain_most(suspect: &Suspect, others: &[&Suspect]) -> bool {
+fn explain_most(suspect: &Suspect, others: &[&OtherParts<'_>]) -> bool {
     let is_few = (1..=MAX_EXPLAINING_PARTS).contains(&part_count(others));
-    is_few && own_incidents(suspect, others, |_| true) < MIN_OWN_INCIDENTS
+    let others: Vec<&Suspect> = others.iter().map(|other| other.suspect).collect();
+    is_few && own_incidents(suspect, &others, |_| true) < MIN_OWN_INCIDENTS
 }
 
 /// Counts the incidents of a part, of the crashes that `is_included` selects, which no part that
@@ -134,7 +163,10 @@
 }
 
 /// Counts parts, of which each may have evidence in several workspaces and in common.
-fn part_count(suspects: &[&Suspect]) -> usize {
-    let ids: HashSet<Option<Fingerprint>> = suspects.iter().map(|s| s.part_id).collect();
+fn part_count(others: &[&OtherParts<'_>]) -> usize {
+    let ids: HashSet<Option<Fingerprint>> = others
+        .iter()
+        .flat_map(|other| other.ids.iter().copied())
+        .collect();
     ids.len()
 }
--- a/crates/notchwalk_quarantine/src/quarantine/mod.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/mod.rs
@@ -16,13 +16,17 @@
 mod policy;
 mod unrelated_losses;
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{hash_map::RandomState, HashMap},
+    time::Duration,
+};
 
 use notchwalk_core::Instant;
 
 use crate::{
     recent::RecentSuccesses,
     suspect::{Crash, Runner, Suspect},
+    suspects::Suspects,
     update::{age_ms, QuarantineUpdate},
     EndReason, Fingerprint, QuarantineFinding, SubjectKind, SuspectView, Verdict,
 };
@@ -32,7 +36,7 @@
 /// The request contents suspected of crashing servers, as known to one node.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    suspects: HashMap<Fingerprint, Suspect>,
+    suspects: Suspects,
     recent: RecentSuccesses,
     /// Parts of prompts that survived a short time ago, here or at a peer.
     survivors: RecentSuccesses,
@@ -42,6 +46,8 @@
     updates: Vec<QuarantineUpdate>,
     findings: Vec<QuarantineFinding>,
     last_tick: Instant,
+    /// Differs between nodes.
+    node_seed: RandomState,
     /// When this node started to observe the ends of servers.
     observing_since: Option<Instant>,
     /// When this node last resumed from a suspension.
@@ -51,7 +57,7 @@
 impl Quarantine {
     /// Returns the verdict on requests of this content.
     pub fn verdict(&self, content: Fingerprint, now: Instant) -> Verdict {
-        let Some(suspect) = self.suspects.get(&content) else {
+        let Some(suspect) = self.suspects.get(content) else {
             return Verdict::Allowed;
         };
         if let Some(period) = suspect.period.filter(|period| now < period.until) {
@@ -82,7 +88,7 @@
 
     /// Returns when the quarantine of a content or part ends; `None` if there is none.
     pub fn quarantined_until(&self, subject: Fingerprint, now: Instant) -> Option<Instant> {
-        let period = self.suspects.get(&subject)?.period;
+        let period = self.suspects.get(subject)?.period;
         period
             .map(|period| period.until)
             .filter(|&until| now < until)
@@ -90,7 +96,7 @@
 
     /// Records that a request was sent to a server. Only runs of suspects are tracked.
     pub fn record_send(&mut self, content: Fingerprint, now: Instant) {
-        let Some(suspect) = self.suspects.get_mut(&content) else {
+        let Some(suspect) = self.suspects.get_mut(content) else {
             return;
         };
         suspect.begin_run(Runner::Local, now);
@@ -99,7 +105,7 @@
 
     /// Records that a run ended without evidence for or against its content.
     pub fn record_run_ended(&mut self, content: Fingerprint) {
-        let Some(suspect) = self.suspects.get_mut(&content) else {
+        let Some(suspect) = self.suspects.get_mut(content) else {
             return;
         };
         suspect.end_run(Runner::Local);
@@ -121,7 +127,7 @@
         self.record_run_ended(content);
         for &server in servers {
             let crash = Crash::observed(server, others, silent, now);
-            self.add_crash(content, crash, None, now);
+            self.add_crash(content, crash, now);
             self.updates.push(QuarantineUpdate::Crashed {
                 content,
                 server,
@@ -136,10 +142,10 @@
     /// Records a successful run, which clears the content.
     pub fn record_success(&mut self, content: Fingerprint, now: Instant) {
         self.recent.record(content, now);
-        if !self.suspects.contains_key(&content) {
+        if !self.suspects.contains(content) {
             return;
         }
-        self.clear(content, now, EndReason::Succeeded);
+        self.clear(&[content], now, EndReason::Succeeded);
         self.updates
             .push(QuarantineUpdate::Succeeded { content, age_ms: 0 });
     }
@@ -169,9 +175,9 @@
 
     /// Clears a content on behalf of an operator. Returns whether it was suspected.
     pub fn release(&mut self, content: Fingerprint, now: Instant) -> bool {
-        let is_known = self.suspects.contains_key(&content);
+        let is_known = self.suspects.contains(content);
         if is_known {
-            self.clear(content, now, EndReason::Released);
+            self.clear(&[content], now, EndReason::Released);
             self.updates
                 .push(QuarantineUpdate::Released { content, age_ms: 0 });
         }
@@ -183,6 +189,9 @@
     /// had time to report later ones.
     pub fn record_resume(&mut self, suspended: Duration, now: Instant) {
         self.survivors.postpone(suspended);
+        for leader in self.suspects.leaders() {
+            self.update_survival(leader);
+        }
         self.resumed_at = Some(now);
     }
 
@@ -217,29 +226,35 @@
         std::mem::take(&mut self.findings)
     }
 
-    /// Returns all suspects, for operators.
+    /// Returns all suspects, for operators; one part of a large class stands for all.
     pub fn suspect_views(&self, now: Instant) -> Vec<SuspectView<'_>> {
-        let views = self.suspects.iter().map(|(&content, suspect)| SuspectView {
-            content,
-            kind: suspect.kind,
-            crashes: suspect.crashes(),
-            verdict: match suspect.kind {
-                SubjectKind::Content => self.verdict(content, now),
-                SubjectKind::Part => self.part_verdict(content, suspect, None, now),
-            },
-            quarantine_count: suspect.quarantine_count,
-        });
-        views.collect()
+        let mut views = Vec::new();
+        for suspect in self.suspects.values() {
+            let verdict = |subject| match suspect.kind {
+                SubjectKind::Content => self.verdict(subject, now),
+                SubjectKind::Part => self.part_verdict(subject, suspect, None, now),
+            };
+            let members = suspect.reported_members().iter();
+            views.extend(members.map(|member| SuspectView {
+                content: member.subject,
+                kind: suspect.kind,
+                parts: suspect.members().len(),
+                crashes: suspect.crashes(),
+                verdict: verdict(member.subject),
+                quarantine_count: suspect.quarantine_count,
+            }));
+        }
+        views
     }
 
-    /// Returns the number of quarantined contents.
+    /// Returns the number of quarantined contents and parts.
     pub fn quarantined_count(&self, now: Instant) -> usize {
-        let suspects = self.suspects.values();
-        suspects.filter(|s| s.is_quarantined(now)).count()
+        let quarantined = self.suspects.values().filter(|s| s.is_quarantined(now));
+        quarantined.map(|suspect| suspect.members().len()).sum()
     }
 
     /// Returns whether a content is tracked as a suspect.
     pub fn is_suspect(&self, content: Fingerprint) -> bool {
-        self.suspects.contains_key(&content)
+        self.suspects.contains(content)
     }
 }
--- a/crates/notchwalk_quarantine/src/quarantine/parts.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/parts.rs
@@ -6,7 +6,7 @@
 //! of which one may be the cause. A stream that goes on clears its parts, so that those that
 //! sound requests share stay clear.
 
-use std::time::Duration;
+use std::{collections::HashSet, hash::BuildHasher, time::Duration};
 
 use notchwalk_core::Instant;
 
@@ -16,11 +16,10 @@
     Quarantine,
 };
 use crate::{
-    subjects::PartRun,
-    suspect::{Crash, Suspect},
+    suspect::{Crash, Runner, Suspect},
     update::age_ms,
-    CrashOrigin, Fingerprint, PromptPart, QuarantineUpdate, RequestSubjects, RequestVerdict,
-    Verdict,
+    CrashOrigin, EndReason, Fingerprint, PromptPart, QuarantineUpdate, RequestSubjects,
+    RequestVerdict, Verdict,
 };
 
 /// How long a stream has to go on after its first event to clear the parts of its prompt.
@@ -34,6 +33,11 @@
 const TRIAL_INTERVAL: Duration = Duration::from_secs(2);
 /// Number of failed trials after which a part has no further ones: each costs callers a server.
 const MAX_FAILED_TRIALS: u32 = 3;
+/// Maximum number of parts with the same evidence whose run is published one by one. One stands
+/// for the others of a larger class.
+const MAX_PUBLISHED_RUNS: usize = 48;
+/// Maximum number of survivals that are published for one crash, since all nodes publish them.
+const MAX_PUBLISHED_SURVIVALS: usize = 480;
 
 impl Quarantine {
     /// Returns the strictest verdict on the content of a request and on its parts.
@@ -42,11 +46,13 @@
             verdict: self.verdict(subjects.content, now),
             subject: subjects.content,
         };
-        for subject in subjects.parts.iter().flat_map(PromptPart::keys) {
-            let Some(suspect) = self.suspects.get(&subject) else {
-                continue;
-            };
-            let verdict = self.part_verdict(subject, suspect, Some(subjects), now);
+        let suspects = self.suspects_of(subjects);
+        if suspects.is_empty() {
+            return strictest;
+        }
+        let request: HashSet<Fingerprint> = keys(&subjects.parts).collect();
+        for (subject, suspect) in suspects {
+            let verdict = self.part_verdict(subject, suspect, Some(&request), now);
             if verdict.strictness() > strictest.verdict.strictness() {
                 strictest = RequestVerdict { verdict, subject };
             }
@@ -54,19 +60,33 @@
         strictest
     }
 
-    /// Returns the verdict on a part, in this request if it is given.
+    /// Returns the suspected parts of a request, one of each class.
+    fn suspects_of(&self, subjects: &RequestSubjects) -> Vec<(Fingerprint, &Suspect)> {
+        let mut seen = HashSet::new();
+        let mut suspects = Vec::new();
+        for subject in keys(&subjects.parts) {
+            let leader = self.suspects.leader(subject);
+            let Some(leader) = leader.filter(|&leader| seen.insert(leader)) else {
+                continue;
+            };
+            suspects.extend(self.suspects.get(leader).map(|suspect| (subject, suspect)));
+        }
+        suspects
+    }
+
+    /// Returns the verdict on a part, in the request with these parts if they are given.
     pub(super) fn part_verdict(
         &self,
         subject: Fingerprint,
         suspect: &Suspect,
-        request: Option<&RequestSubjects>,
+        request: Option<&HashSet<Fingerprint>>,
         now: Instant,
     ) -> Verdict {
         if let Some(period) = suspect.period.filter(|period| now < period.until) {
             // Parts that nothing told apart were quarantined together.
             let is_quarantined = |other: &Suspect| other.is_quarantined(now);
             let is_explained = self.is_explained(subject, suspect, request, is_quarantined, now);
-            if is_explained || self.is_trial_due(subject, suspect, now) {
+            if is_explained || is_trial_due(suspect, now) {
                 return self.trial_verdict(suspect, now);
             }
             return Verdict::Quarantined {
@@ -80,7 +100,7 @@
         }
         let score = incidents.score();
         let threshold = self.threshold(suspect);
-        if self.survivors.contains(subject, now) && score < threshold + SURVIVED_EXTRA_SCORE {
+        if self.has_survived(suspect, now) && score < threshold + SURVIVED_EXTRA_SCORE {
             return Verdict::Allowed;
         }
         // Many requests share a part, so crashes that stay unconfirmed do not hold it for long.
@@ -106,41 +126,23 @@
         }
     }
 
-    /// Returns whether a quarantined part may have a trial run now. A part that survived before
-    /// may have been quarantined by mistake, and refusals would last for the whole quarantine.
-    fn is_trial_due(&self, subject: Fingerprint, suspect: &Suspect, now: Instant) -> bool {
-        let Some(period) = suspect.period else {
-            return false;
-        };
-        if self.survivors.last_success(subject).is_none() || suspect.is_running(now) {
-            return false;
-        }
-        if suspect.failed_trials >= MAX_FAILED_TRIALS {
-            return false;
-        }
-        let last = period
-            .since
-            .max(suspect.last_run())
-            .max(suspect.last_crash());
-        now.since(last) >= TRIAL_INTERVAL * (1 << suspect.failed_trials)
-    }
-
     /// Counts the failed trials of quarantined parts: confirmed crashes that no other part
     /// explains. They stay counted when the other parts' survivals are forgotten.
     pub(super) fn count_failed_trials(&mut self, now: Instant) {
         let mut counts = Vec::new();
-        for (&subject, suspect) in &self.suspects {
+        for (leader, suspect) in self.suspects.iter() {
             let Some(period) = suspect.period.filter(|_| suspect.part.is_some()) else {
                 continue;
             };
-            let others: Vec<&Suspect> = self.other_parts(suspect, now).map(|(_, s)| s).collect();
+            let others = self.other_parts(suspect.part_id(), |_| true, now);
+            let others: Vec<&Suspect> = others.map(|other| other.suspect).collect();
             let failed = own_incidents(suspect, &others, |crash| {
                 crash.confirmed && crash.at > period.since
             });
-            counts.push((subject, failed));
+            counts.push((leader, failed));
         }
-        for (subject, failed) in counts {
-            if let Some(suspect) = self.suspects.get_mut(&subject) {
+        for (leader, failed) in counts {
+            if let Some(suspect) = self.suspects.get_mut(leader) {
                 suspect.failed_trials = suspect.failed_trials.max(failed);
             }
         }
@@ -152,27 +154,24 @@
         &self,
         subject: Fingerprint,
         suspect: &Suspect,
-        request: Option<&RequestSubjects>,
+        request: Option<&HashSet<Fingerprint>>,
         is_candidate: impl Fn(&Suspect) -> bool,
         now: Instant,
     ) -> bool {
         let Some(request) = request else {
             return false;
         };
-        let others = self.other_parts(suspect, now);
-        let lacking = others.filter(|&(id, other)| !request.contains(id) && is_candidate(other));
-        let lacking = lacking.map(|(_, other)| other);
-        self.explanation_by(subject, suspect, lacking) != Explanation::None
+        let mut members = suspect.members().iter();
+        let member = members.find(|member| member.subject == subject);
+        let id = member.and_then(|member| member.part);
+        let others = self.other_parts(id, |other| !request.contains(&other), now);
+        let lacking = others.filter(|other| is_candidate(other.suspect));
+        self.explanation_by(suspect, lacking) != Explanation::None
     }
 
     /// Returns whether a part may be quarantined now. While other parts explain its crashes,
     /// requests that lack those parts may still clear this one.
-    pub(super) fn may_declare_part(
-        &self,
-        subject: Fingerprint,
-        suspect: &Suspect,
-        now: Instant,
-    ) -> bool {
+    pub(super) fn may_declare_part(&self, suspect: &Suspect, now: Instant) -> bool {
         /// How long after the last crash such requests are awaited.
         const MAX_CONTESTED_TIME: Duration = Duration::from_secs(3);
         /// How long peers may take to report survivals to a node that resumes.
@@ -185,19 +184,19 @@
         }
         let score = suspect.incidents().confirmed_score();
         let required = self.threshold(suspect) + SURVIVED_EXTRA_SCORE;
-        if self.survivors.contains(subject, now) && score < required {
+        if self.has_survived(suspect, now) && score < required {
             return false;
         }
-        let others = || self.other_parts(suspect, now).map(|(_, other)| other);
-        let quarantined = others().filter(|other| other.is_quarantined(now));
-        if self.explanation_by(subject, suspect, quarantined) != Explanation::None {
+        let others = || self.other_parts(suspect.part_id(), |_| true, now);
+        let quarantined = others().filter(|other| other.suspect.is_quarantined(now));
+        if self.explanation_by(suspect, quarantined) != Explanation::None {
             return false;
         }
         let contested_since = suspect
             .last_crash()
             .max(self.resumed_at.unwrap_or_default());
         let is_contested_for_long = now.since(contested_since) >= MAX_CONTESTED_TIME;
-        match self.explanation_by(subject, suspect, others()) {
+        match self.explanation_by(suspect, others()) {
             Explanation::None => true,
             Explanation::Contested => is_contested_for_long,
             Explanation::Composed => false,
@@ -210,36 +209,57 @@
     /// Records that a request was sent to a server. Only runs of suspects are tracked.
     pub fn record_request_sent(&mut self, subjects: &RequestSubjects, now: Instant) {
         self.record_send(subjects.content, now);
-        for &part in &subjects.parts {
-            self.record_part_run(part, now);
-        }
+        self.record_part_runs(&subjects.parts, now);
     }
 
-    /// Records that a request with a part is running on this node.
-    pub fn record_part_run(&mut self, part: PromptPart, now: Instant) {
-        for subject in part.keys() {
-            if self.is_suspected_part(subject, now) {
-                self.record_send(subject, now);
+    /// Records that a request with these parts is running on this node.
+    pub fn record_part_runs(&mut self, parts: &[PromptPart], now: Instant) {
+        let suspected = self.suspected_parts(parts, now);
+        for leader in self.isolate(&suspected) {
+            let Some(suspect) = self.suspects.get_mut(leader) else {
+                continue;
+            };
+            suspect.begin_run(Runner::Local, now);
+            if suspect.members().len() > MAX_PUBLISHED_RUNS {
+                let update = QuarantineUpdate::RunningClass { content: leader };
+                self.updates.push(update);
+                continue;
             }
+            let running = suspect.subjects();
+            let running = running.map(|content| QuarantineUpdate::Running { content });
+            self.updates.extend(running);
         }
     }
 
     /// Records that a request ended without evidence for or against its content and parts.
     pub fn record_request_ended(&mut self, subjects: &RequestSubjects, now: Instant) {
         self.record_run_ended(subjects.content);
-        for subject in subjects.parts.iter().flat_map(PromptPart::keys) {
-            if self.is_suspected_part(subject, now) {
-                self.record_run_ended(subject);
-            }
+        let suspected = self.suspected_parts(&subjects.parts, now);
+        for leader in self.isolate(&suspected) {
+            let Some(suspect) = self.suspects.get_mut(leader) else {
+                continue;
+            };
+            suspect.end_run(Runner::Local);
+            let published = match suspect.members().len() {
+                0..=MAX_PUBLISHED_RUNS => suspect.members(),
+                _ => &suspect.members()[..1],
+            };
+            let ended = published.iter().map(|member| QuarantineUpdate::Idle {
+                content: member.subject,
+            });
+            self.updates.extend(ended);
         }
     }
 
-    fn is_suspected_part(&self, subject: Fingerprint, now: Instant) -> bool {
-        let Some(suspect) = self.suspects.get(&subject) else {
-            return false;
+    /// Returns the parts whose runs are tracked.
+    fn suspected_parts(&self, parts: &[PromptPart], now: Instant) -> Vec<Fingerprint> {
+        let is_tracked = |&subject: &Fingerprint| {
+            self.suspects.get(subject).is_some_and(|suspect| {
+                let has_crashes = !suspect.crashes().is_empty();
+                suspect.is_quarantined(now) || (has_crashes && !self.has_survived(suspect, now))
+            })
         };
-        let survived = self.survivors.contains(subject, now);
-        suspect.is_quarantined(now) || (!suspect.crashes().is_empty() && !survived)
+        keys(parts).filter(is_tracked).collect()
     }
 
     /// Records that the connection to a server broke while it was running a request, as
@@ -259,91 +279,85 @@
         if survived {
             return;
         }
-        for &part in &subjects.parts {
-            let origin = CrashOrigin {
-                workspace: part.workspace(),
-                content: subjects.content.short_id(),
-            };
-            for &server in servers {
-                let crash = Crash::observed(server, others, silent, now);
-                if !self.add_part_crash(part, crash, origin, now) {
-                    continue;
-                }
-                self.updates.push(QuarantineUpdate::Crashed {
-                    content: part.common(),
-                    server,
-                    age_ms: 0,
-                    others,
-                    silent,
-                    origin: Some(origin),
-                });
-                self.publish_oldest_crash(part, origin, now);
-            }
-        }
-    }
-
-    /// Adds a crash to the evidence against a part in its workspace and in common. Returns
-    /// whether it is new to the first.
-    pub(super) fn add_part_crash(
-        &mut self,
-        part: PromptPart,
-        crash: Crash,
-        origin: CrashOrigin,
-        now: Instant,
-    ) -> bool {
-        let run = |is_common| Some(PartRun { origin, is_common });
-        let is_new = self.add_crash(part.scoped(), crash, run(false), now);
-        self.add_crash(part.common(), crash, run(true), now);
-        for subject in part.keys() {
-            if let Some(suspect) = self.suspects.get_mut(&subject) {
-                suspect.part_id = Some(part.common());
-            }
+        let Some(workspace) = subjects.parts.first().map(PromptPart::workspace) else {
+            return;
+        };
+        let origin = CrashOrigin {
+            workspace,
+            content: subjects.content.short_id(),
+        };
+        for &server in servers {
+            let crash = Crash::observed(server, others, silent, now);
+            let new = self.add_part_crash(&subjects.parts, crash, origin, now);
+            let updates = new.iter().map(|part| QuarantineUpdate::Crashed {
+                content: part.common(),
+                server,
+                age_ms: 0,
+                others,
+                silent,
+                origin: Some(origin),
+            });
+            self.updates.extend(updates);
+            self.publish_oldest_crashes(&new, origin, now);
         }
-        is_new
     }
 
-    /// Tells peers of the last survival of a part that this node knows of, if it contradicts a
-    /// crash that a peer reports, or if it is recent and the crash is new.
-    pub(super) fn publish_survival(
+    /// Tells peers of the last survivals of parts that this node knows of, if they contradict a
+    /// crash that a peer reports, or if they are recent and the crash is new. Of many, each node
+    /// publishes others.
+    pub(super) fn publish_survivals(
         &mut self,
-        part: PromptPart,
+        parts: &[PromptPart],
+        new: &[PromptPart],
         crash_at: Instant,
-        is_new: bool,
         now: Instant,
     ) {
-        for subject in part.keys() {
-            let Some(at) = self.survivors.last_success(subject) else {
-                continue;
-            };
-            let is_recent = is_new && self.survivors.contains(subject, now);
-            if !is_recent && at <= crash_at {
-                continue;
+        let new: HashSet<Fingerprint> = new.iter().map(PromptPart::scoped).collect();
+        let mut updates = Vec::new();
+        for part in parts {
+            for subject in part.keys() {
+                let Some(at) = self.survivors.last_success(subject) else {
+                    continue;
+                };
+                let is_new = new.contains(&part.scoped());
+                let is_recent = is_new && self.survivors.contains(subject, now);
+                if is_recent || at > crash_at {
+                    updates.push(QuarantineUpdate::Succeeded {
+                        content: subject,
+                        age_ms: age_ms(at, now),
+                    });
+                }
             }
-            self.updates.push(QuarantineUpdate::Succeeded {
-                content: subject,
-                age_ms: age_ms(at, now),
-            });
         }
+        if updates.len() > MAX_PUBLISHED_SURVIVALS {
+            let turn = self.node_seed.hash_one(self.last_tick) as usize;
+            let start = turn % updates.len();
+            updates.rotate_left(start);
+            updates.truncate(MAX_PUBLISHED_SURVIVALS);
+        }
+        self.updates.extend(updates);
     }
 
-    /// Publishes the oldest crash of a part once more. A peer that knows of a survival since
+    /// Publishes the oldest crash of each part once more. A peer that knows of a survival since
     /// then responds: this node may have missed its update, for example while it was suspended.
-    fn publish_oldest_crash(&mut self, part: PromptPart, origin: CrashOrigin, now: Instant) {
+    fn publish_oldest_crashes(&mut self, parts: &[PromptPart], origin: CrashOrigin, now: Instant) {
         /// Crashes that are more recent than this are still being published.
         const MIN_AGE: Duration = Duration::from_secs(1);
-        let suspect = self.suspects.get(&part.scoped());
-        let oldest = suspect.and_then(|suspect| suspect.crashes().first());
-        let Some(oldest) = oldest.filter(|crash| now.since(crash.at) >= MIN_AGE) else {
-            return;
-        };
-        self.updates.push(QuarantineUpdate::Crashed {
-            content: part.common(),
-            server: oldest.server,
-            age_ms: age_ms(oldest.at, now),
-            others: oldest.other_requests,
-            silent: oldest.silent,
-            origin: Some(origin),
-        });
+        for part in parts {
+            let suspect = self.suspects.get(part.scoped());
+            let oldest = suspect.and_then(|suspect| suspect.crashes().first());
+            let Some(oldest) = oldest.filter(|crash| now.since(crash.at) >= MIN_AGE) else {
+                continue;
+            };
+            self.updates.push(QuarantineUpdate::Crashed {
+                content: part.common(),
+                server: oldest.server,
+                age_ms: age_ms(oldest.at, now),
+                others: oldest.other_requests,
+                silent: oldest.silent,
+                origin: Some(origin),
+            });
+        }
     }
 
     /// Records a successful run, which clears the content and the parts.
@@ -355,23 +369,41 @@
     /// Records that a stream went on for [`SURVIVAL_TIME`] after its first event, which clears
     /// the parts of its prompt.
     pub fn record_survival(&mut self, subjects: &RequestSubjects, now: Instant) {
-        for subject in subjects.parts.iter().flat_map(PromptPart::keys) {
+        let mut suspected = Vec::new();
+        for subject in keys(&subjects.parts) {
             self.survivors.refresh(subject, now);
-            self.clear_part(subject, now);
+            let suspect = self.suspects.get(subject);
+            if suspect.is_some_and(|s| !s.crashes().is_empty() || s.period.is_some()) {
+                suspected.push(subject);
+            }
         }
+        self.clear(&suspected, now, EndReason::Succeeded);
+        let updates = suspected.into_iter();
+        self.updates
+            .extend(updates.map(|content| QuarantineUpdate::Succeeded { content, age_ms: 0 }));
     }
+}
 
-    fn clear_part(&mut self, subject: Fingerprint, now: Instant) {
-        let Some(suspect) = self.suspects.get(&subject) else {
-            return;
-        };
-        if suspect.crashes().is_empty() && suspect.period.is_none() {
-            return;
-        }
-        self.clear(subject, now, crate::EndReason::Succeeded);
-        self.updates.push(QuarantineUpdate::Succeeded {
-            content: subject,
-            age_ms: 0,
-        });
+/// Returns the fingerprints of parts in their workspaces and in common.
+fn keys(parts: &[PromptPart]) -> impl Iterator<Item = Fingerprint> + use<'_> {
+    parts.iter().flat_map(PromptPart::keys)
+}
+
+/// Returns whether a quarantined part may have a trial run now. A part that survived before
+/// may have been quarantined by mistake, and refusals would last for the whole quarantine.
+fn is_trial_due(suspect: &Suspect, now: Instant) -> bool {
+    let Some(period) = suspect.period else {
+        return false;
+    };
+    if suspect.last_survival.is_none() || suspect.is_running(now) {
+        return false;
+    }
+    if suspect.failed_trials >= MAX_FAILED_TRIALS {
+        return false;
     }
+    let last = period
+        .since
+        .max(suspect.last_run())
+        .max(suspect.last_crash());
+    now.since(last) >= TRIAL_INTERVAL * (1 << suspect.failed_trials)
 }
--- a/crates/notchwalk_quarantine/src/quarantine/policy.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/policy.rs
@@ -1,12 +1,12 @@
 //! Decides which contents are quarantined and for how long, and expires old evidence.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use notchwalk_core::Instant;
 
 use super::{evidence::CRASH_RETENTION, Quarantine};
 use crate::{
-    suspect::{Incidents, QuarantinePeriod, Suspect},
+    suspect::{Incidents, Member, QuarantinePeriod, Suspect},
     update::{age_ms, saturating_ms, QuarantineUpdate},
     EndReason, Fingerprint, QuarantineDeclared, QuarantineFinding, SubjectKind,
 };
@@ -45,9 +45,10 @@
 const REQUEST_CAUSE_PROBABILITY: f64 = 0.5;
 
 /// A quarantine that begins on this node.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct NewQuarantine {
-    pub content: Fingerprint,
+    /// The content, or the parts with the same evidence.
+    pub subjects: Vec<Fingerprint>,
     pub kind: SubjectKind,
     pub period: QuarantinePeriod,
     /// Number of quarantines so far, including this one.
@@ -69,9 +70,8 @@
         self.ended_servers.retain(|_, &mut at| at > end_cutoff);
         let unconfirmed_cutoff = now.before(CONFIRMATION_TIMEOUT);
         let retention_cutoff = now.before(CRASH_RETENTION);
-        let contents: Vec<Fingerprint> = self.suspects.keys().copied().collect();
-        for content in contents {
-            let Some(suspect) = self.suspects.get_mut(&content) else {
+        for leader in self.suspects.leaders() {
+            let Some(suspect) = self.suspects.get_mut(leader) else {
                 continue;
             };
             suspect.retain(|crash| {
@@ -80,22 +80,18 @@
             if suspect.period.is_some_and(|period| now >= period.until) {
                 suspect.period = None;
                 suspect.retain(|_| false);
-                self.findings.push(QuarantineFinding::Ended {
-                    content,
-                    kind: suspect.kind,
-                    reason: EndReason::Lapsed,
-                });
+                self.report_end(leader, EndReason::Lapsed);
             }
         }
         self.count_failed_trials(now);
         self.declare_quarantines(now);
-        self.suspects.retain(|_, suspect| !is_expired(suspect, now));
+        self.suspects.retain(|suspect| !is_expired(suspect, now));
     }
 
     /// Quarantines all contents that reached their threshold. They are selected before any
     /// of them is quarantined, since a quarantine removes crashes from other suspects.
     pub(super) fn declare_quarantines(&mut self, now: Instant) {
-        let is_due = |subject: Fingerprint, suspect: &Suspect| {
+        let is_due = |suspect: &Suspect| {
             let is_observed_locally = suspect.crashes().iter().any(|crash| crash.observed_locally);
             let delay = match is_observed_locally {
                 true => DECLARATION_DELAY,
@@ -106,21 +102,16 @@
             reaches_threshold
                 && suspect.period.is_none()
                 && now.since(suspect.last_crash()) >= delay
-                && (suspect.kind == SubjectKind::Content
-                    || self.may_declare_part(subject, suspect, now))
+                && (suspect.kind == SubjectKind::Content || self.may_declare_part(suspect, now))
         };
-        let suspects = self.suspects.iter();
-        let due = suspects.filter(|(&subject, suspect)| is_due(subject, suspect));
-        let due: Vec<(Fingerprint, SubjectKind)> = due
-            .map(|(&content, suspect)| (content, suspect.kind))
-            .collect();
-        let together: Vec<Fingerprint> = due.iter().map(|&(content, _)| content).collect();
-        for (content, kind) in due {
-            let times = self
-                .suspects
-                .get(&content)
-                .map_or(0, |s| s.quarantine_count)
-                + 1;
+        let due = self.suspects.iter().filter(|(_, suspect)| is_due(suspect));
+        let due: Vec<Fingerprint> = due.map(|(leader, _)| leader).collect();
+        for &leader in &due {
+            let Some(suspect) = self.suspects.get(leader) else {
+                continue;
+            };
+            let (subjects, kind) = (suspect.subjects().collect(), suspect.kind);
+            let times = suspect.quarantine_count + 1;
             let doublings = (times - 1).min(u32::BITS / 2);
             let duration = INITIAL_QUARANTINE.saturating_mul(1 << doublings);
             let period = QuarantinePeriod {
@@ -128,38 +119,71 @@
                 until: now.after(duration.min(MAX_QUARANTINE)),
             };
             let quarantine = NewQuarantine {
-                content,
+                subjects,
                 kind,
                 period,
                 times,
                 declared_locally: true,
             };
-            self.put_in_quarantine(quarantine, &together, now);
+            self.put_in_quarantine(quarantine, &due, now);
         }
     }
 
-    /// Quarantines a content, unless it already is or was cleared after the start of `period`.
-    /// Removes its crashes from other suspects below their threshold, and from other parts.
-    /// `together` are the subjects that are quarantined at the same time: their evidence shows
-    /// later that one of them explains the others.
+    /// Quarantines a content or parts, unless they already are or were cleared after the start of
+    /// `period`. `together` are the subjects that are quarantined at the same time: their evidence
+    /// shows later that one of them explains the others.
     pub(super) fn put_in_quarantine(
         &mut self,
         quarantine: NewQuarantine,
         together: &[Fingerprint],
         now: Instant,
     ) {
-        let NewQuarantine {
-            content,
+        if now >= quarantine.period.until {
+            return;
+        }
+        let mut leaders = self.isolate(&quarantine.subjects);
+        let unknown = quarantine.subjects.iter();
+        let unknown = unknown.filter(|&&subject| !self.suspects.contains(subject));
+        let unknown: Vec<Member> = unknown
+            .map(|&subject| Member {
+                subject,
+                part: None,
+            })
+            .collect();
+        if !unknown.is_empty() {
+            self.evict_if_full(quarantine.kind, now);
+            let class = Suspect::new(quarantine.kind, unknown);
+            leaders.extend(self.suspects.add_class(class));
+        }
+        let together = together.iter();
+        let together: HashSet<Fingerprint> = together
+            .filter_map(|&subject| self.suspects.leader(subject))
+            .collect();
+        for leader in leaders {
+            self.quarantine_class(leader, &quarantine, &together, now);
+        }
+    }
+
+    /// Quarantines a class. Removes its crashes from other suspects below their threshold, and
+    /// from other parts.
+    fn quarantine_class(
+        &mut self,
+        leader: Fingerprint,
+        quarantine: &NewQuarantine,
+        together: &HashSet<Fingerprint>,
+        now: Instant,
+    ) {
+        let &NewQuarantine {
             kind,
             period,
             times,
             declared_locally,
+            ..
         } = quarantine;
-        if now >= period.until {
+        self.update_survival(leader);
+        let Some(suspect) = self.suspects.get_mut(leader) else {
             return;
-        }
-        self.evict_if_full(content, kind, now);
-        let suspect = self.suspects.entry(content).or_default();
+        };
         // An update of a quarantine that has ended meanwhile may arrive late.
         if suspect.is_quarantined(now) || period.since <= suspect.cleared_at {
             return;
@@ -169,43 +193,49 @@
         suspect.failed_trials = 0;
         suspect.quarantine_count = suspect.quarantine_count.max(times);
         suspect.count_expires_at = period.until.after(period.until.since(period.since));
-        let (crashes, part_id) = (suspect.crashes().to_vec(), suspect.part_id);
+        let quarantined = suspect.clone();
         if declared_locally {
-            self.updates.push(QuarantineUpdate::Quarantined {
-                content,
-                age_ms: age_ms(period.since, now),
-                left_ms: saturating_ms(period.until.since(now)),
-                times,
-                kind,
-            });
+            let updates = quarantined
+                .subjects()
+                .map(|content| QuarantineUpdate::Quarantined {
+                    content,
+                    age_ms: age_ms(period.since, now),
+                    left_ms: saturating_ms(period.until.since(now)),
+                    times,
+                    kind,
+                });
+            self.updates.extend(updates);
         }
-        for (&other, suspect) in &mut self.suspects {
-            if other == content || suspect.is_quarantined(now) || together.contains(&other) {
+        for (other, suspect) in self.suspects.iter_mut() {
+            if other == leader || suspect.is_quarantined(now) || together.contains(&other) {
                 continue;
             }
             // A sound part may have run on all servers that a fatal one crashed, since many
             // requests share it.
             let is_other_part = kind == SubjectKind::Part
                 && suspect.kind == SubjectKind::Part
-                && suspect.part_id != part_id;
+                && !suspect.is_same_part(&quarantined);
             let reaches_base_threshold = suspect.incidents().score() >= base_threshold(suspect);
             if reaches_base_threshold && !is_other_part {
                 continue;
             }
-            suspect.retain(|crash| !crashes.iter().any(|known| known.server == crash.server));
+            suspect.retain(|crash| !quarantined.ran_on(crash.server));
         }
-        for crash in &crashes {
+        for crash in quarantined.crashes() {
             self.update_correlation(crash.at, now);
         }
-        self.findings
-            .push(QuarantineFinding::Quarantined(QuarantineDeclared {
-                content,
-                kind,
-                crashes,
-                duration: period.until.since(now),
-                quarantine_count: times,
-                declared_locally,
-            }));
+        for member in quarantined.reported_members() {
+            self.findings
+                .push(QuarantineFinding::Quarantined(QuarantineDeclared {
+                    content: member.subject,
+                    kind,
+                    parts: quarantined.members().len(),
+                    crashes: quarantined.crashes().to_vec(),
+                    duration: period.until.since(now),
+                    quarantine_count: times,
+                    declared_locally,
+                }));
+        }
     }
 }
 
--- a/crates/notchwalk_quarantine/src/quarantine/unrelated_losses.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/unrelated_losses.rs
@@ -54,13 +54,12 @@
     /// Returns the lost servers that ran a content which is quarantined or had at least two
     /// incidents, and which may be the cause.
     fn attributed_servers(&self) -> HashSet<u32> {
-        let suspects = self.suspects.iter();
-        let likely_causes = suspects.filter(|(&subject, suspect)| {
-            let has_survived = self.survivors.contains(subject, self.last_tick);
+        let likely_causes = self.suspects.values().filter(|suspect| {
+            let has_survived = self.has_survived(suspect, self.last_tick);
             let is_repeated = suspect.may_be_cause() && suspect.incidents().count() > 1;
             suspect.period.is_some() || (is_repeated && !has_survived)
         });
-        let crashes = likely_causes.flat_map(|(_, suspect)| suspect.crashes());
+        let crashes = likely_causes.flat_map(|suspect| suspect.crashes());
         crashes.map(|crash| crash.server).collect()
     }
 }
--- a/crates/notchwalk_quarantine/src/recent.rs
+++ b/crates/notchwalk_quarantine/src/recent.rs
@@ -11,8 +11,9 @@
 use crate::Fingerprint;
 
 /// Maximum number of retained successes. That is 15 s of the 66 requests per second of a
-/// node at the target size with two parts of their own each; 200 KB.
-const CAPACITY: usize = 4_096;
+/// node at the target size with two parts of their own each, and ten prompts of 1,300 parts;
+/// 2 MB.
+const CAPACITY: usize = 32_768;
 /// How long a success is retained.
 const RETENTION: Duration = Duration::from_secs(15);
 
@@ -67,7 +68,12 @@
 
     /// Returns whether a content succeeded within the retention period.
     pub fn contains(&self, content: Fingerprint, now: Instant) -> bool {
-        let at = self.last_success(content);
-        at.is_some_and(|at| now.since(at) < RETENTION)
+        self.last_success(content)
+            .is_some_and(|at| is_recent(at, now))
     }
 }
+
+/// Returns whether a success counts as recent.
+pub(crate) fn is_recent(at: Instant, now: Instant) -> bool {
+    now.since(at) < RETENTION
+}
--- a/crates/notchwalk_quarantine/src/suspect.rs
+++ b/crates/notchwalk_quarantine/src/suspect.rs
@@ -1,4 +1,4 @@
-//! Crash evidence against one request content.
+//! Crash evidence against one request content, or against parts of prompts that ran together.
 
 use std::time::Duration;
 
@@ -21,6 +21,9 @@
 /// Maximum number of crashes retained for one content. A prompt may be split over 17 engines,
 /// any of which may have ended.
 const MAX_CRASHES: usize = 24;
+/// Maximum number of parts with the same evidence that are logged, persisted and shown one by
+/// one. Evidence against more has not singled out a cause.
+pub const MAX_RECORDED_PARTS: usize = 16;
 /// Delays after a crash at which the server's port is probed. A restarted server may listen
 /// again soon, and the port of a terminating server may close late.
 const PROBE_DELAYS: [Duration; 3] = [
@@ -90,12 +93,23 @@
     pub until: Instant,
 }
 
-/// The crash evidence against one content, its quarantine and its runs in flight.
-#[derive(Debug, Default)]
+/// A content, or a part of prompts, in a class of subjects with the same evidence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Member {
+    pub subject: Fingerprint,
+    /// The fingerprint of a part in common, the same for its evidence in each workspace; `None`
+    /// if it is not known.
+    pub part: Option<Fingerprint>,
+}
+
+/// The crash evidence against one content or a class of parts, its quarantine and its runs in
+/// flight.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Suspect {
     pub kind: SubjectKind,
-    /// The fingerprint of a part in common, the same for its evidence in each workspace.
-    pub part_id: Option<Fingerprint>,
+    members: Vec<Member>,
+    /// When a part of the class survived last; current while there are crashes.
+    pub last_survival: Option<Instant>,
     /// What the crashes of a part have in common; `None` for contents.
     pub part: Option<PartEvidence>,
     /// Ordered by time.
@@ -152,6 +166,64 @@
 }
 
 impl Suspect {
+    /// Creates a suspect without evidence.
+    pub fn new(kind: SubjectKind, members: Vec<Member>) -> Self {
+        Self {
+            kind,
+            members,
+            ..Self::default()
+        }
+    }
+
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    pub fn subjects(&self) -> impl Iterator<Item = Fingerprint> + use<'_> {
+        self.members.iter().map(|member| member.subject)
+    }
+
+    /// Returns the members that are logged, persisted and shown one by one: all of a small
+    /// class, one of a large one.
+    pub fn reported_members(&self) -> &[Member] {
+        match self.members.len() {
+            0..=MAX_RECORDED_PARTS => &self.members,
+            _ => &self.members[..1],
+        }
+    }
+
+    /// Removes the members that `is_removed` selects and returns them as a suspect with the
+    /// same evidence.
+    pub fn split_off(&mut self, is_removed: impl Fn(&Member) -> bool) -> Self {
+        let (removed, kept) = self.members.iter().partition(|member| is_removed(member));
+        self.members = kept;
+        Self {
+            members: removed,
+            ..self.clone()
+        }
+    }
+
+    /// Sets the fingerprints in common of members that are not known yet.
+    pub fn set_parts(&mut self, part_of: impl Fn(Fingerprint) -> Option<Fingerprint>) {
+        for member in &mut self.members {
+            member.part = part_of(member.subject).or(member.part);
+        }
+    }
+
+    /// Returns the fingerprint in common of one of the parts.
+    pub fn part_id(&self) -> Option<Fingerprint> {
+        self.members.first()?.part
+    }
+
+    /// Returns whether both are the evidence of one and the same part, in different workspaces
+    /// or in common.
+    pub fn is_same_part(&self, other: &Self) -> bool {
+        match (self.members.as_slice(), other.members.as_slice()) {
+            ([own], [other]) => own.part == other.part,
+            _ => false,
+        }
+    }
+
     pub fn crashes(&self) -> &[Crash] {
         &self.crashes
     }
--- a/crates/notchwalk_quarantine/src/update.rs
+++ b/crates/notchwalk_quarantine/src/update.rs
@@ -59,6 +59,12 @@
         /// The suspect's content.
         content: Fingerprint,
     },
+    /// The sender started to run a request with parts that have the same evidence as this one,
+    /// too many to list.
+    RunningClass {
+        /// One of the parts.
+        content: Fingerprint,
+    },
     /// The sender's run of a suspect ended.
     Idle {
         /// The suspect's content.
@@ -87,6 +93,45 @@
     },
 }
 
+impl QuarantineUpdate {
+    /// Returns the content or part that it is about, if it is about one.
+    pub fn subject(&self) -> Option<Fingerprint> {
+        match *self {
+            Self::Crashed { content, .. }
+            | Self::Succeeded { content, .. }
+            | Self::Running { content }
+            | Self::RunningClass { content }
+            | Self::Idle { content }
+            | Self::Quarantined { content, .. }
+            | Self::Released { content, .. } => Some(content),
+            Self::ServerEnded { .. } | Self::ServerAlive { .. } => None,
+        }
+    }
+
+    /// Returns the same update about another content or part.
+    pub fn with_subject(mut self, subject: Fingerprint) -> Self {
+        match &mut self {
+            Self::Crashed { content, .. }
+            | Self::Succeeded { content, .. }
+            | Self::Running { content }
+            | Self::RunningClass { content }
+            | Self::Idle { content }
+            | Self::Quarantined { content, .. }
+            | Self::Released { content, .. } => *content = subject,
+            Self::ServerEnded { .. } | Self::ServerAlive { .. } => {}
+        }
+        self
+    }
+
+    /// Returns whether two updates say the same about different contents or parts.
+    pub fn differs_in_subject(&self, other: &Self) -> bool {
+        let (Some(subject), Some(_)) = (self.subject(), other.subject()) else {
+            return false;
+        };
+        *self == other.with_subject(subject)
+    }
+}
+
 /// Returns the age of `at` in an update, in milliseconds.
 pub(crate) fn age_ms(at: Instant, now: Instant) -> u32 {
     saturating_ms(now.since(at))
--- a/crates/notchwalk_quarantine/src/verdict.rs
+++ b/crates/notchwalk_quarantine/src/verdict.rs
@@ -56,6 +56,8 @@
     pub content: Fingerprint,
     /// Which of the two it is.
     pub kind: SubjectKind,
+    /// Number of parts with the same evidence that are quarantined together; 1 for a content.
+    pub parts: usize,
     /// The crashes for which it is quarantined, as known to this node.
     pub crashes: Vec<Crash>,
     /// The duration of the quarantine.
@@ -113,6 +115,8 @@
     pub content: Fingerprint,
     /// Which of the two it is.
     pub kind: SubjectKind,
+    /// Number of parts with the same evidence; 1 for a content.
+    pub parts: usize,
     /// The crashes attributed to it.
     pub crashes: &'a [Crash],
     /// The current verdict.
--- a/crates/notchwalk_relay/src/dialect.rs
+++ b/crates/notchwalk_relay/src/dialect.rs
@@ -11,9 +11,6 @@
 
 use crate::ResponseFacts;
 
-/// Maximum number of parts of a prompt that are examined as the cause of crashes.
-pub const MAX_SHARED_PARTS: usize = 32;
-
 /// The decoded head of a caller's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallerFacts {
@@ -31,8 +28,8 @@
     pub estimated_output_tokens: Option<u32>,
     /// The id of the last event received of an interrupted stream.
     pub last_event_id: Option<u64>,
-    /// The parts of the prompt that other requests may share, by their ids and in order, at
-    /// most [`MAX_SHARED_PARTS`].
+    /// The parts of the prompt that other requests may share, by their ids and in order. The size
+    /// of the head bounds their number.
     pub shared_parts: Vec<Fingerprint>,
 }
 
--- a/crates/notchwalk_relay/src/lib.rs
+++ b/crates/notchwalk_relay/src/lib.rs
@@ -38,9 +38,7 @@
 pub mod prelude;
 
 pub use daemon::{run, Environment};
-pub use dialect::{
-    BackendRequest, CallerFacts, DecodedConfig, Dialect, DirectoryResponse, MAX_SHARED_PARTS,
-};
+pub use dialect::{BackendRequest, CallerFacts, DecodedConfig, Dialect, DirectoryResponse};
 pub use response::{AnnouncedLimit, ResponseFacts, ResponseKind, RetryAfter};
 pub use settings::RelaySettings;
 pub use stream_events::EventSplitter;
--- a/crates/notchwalk_relay/src/peer_link.rs
+++ b/crates/notchwalk_relay/src/peer_link.rs
@@ -10,7 +10,7 @@
 use monoio::net::udp::UdpSocket;
 use notchwalk_core::{LogEvent, LogEventKind};
 use notchwalk_platform::StoreVersion;
-use notchwalk_quarantine::QuarantineUpdate;
+use notchwalk_quarantine::{Fingerprint, QuarantineUpdate};
 use notchwalk_route::{
     Event, LimitScope, LimitUpdate, PeerStatus, PeerWork, ProcessRetries, ServiceRetries,
 };
@@ -22,8 +22,11 @@
 const HEARTBEATS_PER_FULL_UPDATE: u32 = 4;
 /// Maximum number of work items per datagram, so that it fits one packet.
 const MAX_WORK_PER_DATAGRAM: usize = 60;
-/// Maximum number of suspect updates per datagram.
+/// Maximum number of different suspect updates per datagram.
 const MAX_SUSPECTS_PER_DATAGRAM: usize = 12;
+/// Maximum number of contents and parts that the suspect updates of a datagram are about, of 18
+/// bytes each.
+const MAX_SUBJECTS_PER_DATAGRAM: usize = 48;
 /// Maximum number of draining servers per datagram. Rollouts drain a few at a time;
 /// nodes detect any others by the servers' own responses.
 const MAX_DRAINING_PER_DATAGRAM: usize = 64;
@@ -53,9 +56,9 @@
     servers: Vec<u32>,
     /// The sender's work in progress on `servers`.
     work: Vec<PeerWork>,
-    /// Updates on suspected request contents.
+    /// Updates on suspected request contents and parts of prompts.
     #[serde(default)]
-    suspects: Vec<QuarantineUpdate>,
+    suspects: Vec<SuspectUpdate>,
     /// Incarnations of servers that announced to the sender that they are draining.
     #[serde(default)]
     draining: Vec<u32>,
@@ -79,6 +82,41 @@
     store_response_age_ms: Option<u64>,
 }
 
+/// An update on a suspect, and the further subjects that it holds for: a prompt may have more
+/// than a thousand parts that crashed together.
+#[derive(Debug, Serialize_tuple, Deserialize_tuple)]
+struct SuspectUpdate {
+    update: QuarantineUpdate,
+    also: Vec<Fingerprint>,
+}
+
+impl SuspectUpdate {
+    /// Joins consecutive updates that differ only in their subjects, up to `max_subjects` each.
+    fn join(updates: &[QuarantineUpdate], max_subjects: usize) -> Vec<Self> {
+        let batches = updates.chunk_by(QuarantineUpdate::differs_in_subject);
+        let batches = batches.flat_map(|batch| batch.chunks(max_subjects));
+        let joined = batches.filter_map(|batch| {
+            let (&update, also) = batch.split_first()?;
+            Some(Self {
+                update,
+                also: also.iter().filter_map(QuarantineUpdate::subject).collect(),
+            })
+        });
+        joined.collect()
+    }
+
+    /// Returns the updates that were joined.
+    fn split(&self) -> impl Iterator<Item = QuarantineUpdate> + use<'_> {
+        let also = self.also.iter();
+        let also = also.map(|&subject| self.update.with_subject(subject));
+        std::iter::once(self.update).chain(also)
+    }
+
+    fn subject_count(&self) -> usize {
+        self.also.len() + 1
+    }
+}
+
 fn message(shell: &Shell, servers: Vec<u32>, work: Vec<PeerWork>) -> PeerMessage {
     PeerMessage {
         boot: shell.boot,
@@ -128,9 +166,22 @@
     mut messages: Vec<PeerMessage>,
     suspects: &[QuarantineUpdate],
 ) -> Vec<PeerMessage> {
-    for chunk in suspects.chunks(MAX_SUSPECTS_PER_DATAGRAM) {
+    let mut joined = SuspectUpdate::join(suspects, MAX_SUBJECTS_PER_DATAGRAM)
+        .into_iter()
+        .peekable();
+    while joined.peek().is_some() {
         let mut outgoing = message(shell, Vec::new(), Vec::new());
-        outgoing.suspects = chunk.to_vec();
+        let mut subjects = 0;
+        while outgoing.suspects.len() < MAX_SUSPECTS_PER_DATAGRAM {
+            let fits = |next: &SuspectUpdate| {
+                subjects == 0 || subjects + next.subject_count() <= MAX_SUBJECTS_PER_DATAGRAM
+            };
+            let Some(next) = joined.next_if(fits) else {
+                break;
+            };
+            subjects += next.subject_count();
+            outgoing.suspects.push(next);
+        }
         messages.push(outgoing);
     }
     messages
@@ -408,7 +459,11 @@
     if !message.suspects.is_empty() {
         shell.step(Event::QuarantineUpdates {
             peer: number,
-            updates: message.suspects,
+            updates: message
+                .suspects
+                .iter()
+                .flat_map(SuspectUpdate::split)
+                .collect(),
         });
     }
     if !message.draining.is_empty() {
--- a/crates/notchwalk_relay/src/quarantine.rs
+++ b/crates/notchwalk_relay/src/quarantine.rs
@@ -14,6 +14,7 @@
 use notchwalk_platform::{Row, RowWrite};
 use notchwalk_quarantine::{
     Crash, EndReason, Fingerprint, QuarantineDeclared, QuarantineFinding, SubjectKind, Verdict,
+    MAX_RECORDED_PARTS,
 };
 use notchwalk_route::{Event, Fleet};
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
@@ -79,7 +80,7 @@
         } => log_crash(shell, content, kind, &crash, incidents),
         QuarantineFinding::Quarantined(quarantined) => {
             log_quarantined(shell, &quarantined);
-            if quarantined.declared_locally {
+            if quarantined.declared_locally && quarantined.parts <= MAX_RECORDED_PARTS {
                 monoio::spawn(persist(
                     shell.clone(),
                     quarantined.content,
@@ -146,9 +147,10 @@
     });
     let crashes: Vec<String> = crashes.collect();
     let facts = format!(
-        "{}={} lasts_s={} times={} declared_here={} crashes={}",
+        "{}={} parts={} lasts_s={} times={} declared_here={} crashes={}",
         kind_label(quarantined.kind),
         quarantined.content,
+        quarantined.parts,
         quarantined.duration.as_secs(),
         quarantined.quarantine_count,
         quarantined.declared_locally,
@@ -199,7 +201,9 @@
     let missing: Vec<(Fingerprint, SubjectKind, u32)> = {
         let router = shell.router.borrow();
         let suspects = router.quarantine().suspect_views(now).into_iter();
-        let quarantined = suspects.filter(|s| matches!(s.verdict, Verdict::Quarantined { .. }));
+        let quarantined = suspects.filter(|s| {
+            matches!(s.verdict, Verdict::Quarantined { .. }) && s.parts <= MAX_RECORDED_PARTS
+        });
         let missing = quarantined.filter(|s| !stored.contains(&row_key(s.content, s.kind)));
         let missing = missing.map(|s| (s.content, s.kind, s.quarantine_count));
         missing.collect()
@@ -308,6 +312,7 @@
         serde_json::json!({
             "content": suspect.content.to_string(),
             "kind": kind_label(suspect.kind),
+            "parts": suspect.parts,
             "verdict": label,
             "left_ms": left.map(|left| left.as_millis() as u64),
             "times": suspect.quarantine_count,
--- a/crates/notchwalk_route/src/router/suspects.rs
+++ b/crates/notchwalk_route/src/router/suspects.rs
@@ -3,7 +3,7 @@
 //! Guards against a request that crashes every server it runs on and that its caller retries
 //! at any node.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use notchwalk_core::Instant;
 use notchwalk_quarantine::{
@@ -285,6 +285,7 @@
         now: Instant,
     ) {
         self.quarantine.apply_updates(peer, updates, now);
+        let mut crashed_parts = HashSet::new();
         for update in updates {
             let QuarantineUpdate::Crashed {
                 content, origin, ..
@@ -294,23 +295,25 @@
             };
             // The peer's count doesn't include runs on this node.
             if origin.is_some() {
-                self.publish_part_runs(content, now);
+                crashed_parts.insert(content);
             } else if self.is_running(content) {
                 self.quarantine.record_send(content, now);
             }
         }
+        if !crashed_parts.is_empty() {
+            self.publish_part_runs(&crashed_parts, now);
+        }
     }
 
-    /// Publishes that requests of this node with a part of prompts are running.
-    fn publish_part_runs(&mut self, common: Fingerprint, now: Instant) {
+    /// Publishes that requests of this node with these parts of prompts are running. `parts` are
+    /// their fingerprints in common.
+    fn publish_part_runs(&mut self, parts: &HashSet<Fingerprint>, now: Instant) {
         let requests = self.requests.values().flatten();
         let running = requests.filter(|request| request.server.is_some() && !request.survived);
-        let parts = running.flat_map(|request| &request.subjects.parts);
-        let mut parts: Vec<PromptPart> = parts.filter(|p| p.common() == common).copied().collect();
-        parts.dedup();
-        for part in parts {
-            self.quarantine.record_part_run(part, now);
-        }
+        let running = running.flat_map(|request| &request.subjects.parts);
+        let running = running.filter(|part| parts.contains(&part.common()));
+        let running: Vec<PromptPart> = running.copied().collect();
+        self.quarantine.record_part_runs(&running, now);
     }
 
     /// Returns whether a request of this node with this content is assigned to a server.
