HTTP server: a response without a body consists of its head

Cause: streamed responses were framed in chunks whatever their status and method.

Fix: 1xx, 204, 304 and responses to HEAD have no body and, but for HEAD, no framing headers.

--- a/crates/notchwalk_http/src/body.rs
+++ b/crates/notchwalk_http/src/body.rs
@@ -48,10 +48,7 @@
     ///
     /// Rejects contradictory or malformed framing.
     pub fn for_response(status: http::StatusCode, headers: &HeaderMap) -> Result<Self, HttpError> {
-        let has_no_body = status.is_informational()
-            || status == http::StatusCode::NO_CONTENT
-            || status == http::StatusCode::NOT_MODIFIED;
-        if has_no_body {
+        if !may_have_body(status) {
             return Ok(Self::Done);
         }
         Ok(Self::from_headers(headers)?.unwrap_or(Self::UntilClose))
@@ -134,3 +131,10 @@
         }
     }
 }
+
+/// Returns whether a response with this status may have a body.
+pub(crate) fn may_have_body(status: http::StatusCode) -> bool {
+    !status.is_informational()
+        && status != http::StatusCode::NO_CONTENT
+        && status != http::StatusCode::NOT_MODIFIED
+}
--- a/crates/notchwalk_http/src/head.rs
+++ b/crates/notchwalk_http/src/head.rs
@@ -4,6 +4,8 @@
 
 use http::{header, HeaderMap, Method, StatusCode};
 
+use crate::body::may_have_body;
+
 /// The last chunk of a chunked body.
 pub const CHUNK_END: &[u8] = b"0\r\n\r\n";
 
@@ -17,7 +19,12 @@
     let mut buf = Vec::with_capacity(256);
     let reason = status.canonical_reason().unwrap_or("");
     let _ = write!(buf, "HTTP/1.1 {} {reason}\r\n", status.as_u16());
-    finish_head(&mut buf, headers, length);
+    if may_have_body(status) {
+        finish_head(&mut buf, headers, length);
+        return buf;
+    }
+    append_headers(&mut buf, headers);
+    buf.extend_from_slice(b"\r\n");
     buf
 }
 
@@ -37,6 +44,17 @@
 
 /// Appends the headers, the framing header and the empty line that ends a head.
 fn finish_head(buf: &mut Vec<u8>, headers: &HeaderMap, length: Option<usize>) {
+    append_headers(buf, headers);
+    match length {
+        Some(n) => {
+            let _ = write!(buf, "content-length: {n}\r\n\r\n");
+        }
+        None => buf.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n"),
+    }
+}
+
+/// Appends the headers but for those that frame the body.
+fn append_headers(buf: &mut Vec<u8>, headers: &HeaderMap) {
     for (name, value) in headers {
         if *name == header::CONTENT_LENGTH || *name == header::TRANSFER_ENCODING {
             continue;
@@ -46,12 +64,6 @@
         buf.extend_from_slice(value.as_bytes());
         buf.extend_from_slice(b"\r\n");
     }
-    match length {
-        Some(n) => {
-            let _ = write!(buf, "content-length: {n}\r\n\r\n");
-        }
-        None => buf.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n"),
-    }
 }
 
 /// Appends `data` to `buf` as one chunk. Empty data adds nothing, since an empty chunk
--- a/crates/notchwalk_http/src/server.rs
+++ b/crates/notchwalk_http/src/server.rs
@@ -11,8 +11,8 @@
 use serde::Serialize;
 
 use crate::{
-    encode_chunk, encode_response_head, open_exchanges::OpenExchangeGuard, BodyReader, Connection,
-    HttpError, LocalBoxFuture, OpenExchanges, CHUNK_END,
+    body::may_have_body, encode_chunk, encode_response_head, open_exchanges::OpenExchangeGuard,
+    BodyReader, Connection, HttpError, LocalBoxFuture, OpenExchanges, CHUNK_END,
 };
 
 /// Maximum size of an unread request body that is read and discarded to keep the connection
@@ -91,6 +91,8 @@
     body: BodyReader,
     limits: ServerLimits,
     sent: Sent,
+    /// Whether the streamed response may have a body.
+    streams_body: bool,
     keep_alive: bool,
     open: Option<OpenExchangeGuard>,
 }
@@ -112,6 +114,7 @@
             body: BodyReader::Done,
             limits,
             sent: Sent::Nothing,
+            streams_body: true,
             keep_alive,
             open: Some(open),
         }
@@ -227,7 +230,7 @@
         }
         self.prepare_headers(&mut headers);
         let mut buf = encode_response_head(status, &headers, Some(body.len()));
-        if self.head.method != http::Method::HEAD {
+        if self.head.method != http::Method::HEAD && may_have_body(status) {
             buf.extend_from_slice(body);
         }
         self.sent = Sent::All;
@@ -264,7 +267,9 @@
         }
     }
 
-    /// Starts a streamed response; `first` is sent with the head.
+    /// Starts a streamed response; `first` is sent with the head. The response to a `HEAD`
+    /// request and one whose status allows no body consist of the head only: further bytes would
+    /// stand before the next response.
     ///
     /// # Errors
     ///
@@ -277,7 +282,10 @@
     ) -> Result<(), HttpError> {
         self.prepare_headers(&mut headers);
         let mut buf = encode_response_head(status, &headers, None);
-        encode_chunk(&mut buf, first);
+        self.streams_body = self.head.method != http::Method::HEAD && may_have_body(status);
+        if self.streams_body {
+            encode_chunk(&mut buf, first);
+        }
         self.sent = Sent::Head;
         self.write(&buf).await
     }
@@ -288,6 +296,9 @@
     ///
     /// Fails on socket errors, and if the peer reads too slowly.
     pub async fn write_chunks(&mut self, encoded: &[u8]) -> Result<(), HttpError> {
+        if !self.streams_body {
+            return Ok(());
+        }
         self.write(encoded).await
     }
 
@@ -298,6 +309,9 @@
     /// Fails on socket errors and if the write times out.
     pub async fn finish_stream(&mut self) -> Result<(), HttpError> {
         self.sent = Sent::All;
+        if !self.streams_body {
+            return Ok(());
+        }
         self.write(CHUNK_END).await
     }
 
