HTTP client: interim responses without end are an error

Callers saw: a request whose server sends 1xx responses without end got no response within 20 s, not even at its deadline. The task never yields then, and the node has one thread.

Cause: interim responses were skipped in a loop that need not wait while further ones have arrived.

Fix: at most 32 interim responses.

--- a/crates/notchwalk_http/src/connection.rs
+++ b/crates/notchwalk_http/src/connection.rs
@@ -90,12 +90,16 @@
     ///
     /// Fails on malformed or oversized heads and closed connections.
     pub async fn read_response_head(&mut self) -> Result<ResponseHead, HttpError> {
-        loop {
+        /// Interim responses without end would keep the task from ever yielding.
+        const MAX_INTERIM_RESPONSES: usize = 32;
+        for _ in 0..=MAX_INTERIM_RESPONSES {
             let head = self.read_head(ResponseHeadDecoder, MAX_HEAD_BYTES).await?;
             if !head.status.is_informational() {
                 return Ok(head);
             }
         }
+        let reason = format!("more than {MAX_INTERIM_RESPONSES} interim responses");
+        Err(HttpError::Head(reason))
     }
 
     async fn read_head<D>(&mut self, mut decoder: D, max_bytes: usize) -> Result<D::Item, HttpError>
