HTTP: the size of a chunk is bounded

Callers saw: nothing; a server that sends the size of a chunk without end had 20 MB read on a stream before its connection was closed.

Cause: the line with the size was bounded by the largest chunk (16 MB) and read from its start with each packet.

Fix: 1,024 bytes for the line. size_of_a_chunk_is_bounded is new; on the code before, the decoder asked for more bytes.

--- a/crates/notchwalk_http/src/body.rs
+++ b/crates/notchwalk_http/src/body.rs
@@ -18,6 +18,38 @@
     UntilClose,
 }
 
+/// Maximum length of the line with a chunk's size, in bytes.
+const MAX_CHUNK_SIZE_LINE_BYTES: usize = 1_024;
+
+/// Decoder state of a chunked body.
+#[derive(Default)]
+pub struct ChunkedBody {
+    decoder: ChunkedBodyDecoder,
+    /// Whether the size of the current chunk was read.
+    in_chunk: bool,
+}
+
+impl ChunkedBody {
+    /// Splits the next chunk off `buf`; `None` if more bytes are needed, and an empty chunk at
+    /// the end of the body.
+    fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, HttpError> {
+        // The decoder reads the line with the size from its start each time.
+        let start = buf.get(..MAX_CHUNK_SIZE_LINE_BYTES);
+        let is_too_long = |start: &[u8]| !start.contains(&b'\r');
+        if !self.in_chunk && start.is_some_and(is_too_long) {
+            return Err(HttpError::Framing);
+        }
+        let before = buf.len();
+        let decoded = self.decoder.decode(buf).map_err(|_| HttpError::Framing)?;
+        let Decoded::Some(chunk) = decoded else {
+            self.in_chunk |= buf.len() < before;
+            return Ok(None);
+        };
+        self.in_chunk = false;
+        Ok(Some(chunk.unwrap_or_default()))
+    }
+}
+
 /// Decoder state of one message body.
 #[derive(Default)]
 pub enum BodyReader {
@@ -27,7 +59,7 @@
     /// The number of bytes that remain, from `Content-Length`.
     Fixed(u64),
     /// Chunked transfer coding.
-    Chunked(ChunkedBodyDecoder),
+    Chunked(ChunkedBody),
     /// The body ends when the connection is closed.
     UntilClose,
 }
@@ -62,7 +94,7 @@
         };
         let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
         let Some(length) = lengths.next() else {
-            return Ok(chunked.then(|| Self::Chunked(ChunkedBodyDecoder::default())));
+            return Ok(chunked.then(|| Self::Chunked(ChunkedBody::default())));
         };
         if chunked || lengths.next().is_some() {
             return Err(HttpError::Framing);
@@ -119,15 +151,13 @@
                 }
                 Ok(Some(buf.split_to(n as usize).freeze()))
             }
-            Self::Chunked(decoder) => match decoder.decode(buf) {
-                Ok(Decoded::Some(Some(piece))) => Ok(Some(piece)),
-                Ok(Decoded::Some(None)) => {
+            Self::Chunked(body) => {
+                let chunk = body.decode(buf)?;
+                if chunk.as_ref().is_some_and(Bytes::is_empty) {
                     *self = Self::Done;
-                    Ok(Some(Bytes::new()))
                 }
-                Ok(_) => Ok(None),
-                Err(_) => Err(HttpError::Framing),
-            },
+                Ok(chunk)
+            }
         }
     }
 }
--- a/crates/notchwalk_http/src/lib.rs
+++ b/crates/notchwalk_http/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub mod prelude;
 
-pub use body::{BodyFraming, BodyReader};
+pub use body::{BodyFraming, BodyReader, ChunkedBody};
 pub use client::{BufferedResponse, Client, ConnectionReuse, OutgoingRequest, StreamedResponse};
 pub use connection::{Connection, MAX_HEAD_BYTES};
 pub use error::HttpError;
--- a/crates/notchwalk_http/tests/bodies.rs
+++ b/crates/notchwalk_http/tests/bodies.rs
@@ -62,3 +62,33 @@
         prop_assert!(BodyReader::for_request(&headers).is_err(), "accepted both Content-Length and Transfer-Encoding");
     }
 }
+
+/// Guards against a size without end, which occupied memory up to the largest chunk.
+#[test]
+fn size_of_a_chunk_is_bounded() {
+    let mut body = BodyReader::for_request(&chunked_headers()).expect("framing");
+    let mut buf = BytesMut::from(&b"0".repeat(2_000)[..]);
+    assert!(body.decode(&mut buf).is_err());
+}
+
+#[test]
+fn chunk_that_arrives_in_pieces_is_decoded_whatever_it_holds() {
+    let mut body = BodyReader::for_request(&chunked_headers()).expect("framing");
+    let data = b"0".repeat(5_000);
+    let mut text = b"1388\r\n".to_vec();
+    text.extend_from_slice(&data);
+    text.extend_from_slice(b"\r\n0\r\n\r\n");
+    let mut buf = BytesMut::new();
+    let mut decoded = Vec::new();
+    for byte in text {
+        buf.extend_from_slice(&[byte]);
+        while let Some(piece) = body.decode(&mut buf).expect("framing") {
+            decoded.extend_from_slice(&piece);
+            if body.is_done() {
+                break;
+            }
+        }
+    }
+    assert!(body.is_done());
+    assert_eq!(decoded, data);
+}
