Comments: what the bound on explaining parts and the seed of a node are for

Comments only, found while reading the diff: "as many as matter" names its constant now, and the random seed of a node says what it selects. No behaviour changes.

--- a/crates/notchwalk_quarantine/src/quarantine/explanation.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/explanation.rs
@@ -40,7 +40,7 @@
 /// Parts with the same evidence, as an explanation of the crashes of another one.
 pub(super) struct OtherParts<'a> {
     pub suspect: &'a Suspect,
-    /// Their fingerprints in common, as many as matter.
+    /// Their fingerprints in common, at most one more than [`MAX_EXPLAINING_PARTS`].
     ids: Vec<Option<Fingerprint>>,
 }
 
--- a/crates/notchwalk_quarantine/src/quarantine/mod.rs
+++ b/crates/notchwalk_quarantine/src/quarantine/mod.rs
@@ -46,7 +46,7 @@
     updates: Vec<QuarantineUpdate>,
     findings: Vec<QuarantineFinding>,
     last_tick: Instant,
-    /// Differs between nodes.
+    /// Random, so that nodes choose different subsets of what all of them know.
     node_seed: RandomState,
     /// When this node started to observe the ends of servers.
     observing_since: Option<Instant>,
