--- a/crates/notchwalk_standin/src/fleet.rs
+++ b/crates/notchwalk_standin/src/fleet.rs
@@ -63,6 +63,8 @@
     /// The program (`notchwalk-standin`) that runs each node as a separate process. If `None`,
     /// nodes are threads of this process.
     pub node_program: Option<PathBuf>,
+    /// The `[limits]` of nodes that run as processes, as INI lines.
+    pub node_limits: String,
 }
 
 impl FleetConfig {
@@ -91,6 +93,7 @@
             platform: PlatformConfig::default(),
             node_list_ttl: Duration::from_secs(2),
             node_program: None,
+            node_limits: String::new(),
         }
     }
 
@@ -114,6 +117,12 @@
         self
     }
 
+    /// Sets the `[limits]` of nodes that run as processes, as INI lines.
+    pub fn with_node_limits(mut self, limits: &str) -> Self {
+        self.node_limits = limits.to_owned();
+        self
+    }
+
     /// Sets the policy settings, as INI lines.
     pub fn with_policy(mut self, policy: &str) -> Self {
         self.bundle.policy = policy.to_owned();
@@ -258,10 +267,11 @@
         format!(
             "[daemon]\nvm = {vm}\nfailure_domain = {failure_domain}\ncaller_address = 127.0.0.1:0\n\
              peer_address = 127.0.0.1:0\noperator_address = 127.0.0.1:0\n\
-             entries_ttl_ms = {}\n[platform]\naddress = {}\n[peers]\nkeys = {}\n",
+             entries_ttl_ms = {}\n[platform]\naddress = {}\n[peers]\nkeys = {}\n[limits]\n{}",
             self.config.node_list_ttl.as_millis(),
             self.platform,
-            self.peer_key.to_hex()
+            self.peer_key.to_hex(),
+            self.config.node_limits
         )
     }
 
--- a/crates/notchwalk_standin/src/lib.rs
+++ b/crates/notchwalk_standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod bench;
 pub mod caller;
 pub mod completion;
+pub mod crowd;
 pub mod demo;
 pub mod deployment;
 pub mod engine;
