Completions: parameters are decoded without an intermediate form

Callers saw a daemon run out of memory: a body of 4 MiB whose `logit_bias` is a list of empty lists occupies 45 MB while it waits.

Cause: parameters that are passed through, or only looked at, were decoded into JSON values of 32 bytes for three bytes of text; prompts went through the buffer of an untagged enum, 32 bytes a token; stop sequences and token ids had no bound.

Why it works: such parameters keep their text; prompts, stop sequences and messages are decoded straight into what is kept of them.

--- a/crates/notchwalk_standin/src/bench/relay.rs
+++ b/crates/notchwalk_standin/src/bench/relay.rs
@@ -121,7 +121,7 @@
         offset: 0,
         max_tokens,
         imports: Vec::new(),
-        sampling: serde_json::Map::new(),
+        sampling: notchwalk_wire::SamplingParams::new(),
         stop: Vec::new(),
         prompt: Prompt::Text(prompt.to_owned()),
     };
--- /dev/null
+++ b/crates/notchwalk_standin/tests/misbehaving_clients.rs
@@ -0,0 +1,181 @@
+//! A daemon as a process of its own, and clients that exceed its limits, stop in the middle of a
+//! message or never read. After each crowd the process lives, its memory and descriptors stayed
+//! within those of its machine, and an ordinary request is answered.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use notchwalk_standin::{
+    crowd::{ClientScript, Crowd, ProcessWatch},
+    fleet::{Fleet, FleetConfig},
+    operators::WorkspaceSpec,
+};
+
+/// Memory that a daemon may take, in bytes.
+const MACHINE_MEMORY_BYTES: u64 = 256_000_000;
+/// Descriptors that a daemon may take.
+const MACHINE_DESCRIPTORS: usize = 1_000;
+const MAX_BODY_BYTES: usize = 4 << 20;
+/// Limits of the daemon in these tests.
+const LIMITS: &str = "max_body_bytes = 4194304\nmax_connections = 300\n";
+const MAX_ATTEMPTS: usize = 10;
+const CLIENTS: usize = 90;
+const CHUNKED: &str = "transfer-encoding: chunked\r\n";
+
+struct Machine {
+    fleet: Fleet,
+    watch: ProcessWatch,
+    /// Keeps other crowds off the test machine.
+    _turn: MutexGuard<'static, ()>,
+}
+
+fn request_head(method_and_path: &str, headers: &str) -> String {
+    format!(
+        "{method_and_path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-of-desk\r\n\
+         x-notchwalk-timeout-ms: 60000\r\n{headers}\r\n"
+    )
+}
+
+fn completion_head(headers: &str) -> String {
+    request_head("POST /v1/completions", headers)
+}
+
+/// Returns a complete request for a completion with this body.
+fn completion(body: &str) -> String {
+    completion_head(&format!("content-length: {}\r\n", body.len())) + body
+}
+
+impl Machine {
+    fn start() -> Self {
+        Self::start_with(LIMITS, |config| config)
+    }
+
+    fn start_with(limits: &str, adjust: impl FnOnce(FleetConfig) -> FleetConfig) -> Self {
+        static TURN: Mutex<()> = Mutex::new(());
+        let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+        let config = FleetConfig::new(vec![WorkspaceSpec::new("desk", 1.0)])
+            .with_sizes(1, 1, 1)
+            .with_node_program(env!("CARGO_BIN_EXE_notchwalk-standin"))
+            .with_node_limits(limits);
+        let fleet = Fleet::start(adjust(config));
+        let node = fleet.nodes[0].as_ref().expect("node is not running");
+        let id = node.process_id().expect("the node is a process");
+        Self {
+            watch: ProcessWatch::new(id),
+            fleet,
+            _turn: turn,
+        }
+    }
+
+    fn caller(&self) -> SocketAddr {
+        self.fleet.caller_addrs()[0]
+    }
+
+    fn operator(&self) -> SocketAddr {
+        self.addresses().operator
+    }
+
+    fn peer(&self) -> SocketAddr {
+        self.addresses().peer
+    }
+
+    fn addresses(&self) -> notchwalkd::BoundAddresses {
+        let node = self.fleet.nodes[0].as_ref();
+        node.expect("node is not running").addresses
+    }
+
+    fn crowd(&mut self, addr: SocketAddr, clients: usize, script: ClientScript) -> Crowd {
+        let mut crowd = Crowd::connect(addr, clients, script);
+        crowd.send(&mut self.watch);
+        crowd
+    }
+
+    #[track_caller]
+    fn assert_withstands(&mut self, addr: SocketAddr, clients: usize, script: ClientScript) {
+        let crowd = self.crowd(addr, clients, script);
+        self.assert_within_bounds();
+        self.assert_request_is_answered();
+        drop(crowd);
+        self.assert_request_is_answered();
+        self.assert_within_bounds();
+    }
+
+    #[track_caller]
+    fn assert_within_bounds(&mut self) {
+        self.watch.observe();
+        let peak = self.watch.peak_memory().expect("the process ended");
+        let descriptors = self.watch.max_descriptors();
+        println!("peak memory {peak}, descriptors {descriptors}");
+        assert!(
+            peak <= MACHINE_MEMORY_BYTES,
+            "{peak} bytes of memory, the machine has {MACHINE_MEMORY_BYTES}"
+        );
+        assert!(
+            descriptors <= MACHINE_DESCRIPTORS,
+            "{descriptors} descriptors, the machine has {MACHINE_DESCRIPTORS}"
+        );
+    }
+
+    /// Sends an ordinary request, and again while it is refused or its connection is closed.
+    #[track_caller]
+    fn assert_request_is_answered(&self) {
+        let body = r#"{"model":"lampwise","prompt":"x","max_tokens":2}"#;
+        let mut ends = Vec::new();
+        for _ in 0..MAX_ATTEMPTS {
+            match self.send(&completion(body)) {
+                Some(response) if response.starts_with("HTTP/1.1 200") => return,
+                end => ends.push(end),
+            }
+            std::thread::sleep(Duration::from_millis(200));
+        }
+        panic!("an ordinary request was not answered: {ends:?}");
+    }
+
+    /// Sends a request and returns the start of the response.
+    fn send(&self, request: &str) -> Option<String> {
+        let timeout = Duration::from_secs(10);
+        let mut stream = TcpStream::connect_timeout(&self.caller(), timeout).ok()?;
+        stream.set_read_timeout(Some(timeout)).ok()?;
+        stream.write_all(request.as_bytes()).ok()?;
+        let mut buf = [0; 4_096];
+        let n = stream.read(&mut buf).ok()?;
+        Some(String::from_utf8_lossy(&buf[..n]).into_owned())
+    }
+}
+
+fn unfinished_chunks(head: &str, chunk_bytes: usize, body_bytes: usize) -> ClientScript {
+    let chunk = format!("{chunk_bytes:x}\r\n{}\r\n", "x".repeat(chunk_bytes));
+    let total = chunk.len() * (body_bytes / chunk_bytes);
+    let block = chunk.repeat((64 << 10) / chunk_bytes);
+    ClientScript::new(head).with_repeated(block, total)
+}
+
+fn one_unfinished_chunk(head: &str, body_bytes: usize) -> ClientScript {
+    let head = format!("{head}{body_bytes:x}\r\n");
+    ClientScript::new(head).with_repeated(vec![b'x'; 64 << 10], body_bytes - 1)
+}
+
+/// Guards against parameters whose decoded form is many times as large as the body.
+#[test]
+fn nested_parameters_of_waiting_requests_stay_within_memory() {
+    const CLIENTS: usize = 20;
+    let mut machine = Machine::start_with(LIMITS, |mut config| {
+        config.slots = 1;
+        config.time_scale = 0.2;
+        config
+    });
+    let start = r#"{"model":"lampwise","prompt":"x","max_tokens":2000,"logit_bias":["#;
+    let end = "[]]}";
+    let elements = (MAX_BODY_BYTES - start.len() - end.len()) / 3;
+    let body = format!("{start}{}{end}", "[],".repeat(elements));
+    let script = ClientScript::new(completion(&body));
+    let crowd = machine.crowd(machine.caller(), CLIENTS, script);
+    machine.assert_within_bounds();
+    drop(crowd);
+    machine.assert_request_is_answered();
+    machine.assert_within_bounds();
+}
--- a/crates/notchwalk_wire/src/caller.rs
+++ b/crates/notchwalk_wire/src/caller.rs
@@ -2,31 +2,9 @@
 
 use notchwalk_core::Tokens;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
-/// The prompt of a completion request: a text, a list of token ids, or a batch that contains
-/// exactly one of these.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(untagged)]
-pub enum PromptInput {
-    /// Text.
-    Text(String),
-    /// Token ids.
-    Tokens(Vec<u32>),
-    /// A batch of texts; only batches with one text are supported.
-    Texts(Vec<String>),
-    /// A batch of token lists; only batches with one list are supported.
-    TokenLists(Vec<Vec<u32>>),
-}
-
-/// Stop sequences.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(untagged)]
-pub enum StopInput {
-    /// One sequence.
-    One(String),
-    /// Several sequences.
-    Many(Vec<String>),
-}
+use crate::caller_input::{ChatMessage, PromptInput, StopInput};
 
 /// Options of a streamed response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,59 +45,35 @@
     pub stop: Option<StopInput>,
     /// Text that follows the completion; not supported.
     #[serde(default)]
-    pub suffix: Option<serde_json::Value>,
+    pub suffix: Option<Box<RawValue>>,
     /// Sampling temperature, passed through to the engine.
     #[serde(default)]
-    pub temperature: Option<serde_json::Value>,
+    pub temperature: Option<Box<RawValue>>,
     /// Nucleus sampling, passed through to the engine.
     #[serde(default)]
-    pub top_p: Option<serde_json::Value>,
+    pub top_p: Option<Box<RawValue>>,
     /// Sampling seed, passed through to the engine.
     #[serde(default)]
-    pub seed: Option<serde_json::Value>,
+    pub seed: Option<Box<RawValue>>,
     /// Presence penalty, passed through to the engine.
     #[serde(default)]
-    pub presence_penalty: Option<serde_json::Value>,
+    pub presence_penalty: Option<Box<RawValue>>,
     /// Frequency penalty, passed through to the engine.
     #[serde(default)]
-    pub frequency_penalty: Option<serde_json::Value>,
+    pub frequency_penalty: Option<Box<RawValue>>,
     /// Bias per token, passed through to the engine.
     #[serde(default)]
-    pub logit_bias: Option<serde_json::Value>,
+    pub logit_bias: Option<Box<RawValue>>,
     /// The end user of the caller; has no effect.
     #[serde(default)]
-    pub user: Option<serde_json::Value>,
+    pub user: Option<Box<RawValue>>,
     /// Log probabilities; not supported.
     #[serde(default)]
-    pub logprobs: Option<serde_json::Value>,
-}
-
-/// One message of a chat.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ChatMessage {
-    /// `system`, `user`, `assistant`, `developer` or `tool`.
-    pub role: String,
-    /// Text, or a list of text parts.
-    pub content: serde_json::Value,
-}
-
-impl ChatMessage {
-    /// Returns the text of the message, or `None` if its content is not only text.
-    pub fn text(&self) -> Option<String> {
-        match &self.content {
-            serde_json::Value::String(text) => Some(text.clone()),
-            serde_json::Value::Null => Some(String::new()),
-            serde_json::Value::Array(parts) => {
-                let texts = parts.iter().map(|part| part.get("text")?.as_str());
-                texts.collect()
-            }
-            _ => None,
-        }
-    }
+    pub logprobs: Option<Box<RawValue>>,
 }
 
 /// `POST /v1/chat/completions`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ChatRequest {
     /// `MODEL`, `MODEL:ADAPTER` or `MODEL@VERSION`.
@@ -143,52 +97,52 @@
     pub n: Option<u32>,
     /// Tools; not supported.
     #[serde(default)]
-    pub tools: Option<serde_json::Value>,
+    pub tools: Option<Box<RawValue>>,
     /// Stop sequences.
     #[serde(default)]
     pub stop: Option<StopInput>,
     /// The choice of tools; not supported.
     #[serde(default)]
-    pub tool_choice: Option<serde_json::Value>,
+    pub tool_choice: Option<Box<RawValue>>,
     /// Functions, the deprecated name of tools; not supported.
     #[serde(default)]
-    pub functions: Option<serde_json::Value>,
+    pub functions: Option<Box<RawValue>>,
     /// The format of the completion; only text is supported.
     #[serde(default)]
-    pub response_format: Option<serde_json::Value>,
+    pub response_format: Option<Box<RawValue>>,
     /// Number of log probabilities per token; not supported.
     #[serde(default)]
-    pub top_logprobs: Option<serde_json::Value>,
+    pub top_logprobs: Option<Box<RawValue>>,
     /// Metadata of the caller; has no effect.
     #[serde(default)]
-    pub metadata: Option<serde_json::Value>,
+    pub metadata: Option<Box<RawValue>>,
     /// Whether the completion is stored; has no effect.
     #[serde(default)]
     pub store: Option<bool>,
     /// Sampling temperature, passed through to the engine.
     #[serde(default)]
-    pub temperature: Option<serde_json::Value>,
+    pub temperature: Option<Box<RawValue>>,
     /// Nucleus sampling, passed through to the engine.
     #[serde(default)]
-    pub top_p: Option<serde_json::Value>,
+    pub top_p: Option<Box<RawValue>>,
     /// Sampling seed, passed through to the engine.
     #[serde(default)]
-    pub seed: Option<serde_json::Value>,
+    pub seed: Option<Box<RawValue>>,
     /// Presence penalty, passed through to the engine.
     #[serde(default)]
-    pub presence_penalty: Option<serde_json::Value>,
+    pub presence_penalty: Option<Box<RawValue>>,
     /// Frequency penalty, passed through to the engine.
     #[serde(default)]
-    pub frequency_penalty: Option<serde_json::Value>,
+    pub frequency_penalty: Option<Box<RawValue>>,
     /// Bias per token, passed through to the engine.
     #[serde(default)]
-    pub logit_bias: Option<serde_json::Value>,
+    pub logit_bias: Option<Box<RawValue>>,
     /// The end user of the caller; has no effect.
     #[serde(default)]
-    pub user: Option<serde_json::Value>,
+    pub user: Option<Box<RawValue>>,
     /// Log probabilities; not supported.
     #[serde(default)]
-    pub logprobs: Option<serde_json::Value>,
+    pub logprobs: Option<Box<RawValue>>,
 }
 
 /// Token usage of a request.
--- a/crates/notchwalk_wire/src/engine.rs
+++ b/crates/notchwalk_wire/src/engine.rs
@@ -1,7 +1,10 @@
 //! The HTTP API of model engines.
 
+use std::collections::BTreeMap;
+
 use notchwalk_core::{Attempt, RequestId, Tokens};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 /// A prompt for an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -13,8 +16,11 @@
     Tokens(Vec<u32>),
 }
 
+/// Sampling parameters as their caller wrote them. They may be large, and nothing here reads them.
+pub type SamplingParams = BTreeMap<String, Box<RawValue>>;
+
 /// `POST /v1/generate`: the response is a stream of server-sent [`EngineFrame`]s.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct GenerateRequest<P = Prompt> {
     /// The request.
     pub request: RequestId,
@@ -38,8 +44,8 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub imports: Vec<String>,
     /// Sampling parameters of the caller, passed through.
-    #[serde(default, skip_serializing_if = "serde_json::Map::is_empty")]
-    pub sampling: serde_json::Map<String, serde_json::Value>,
+    #[serde(default, skip_serializing_if = "SamplingParams::is_empty")]
+    pub sampling: SamplingParams,
     /// Stop sequences.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub stop: Vec<String>,
--- a/crates/notchwalk_wire/src/lib.rs
+++ b/crates/notchwalk_wire/src/lib.rs
@@ -2,6 +2,7 @@
 //! APIs, CBOR between nodes.
 
 mod caller;
+mod caller_input;
 mod cbor;
 mod engine;
 mod peer;
@@ -10,14 +11,15 @@
 pub mod prelude;
 
 pub use caller::{
-    ApiError, ApiErrorBody, ChatMessage, ChatRequest, CompletionRequest, ExecutionOutcome,
-    ModelInfo, ModelList, NodeInfo, NodeList, PromptInput, StopInput, StreamOptions, Usage,
+    ApiError, ApiErrorBody, ChatRequest, CompletionRequest, ExecutionOutcome, ModelInfo, ModelList,
+    NodeInfo, NodeList, StreamOptions, Usage,
 };
+pub use caller_input::{ChatContent, ChatMessage, PromptInput, StopInput};
 pub use cbor::{from_cbor, to_cbor, CborError};
 pub use engine::{
     Allocation, Allocations, CacheEvent, CacheEvents, CancelRequest, CancelResponse, DesiredState,
     EngineFinish, EngineFrame, EngineRejection, GenerateRequest, LoadReport, LoadedModel,
-    OrderRequest, OrderResponse, Prompt, SegmentRequest, SegmentResponse,
+    OrderRequest, OrderResponse, Prompt, SamplingParams, SegmentRequest, SegmentResponse,
 };
 pub use peer::{
     Heartbeat, LongReply, LongReplyKind, LongRequest, LongRequestKind, LongReservation,
--- a/crates/notchwalkd/src/completion_request.rs
+++ b/crates/notchwalkd/src/completion_request.rs
@@ -2,9 +2,10 @@
 
 use http::StatusCode;
 use notchwalk_wire::{
-    ChatRequest, CompletionRequest, Prompt, PromptInput, StopInput, StreamOptions,
+    ChatRequest, CompletionRequest, Prompt, PromptInput, SamplingParams, StopInput, StreamOptions,
 };
-use serde_json::{json, Map, Value};
+use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::api_error::ApiFailure;
 
@@ -31,7 +32,7 @@
     /// Stop sequences.
     pub stop: Vec<String>,
     /// Sampling parameters, passed through unchanged.
-    pub sampling: Map<String, Value>,
+    pub sampling: SamplingParams,
 }
 
 /// Parses a request body.
@@ -62,8 +63,26 @@
     Ok(())
 }
 
-fn is_set(value: &Option<Value>) -> bool {
-    !matches!(value, None | Some(Value::Null) | Some(Value::Bool(false)))
+fn is_set(value: &Option<Box<RawValue>>) -> bool {
+    let text = value.as_ref().map(|value| value.get());
+    !matches!(text, None | Some("null" | "false"))
+}
+
+/// The format of a completion.
+#[derive(Deserialize)]
+struct ResponseFormat<'a> {
+    #[serde(borrow, rename = "type")]
+    kind: Option<&'a RawValue>,
+}
+
+/// Returns whether a completion in this format is text.
+fn is_text_format(format: &Option<Box<RawValue>>) -> bool {
+    let Some(format) = format else {
+        return true;
+    };
+    let format = serde_json::from_str::<ResponseFormat<'_>>(format.get());
+    let kind = format.ok().and_then(|format| format.kind);
+    kind.is_none_or(|kind| kind.get() == "\"text\"")
 }
 
 fn stop_sequences(stop: Option<StopInput>) -> Vec<String> {
@@ -91,9 +110,9 @@
 }
 
 /// Returns the parameters that are present and not null.
-fn given_params(params: [(&str, Option<Value>); 6]) -> Map<String, Value> {
+fn given_params(params: [(&str, Option<Box<RawValue>>); 6]) -> SamplingParams {
     let given = params.into_iter().filter_map(|(name, value)| {
-        let value = value.filter(|v| !v.is_null())?;
+        let value = value.filter(|value| value.get() != "null")?;
         Some((name.to_owned(), value))
     });
     given.collect()
@@ -162,14 +181,15 @@
 
 fn parse_chat(body: &[u8]) -> Result<ParsedRequest, ApiFailure> {
     let req: ChatRequest = serde_json::from_slice(body).map_err(|e| json_error(&e))?;
-    let format = req.response_format.as_ref().and_then(|f| f.get("type"));
-    let is_text = format.is_none_or(|kind| kind == "text");
+    let is_text = is_text_format(&req.response_format);
+    let is_tool_choice_none = |choice: &RawValue| choice.get() == "\"none\"";
     reject_unsupported(&[
         ("n", req.n.is_some_and(|n| n != 1)),
         ("tools", is_set(&req.tools)),
         (
             "tool_choice",
-            is_set(&req.tool_choice) && req.tool_choice != Some(json!("none")),
+            is_set(&req.tool_choice)
+                && !req.tool_choice.as_deref().is_some_and(is_tool_choice_none),
         ),
         ("functions", is_set(&req.functions)),
         ("logprobs", is_set(&req.logprobs)),
@@ -196,7 +216,7 @@
         };
         prompt.push_str(&message.role);
         prompt.push_str(": ");
-        prompt.push_str(&text);
+        prompt.push_str(text);
         prompt.push('\n');
     }
     prompt.push_str("assistant: ");
--- a/crates/notchwalkd/src/shell.rs
+++ b/crates/notchwalkd/src/shell.rs
@@ -42,7 +42,7 @@
     /// Stop sequences.
     pub stop: Vec<String>,
     /// Sampling parameters, passed through unchanged.
-    pub sampling: serde_json::Map<String, serde_json::Value>,
+    pub sampling: notchwalk_wire::SamplingParams,
     /// Text or token ids.
     pub prompt: Prompt,
     /// Length of a text prompt, in bytes.
