--- a/crates/notchwalk_http/src/body.rs
+++ b/crates/notchwalk_http/src/body.rs
@@ -1,9 +1,7 @@
 //! Framing and decoding of message bodies.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use http::{header, HeaderMap};
-use monoio_codec::{Decoded, Decoder};
-use monoio_http::h1::codec::decoder::ChunkedBodyDecoder;
 
 use crate::HttpError;
 
@@ -18,38 +16,90 @@
     UntilClose,
 }
 
-/// Maximum length of the line with a chunk's size, in bytes.
-const MAX_CHUNK_SIZE_LINE_BYTES: usize = 1_024;
+/// Maximum length of the line with a chunk's size and extensions, in bytes.
+const MAX_CHUNK_LINE_BYTES: usize = 1_024;
+const CRLF: &[u8] = b"\r\n";
 
-/// Decoder state of a chunked body.
+/// Decoder state of a chunked body. Chunks are passed on in the pieces in which they arrive, so
+/// that a large chunk needs no larger buffer than a small one.
 #[derive(Default)]
-pub struct ChunkedBody {
-    decoder: ChunkedBodyDecoder,
-    /// Whether the size of the current chunk was read.
-    in_chunk: bool,
+pub enum ChunkedBody {
+    /// Before the line with the size of the next chunk.
+    #[default]
+    Size,
+    /// Inside a chunk of which this many bytes remain.
+    Data(u64),
+    /// After the data of a chunk.
+    DataEnd,
+    /// After the last chunk. Trailers are rejected.
+    Trailers,
 }
 
 impl ChunkedBody {
-    /// Splits the next chunk off `buf`; `None` if more bytes are needed, and an empty chunk at
-    /// the end of the body.
+    /// Splits the next piece of a chunk off `buf`; `None` if more bytes are needed, and an
+    /// empty piece at the end of the body.
     fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<Bytes>, HttpError> {
-        // The decoder reads the line with the size from its start each time.
-        let start = buf.get(..MAX_CHUNK_SIZE_LINE_BYTES);
-        let is_too_long = |start: &[u8]| !start.contains(&b'\r');
-        if !self.in_chunk && start.is_some_and(is_too_long) {
-            return Err(HttpError::Framing);
+        loop {
+            match self {
+                Self::Size => {
+                    let Some(size) = take_chunk_size(buf)? else {
+                        return Ok(None);
+                    };
+                    *self = match size {
+                        0 => Self::Trailers,
+                        size => Self::Data(size),
+                    };
+                }
+                Self::Data(_) if buf.is_empty() => return Ok(None),
+                Self::Data(remaining) => {
+                    let n = (*remaining).min(buf.len() as u64);
+                    *remaining -= n;
+                    if *remaining == 0 {
+                        *self = Self::DataEnd;
+                    }
+                    return Ok(Some(buf.split_to(n as usize).freeze()));
+                }
+                Self::DataEnd if !take_crlf(buf)? => return Ok(None),
+                Self::DataEnd => *self = Self::Size,
+                Self::Trailers => return Ok(take_crlf(buf)?.then(Bytes::new)),
+            }
         }
-        let before = buf.len();
-        let decoded = self.decoder.decode(buf).map_err(|_| HttpError::Framing)?;
-        let Decoded::Some(chunk) = decoded else {
-            self.in_chunk |= buf.len() < before;
-            return Ok(None);
-        };
-        self.in_chunk = false;
-        Ok(Some(chunk.unwrap_or_default()))
     }
 }
 
+/// Removes the line with a chunk's size from `buf`; `None` if it is incomplete. Extensions are
+/// ignored.
+fn take_chunk_size(buf: &mut BytesMut) -> Result<Option<u64>, HttpError> {
+    let line = &buf[..buf.len().min(MAX_CHUNK_LINE_BYTES)];
+    let starts_with_digit = line.first().is_none_or(u8::is_ascii_hexdigit);
+    let parsed = httparse::parse_chunk_size(line).map_err(|_| HttpError::Framing)?;
+    match parsed {
+        _ if !starts_with_digit => Err(HttpError::Framing),
+        httparse::Status::Complete((length, _)) if line[..length - 1].contains(&b'\n') => {
+            Err(HttpError::Framing)
+        }
+        httparse::Status::Complete((length, size)) => {
+            buf.advance(length);
+            Ok(Some(size))
+        }
+        httparse::Status::Partial if line.len() == MAX_CHUNK_LINE_BYTES => Err(HttpError::Framing),
+        httparse::Status::Partial => Ok(None),
+    }
+}
+
+/// Removes a line end from `buf`; returns whether it was complete.
+fn take_crlf(buf: &mut BytesMut) -> Result<bool, HttpError> {
+    let n = buf.len().min(CRLF.len());
+    if buf[..n] != CRLF[..n] {
+        return Err(HttpError::Framing);
+    }
+    if n < CRLF.len() {
+        return Ok(false);
+    }
+    buf.advance(n);
+    Ok(true)
+}
+
 /// Decoder state of one message body.
 #[derive(Default)]
 pub enum BodyReader {
--- a/crates/notchwalk_http/src/client.rs
+++ b/crates/notchwalk_http/src/client.rs
@@ -9,22 +9,21 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{header, HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use monoio::net::TcpStream;
 use serde::{de::DeserializeOwned, Serialize};
 
-use crate::{encode_request_head, BodyFraming, BodyReader, Connection, EventScanner, HttpError};
+use crate::{
+    connection::MAX_COALESCED_BODY_BYTES, encode_request_head, BodyFraming, BodyReader, Connection,
+    EventScanner, HttpError, Reservation,
+};
 
 /// Maximum number of idle connections per address.
 const MAX_IDLE_CONNECTIONS: usize = 256;
 /// How long a connection stays in the pool; shorter than the idle timeout of our servers.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Maximum size of a chunk of a response.
-const MAX_CHUNK_BYTES: usize = 16 << 20;
-/// Bodies up to this size are written in one call with the head.
-const MAX_COALESCED_BODY_BYTES: usize = 64 * 1024;
 
 /// Whether a request may use a pooled connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -221,7 +220,7 @@
         &self,
         addr: SocketAddr,
         mut conn: Connection,
-        req: OutgoingRequest,
+        mut req: OutgoingRequest,
     ) -> Result<StreamedResponse, HttpError> {
         let host = addr.to_string();
         let length = Some(req.body.len());
@@ -233,6 +232,8 @@
             conn.write_all(&head).await?;
             conn.write_all(&req.body).await?;
         }
+        // The response may take long; the body is not needed until then.
+        drop(std::mem::take(&mut req.body));
         self.receive(addr, conn, &req.method, req.reuse).await
     }
 
@@ -398,10 +399,7 @@
         if self.body.is_done() {
             return self.check_end().map(|()| None);
         }
-        let piece = self
-            .conn
-            .read_piece(&mut self.body, MAX_CHUNK_BYTES)
-            .await?;
+        let piece = self.conn.read_piece(&mut self.body).await?;
         if piece.is_empty() {
             return self.check_end().map(|()| None);
         }
@@ -445,6 +443,42 @@
     /// Fails on connection errors, and like [`Self::next`] at the end of an event stream.
     pub async fn collect(mut self, limit: usize) -> Result<BufferedResponse, HttpError> {
         let body = self.conn.read_body(&mut self.body, limit).await?;
+        self.into_buffered(body)
+    }
+
+    /// Like [`Self::collect`]; reserves memory for the body before it is read, and waits until
+    /// there is enough.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::collect`].
+    pub async fn collect_within(
+        mut self,
+        limit: usize,
+        memory: &mut Reservation,
+    ) -> Result<BufferedResponse, HttpError> {
+        let length = self.body.remaining_length().unwrap_or(0);
+        if length > limit as u64 {
+            return Err(HttpError::BodyTooLarge(limit));
+        }
+        memory.wait_to_grow_to(length as usize).await;
+        let mut body = BytesMut::with_capacity(length as usize);
+        while !self.body.is_done() {
+            let piece = self.conn.read_piece(&mut self.body).await?;
+            let length = body.len() + piece.len();
+            if length > limit {
+                return Err(HttpError::BodyTooLarge(limit));
+            }
+            if length > body.capacity() {
+                // The capacity may double.
+                memory.wait_to_grow_to(2 * length).await;
+            }
+            body.extend_from_slice(&piece);
+        }
+        self.into_buffered(body.freeze())
+    }
+
+    fn into_buffered(mut self, body: Bytes) -> Result<BufferedResponse, HttpError> {
         self.scan(&body);
         self.check_end()?;
         let (status, headers) = (self.status, std::mem::take(&mut self.headers));
--- a/crates/notchwalk_http/src/connection.rs
+++ b/crates/notchwalk_http/src/connection.rs
@@ -14,20 +14,29 @@
 };
 use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
-use crate::{BodyReader, HttpError};
+use crate::{
+    clients::{ClientSlot, Reservation},
+    Body, BodyReader, HttpError,
+};
 
 /// Maximum size of a response head, and of a request head unless a server allows more.
 pub const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Bodies up to this size are written in one call with the head.
+pub(crate) const MAX_COALESCED_BODY_BYTES: usize = 64 * 1024;
 /// Minimum spare capacity of the read buffer before each read.
 const MIN_READ_CAPACITY_BYTES: usize = 4 * 1024;
+/// Read buffers up to this size are not reserved: the maximum number of connections bounds them.
+const UNRESERVED_BUFFER_BYTES: usize = 2 * MIN_READ_CAPACITY_BYTES;
 /// Maximum number of bytes buffered from a peer while its request is being handled.
-const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 
 /// A connection and its read buffer.
 pub struct Connection {
     io: TcpStreamPoll,
     rbuf: BytesMut,
     received_bytes: Rc<Cell<u64>>,
+    /// The client of a server's connection, and what its read buffer occupies.
+    client: Option<(ClientSlot, Reservation)>,
 }
 
 impl Connection {
@@ -42,9 +51,43 @@
             io: stream.into_poll_io()?,
             rbuf: BytesMut::new(),
             received_bytes: Rc::default(),
+            client: None,
         })
     }
 
+    /// Reserves the read buffer for a client of a server.
+    pub(crate) fn with_client(mut self, slot: ClientSlot) -> Self {
+        let reservation = slot.reservation();
+        self.client = Some((slot, reservation));
+        self
+    }
+
+    /// Takes what is reserved for the read buffer, for a message that was split off it.
+    pub(crate) fn take_reservation(&mut self) -> Option<Reservation> {
+        let (slot, reservation) = self.client.as_mut()?;
+        Some(std::mem::replace(reservation, slot.reservation()))
+    }
+
+    /// Frees the memory of an empty read buffer that has grown.
+    pub(crate) fn shrink_buffer(&mut self) {
+        if self.rbuf.is_empty() && self.rbuf.capacity() > UNRESERVED_BUFFER_BYTES {
+            self.rbuf = BytesMut::new();
+        }
+        if let Some((_, reservation)) = &mut self.client {
+            reservation.shrink_to(self.rbuf.capacity());
+        }
+    }
+
+    /// Reserves room for the read buffer to hold `bytes`, for which its capacity may double.
+    async fn reserve_buffer(&mut self, bytes: usize) -> Result<(), HttpError> {
+        match &mut self.client {
+            Some((_, reservation)) if bytes > UNRESERVED_BUFFER_BYTES => {
+                reservation.grow_to(2 * bytes).await
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Counts received bytes in a counter that several connections share.
     pub fn with_received_counter(mut self, received_bytes: Rc<Cell<u64>>) -> Self {
         self.received_bytes = received_bytes;
@@ -115,30 +158,24 @@
             if self.rbuf.len() > max_bytes {
                 return Err(HttpError::HeadTooLarge(max_bytes));
             }
+            self.reserve_buffer(self.rbuf.len() + MIN_READ_CAPACITY_BYTES)
+                .await?;
             if self.read_more().await? == 0 {
                 return Err(HttpError::Closed);
             }
         }
     }
 
-    /// Reads the next piece of a body; returns an empty piece at its end. A chunk larger
-    /// than `max_piece` bytes is rejected.
+    /// Reads the next piece of a body; returns an empty piece at its end.
     ///
     /// # Errors
     ///
-    /// Fails on malformed framing, oversized chunks and closed connections.
-    pub async fn read_piece(
-        &mut self,
-        body: &mut BodyReader,
-        max_piece: usize,
-    ) -> Result<Bytes, HttpError> {
+    /// Fails on malformed framing and closed connections.
+    pub async fn read_piece(&mut self, body: &mut BodyReader) -> Result<Bytes, HttpError> {
         loop {
             if let Some(piece) = body.decode(&mut self.rbuf)? {
                 return Ok(piece);
             }
-            if self.rbuf.len() > max_piece + MIN_READ_CAPACITY_BYTES {
-                return Err(HttpError::BodyTooLarge(max_piece));
-            }
             if self.read_more().await? > 0 {
                 continue;
             }
@@ -178,7 +215,7 @@
         let length = body.remaining_length().unwrap_or(0) as usize;
         let mut data = BytesMut::with_capacity(length);
         loop {
-            let piece = self.read_piece(body, limit).await?;
+            let piece = self.read_piece(body).await?;
             if piece.is_empty() && body.is_done() {
                 return Ok(data.freeze());
             }
@@ -201,11 +238,33 @@
         self.io.write_all(data).await
     }
 
+    /// Writes a head and a body. Small bodies are written in one call with the head.
+    ///
+    /// # Errors
+    ///
+    /// Fails on socket errors.
+    pub async fn write_message(&mut self, mut head: Vec<u8>, body: &Body) -> io::Result<()> {
+        let mut pieces = body.pieces();
+        if body.len() <= MAX_COALESCED_BODY_BYTES {
+            for piece in std::mem::take(&mut pieces) {
+                head.extend_from_slice(piece);
+            }
+        }
+        self.io.write_all(&head).await?;
+        drop(head);
+        for piece in pieces {
+            self.io.write_all(piece).await?;
+        }
+        Ok(())
+    }
+
     /// Resolves when the peer closes or resets the connection. Buffers the bytes that arrive
     /// until then; never resolves once `MAX_READ_AHEAD_BYTES` are buffered. Cancel safe.
     pub async fn closed(&mut self) {
         loop {
-            if self.rbuf.len() > MAX_READ_AHEAD_BYTES {
+            let is_full = self.rbuf.len() > MAX_READ_AHEAD_BYTES;
+            let reserved = self.reserve_buffer(self.rbuf.len() + MIN_READ_CAPACITY_BYTES);
+            if is_full || reserved.await.is_err() {
                 return std::future::pending().await;
             }
             match self.read_more().await {
@@ -219,6 +278,7 @@
     pub async fn discard_until_closed(&mut self) {
         loop {
             self.rbuf.clear();
+            self.shrink_buffer();
             match self.read_more().await {
                 Ok(n) if n > 0 => continue,
                 _ => return,
--- a/crates/notchwalk_http/src/error.rs
+++ b/crates/notchwalk_http/src/error.rs
@@ -32,6 +32,9 @@
     #[display("the body is larger than {_0} bytes")]
     #[from(ignore)]
     BodyTooLarge(#[error(not(source))] usize),
+    /// The message, or the client's connection, had to give way to those of others.
+    #[display("too much memory or too many connections are in use")]
+    Overloaded,
     /// A timeout expired.
     #[display("timed out")]
     TimedOut,
--- a/crates/notchwalk_http/src/lib.rs
+++ b/crates/notchwalk_http/src/lib.rs
@@ -6,7 +6,9 @@
 //! itself.
 
 mod body;
+mod body_buffer;
 mod client;
+mod clients;
 mod connection;
 mod error;
 mod event_scanner;
@@ -18,13 +20,15 @@
 pub mod prelude;
 
 pub use body::{BodyFraming, BodyReader, ChunkedBody};
+pub use body_buffer::Body;
 pub use client::{BufferedResponse, Client, ConnectionReuse, OutgoingRequest, StreamedResponse};
+pub use clients::{ClientSlot, ClientTable, Reservation, ServerId, WaitKind};
 pub use connection::{Connection, MAX_HEAD_BYTES};
 pub use error::HttpError;
 pub use event_scanner::EventScanner;
 pub use head::{encode_chunk, encode_request_head, encode_response_head, CHUNK_END};
 pub use open_exchanges::OpenExchanges;
-pub use server::{serve, serve_counted, Exchange, ServerLimits, Service};
+pub use server::{serve, serve_counted, Exchange, Server, ServerLimits, Service};
 pub use tasks::{abort_all, spawn};
 
 /// A boxed future that is not `Send`, for monoio tasks.
--- a/crates/notchwalk_http/src/server.rs
+++ b/crates/notchwalk_http/src/server.rs
@@ -1,7 +1,11 @@
 //! A server: accepts connections, reads requests within bounds and passes each to a
 //! service as an [`Exchange`].
 
-use std::{cell::Cell, net::SocketAddr, panic::AssertUnwindSafe, rc::Rc, time::Duration};
+use std::{
+    panic::AssertUnwindSafe,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -11,20 +15,28 @@
 use serde::Serialize;
 
 use crate::{
-    body::may_have_body, encode_chunk, encode_response_head, open_exchanges::OpenExchangeGuard,
+    body::may_have_body,
+    body_buffer::{Body, BodyBuffer},
+    clients::{ClientSlot, ClientTable, Reservation, WaitKind},
+    connection::MAX_COALESCED_BODY_BYTES,
+    encode_chunk, encode_response_head,
+    open_exchanges::OpenExchangeGuard,
     BodyReader, Connection, HttpError, LocalBoxFuture, OpenExchanges, CHUNK_END,
 };
 
 /// Maximum size of an unread request body that is read and discarded to keep the connection
 /// open.
 const MAX_DISCARD_BYTES: usize = 256 * 1024;
+/// Responses are written in parts of this size, each of which counts as progress of the client.
+const WRITE_BYTES: usize = 64 * 1024;
 /// How long a closing connection waits for the peer to read the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Limits and timeouts of connections.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
-    /// Maximum number of open connections; further ones are closed immediately.
+    /// Maximum number of open connections. A further one takes the place of one that waits for
+    /// its client, or is closed immediately if there is none.
     pub max_connections: usize,
     /// Maximum size of a request head, in bytes.
     pub max_head_bytes: usize,
@@ -95,11 +107,15 @@
     streams_body: bool,
     keep_alive: bool,
     open: Option<OpenExchangeGuard>,
+    client: ClientSlot,
+    /// What the head occupies.
+    _head_memory: Option<Reservation>,
 }
 
 impl Exchange {
     fn new(
-        conn: Connection,
+        mut conn: Connection,
+        client: ClientSlot,
         head: RequestHead,
         limits: ServerLimits,
         open: OpenExchangeGuard,
@@ -110,6 +126,8 @@
         let keep_alive = head.version == Version::HTTP_11 && !requests_close;
         Self {
             head,
+            _head_memory: conn.take_reservation(),
+            client,
             conn,
             body: BodyReader::Done,
             limits,
@@ -155,13 +173,15 @@
     ///
     /// # Errors
     ///
-    /// Fails as soon as the body exceeds `limit` bytes, if the next piece takes too long,
-    /// and on connection errors.
+    /// Fails as soon as the body exceeds `limit` bytes, if there is not enough memory for it, if
+    /// the next piece takes too long, and on connection errors.
     pub async fn read_body(&mut self, limit: usize) -> Result<Bytes, HttpError> {
-        self.read_body_with(limit, |_| {}).await
+        let body = self.read_body_with(limit, |_| {}).await?;
+        Ok(body.into_contiguous().0)
     }
 
-    /// Reads the complete body and calls `inspect` with each piece as it arrives.
+    /// Reads the complete body and calls `inspect` with each piece as it arrives. The body
+    /// occupies memory for clients until it is dropped.
     ///
     /// # Errors
     ///
@@ -170,56 +190,67 @@
         &mut self,
         limit: usize,
         mut inspect: impl FnMut(&[u8]),
-    ) -> Result<Bytes, HttpError> {
-        if self
-            .body
-            .remaining_length()
-            .is_some_and(|n| n > limit as u64)
-        {
-            return Err(HttpError::BodyTooLarge(limit));
+    ) -> Result<Body, HttpError> {
+        let mut body = BodyBuffer::new(Some(self.client.reservation()));
+        if let Some(length) = self.body.remaining_length() {
+            if length > limit as u64 {
+                return Err(HttpError::BodyTooLarge(limit));
+            }
+            body.reserve(length as usize).await?;
         }
-        let mut body =
-            bytes::BytesMut::with_capacity(self.body.remaining_length().unwrap_or(0) as usize);
-        while let Some(piece) = self.next_piece(limit).await? {
+        while let Some(piece) = self.next_piece().await? {
             if body.len() + piece.len() > limit {
                 return Err(HttpError::BodyTooLarge(limit));
             }
             inspect(&piece);
-            body.extend_from_slice(&piece);
+            body.extend(&piece).await?;
         }
-        Ok(body.freeze())
+        Ok(body.finish())
     }
 
     /// Reads the next piece of the body; returns `None` at its end.
     ///
     /// # Errors
     ///
-    /// Fails if the piece takes too long, and on connection errors.
-    pub async fn next_piece(&mut self, limit: usize) -> Result<Option<Bytes>, HttpError> {
+    /// Fails if the piece takes too long, if the client must give way to others, and on
+    /// connection errors.
+    pub async fn next_piece(&mut self) -> Result<Option<Bytes>, HttpError> {
         if self.body.is_done() {
             return Ok(None);
         }
-        self.send_continue().await?;
-        let read = self.conn.read_piece(&mut self.body, limit);
-        match monoio::time::timeout(self.limits.body_read_timeout, read).await {
-            Ok(piece) => piece.map(|p| (!p.is_empty()).then_some(p)),
-            Err(_) => Err(HttpError::TimedOut),
+        // A timer for each of many small chunks would cost more than the chunks.
+        if let Some(piece) = self.conn.buffered_piece(&mut self.body)? {
+            return Ok((!piece.is_empty()).then_some(piece));
         }
+        self.send_continue().await?;
+        let read = self.conn.read_piece(&mut self.body);
+        let timeout = self.limits.body_read_timeout;
+        let piece = self.client.wait(WaitKind::Request, timeout, read).await??;
+        Ok((!piece.is_empty()).then_some(piece))
+    }
+
+    /// Returns an empty reservation of memory for the response.
+    pub fn reservation(&self) -> Reservation {
+        self.client.reservation()
     }
 
     async fn write(&mut self, data: &[u8]) -> Result<(), HttpError> {
-        let write = self.conn.write_all(data);
-        match monoio::time::timeout(self.limits.write_timeout, write).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(e)) => {
-                self.keep_alive = false;
-                Err(e.into())
-            }
-            Err(_) => {
-                self.keep_alive = false;
-                Err(HttpError::TimedOut)
-            }
+        let written = self.write_parts(data).await;
+        self.keep_alive &= written.is_ok();
+        written
+    }
+
+    async fn write_parts(&mut self, data: &[u8]) -> Result<(), HttpError> {
+        let started_at = Instant::now();
+        for part in data.chunks(WRITE_BYTES) {
+            let timeout = self.limits.write_timeout;
+            let remaining = timeout.saturating_sub(started_at.elapsed());
+            let write = self.conn.write_all(part);
+            self.client
+                .wait(WaitKind::Response, remaining, write)
+                .await??;
         }
+        Ok(())
     }
 
     /// Sends a response with a complete body. A write error closes the connection.
@@ -230,10 +261,17 @@
         }
         self.prepare_headers(&mut headers);
         let mut buf = encode_response_head(status, &headers, Some(body.len()));
-        if self.head.method != http::Method::HEAD && may_have_body(status) {
+        let has_body = self.head.method != http::Method::HEAD && may_have_body(status);
+        self.sent = Sent::All;
+        if has_body && body.len() > MAX_COALESCED_BODY_BYTES {
+            if self.write(&buf).await.is_ok() {
+                let _ = self.write(body).await;
+            }
+            return;
+        }
+        if has_body {
             buf.extend_from_slice(body);
         }
-        self.sent = Sent::All;
         let _ = self.write(&buf).await;
     }
 
@@ -344,7 +382,7 @@
         }
         let mut discarded = 0;
         while self.keep_alive && !self.body.is_done() {
-            match self.next_piece(MAX_DISCARD_BYTES).await {
+            match self.next_piece().await {
                 Ok(Some(piece)) => discarded += piece.len(),
                 Ok(None) => break,
                 Err(_) => self.keep_alive = false,
@@ -353,9 +391,13 @@
                 self.keep_alive = false;
             }
         }
+        self.conn.shrink_buffer();
         if self.keep_alive {
             return Some(self.conn);
         }
+        if self.client.is_evicted() {
+            return None;
+        }
         if self.sent == Sent::All {
             self.conn.shutdown().await;
             if self.body.is_done() {
@@ -371,25 +413,65 @@
     }
 }
 
-/// Counts a connection as open until dropped.
-struct OpenConnectionGuard(Rc<Cell<usize>>);
+/// Accepts connections and serves each in its own task.
+pub struct Server {
+    limits: ServerLimits,
+    service: Rc<dyn Service>,
+    clients: ClientTable,
+    open: OpenExchanges,
+}
 
-impl OpenConnectionGuard {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(count.clone())
+impl Server {
+    /// Creates a server that shares no resources with others.
+    pub fn new(limits: ServerLimits, service: Rc<dyn Service>) -> Self {
+        Self {
+            limits,
+            service,
+            clients: ClientTable::unlimited(),
+            open: OpenExchanges::default(),
+        }
     }
-}
 
-impl Drop for OpenConnectionGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+    /// Shares the memory for clients with other servers.
+    pub fn with_clients(mut self, clients: ClientTable) -> Self {
+        self.clients = clients;
+        self
+    }
+
+    /// Counts the open exchanges.
+    pub fn with_open_exchanges(mut self, open: OpenExchanges) -> Self {
+        self.open = open;
+        self
+    }
+
+    /// Serves the connections of `listener` indefinitely.
+    pub async fn serve(self, listener: TcpListener) {
+        const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+        let Self {
+            limits,
+            service,
+            clients,
+            open,
+        } = self;
+        let server = clients.add_server();
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                // The process is probably out of file descriptors: wait until some are closed.
+                monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            };
+            let Some(client) = clients.admit(server, limits.max_connections).await else {
+                continue;
+            };
+            let (service, open) = (service.clone(), open.clone());
+            crate::spawn(serve_connection(stream, client, limits, service, open));
+        }
     }
 }
 
-/// Accepts connections indefinitely and serves each in its own task.
+/// Serves connections indefinitely; shares no resources with other servers.
 pub async fn serve(listener: TcpListener, limits: ServerLimits, service: Rc<dyn Service>) {
-    serve_counted(listener, limits, service, OpenExchanges::default()).await;
+    Server::new(limits, service).serve(listener).await;
 }
 
 /// Like [`serve`], and counts the open exchanges.
@@ -399,49 +481,34 @@
     service: Rc<dyn Service>,
     open: OpenExchanges,
 ) {
-    const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-    let open_connections = Rc::new(Cell::new(0));
-    loop {
-        let Ok((stream, peer)) = listener.accept().await else {
-            // The process is probably out of file descriptors: wait until some are closed.
-            monoio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        if open_connections.get() >= limits.max_connections {
-            continue;
-        }
-        let guard = OpenConnectionGuard::new(&open_connections);
-        let (service, open) = (service.clone(), open.clone());
-        crate::spawn(async move {
-            let _guard = guard;
-            serve_connection(stream, peer, limits, service, open).await;
-        });
-    }
+    let server = Server::new(limits, service).with_open_exchanges(open);
+    server.serve(listener).await;
 }
 
 async fn serve_connection(
     stream: TcpStream,
-    _peer: SocketAddr,
+    client: ClientSlot,
     limits: ServerLimits,
     service: Rc<dyn Service>,
     open: OpenExchanges,
 ) {
-    let Ok(mut conn) = Connection::new(stream) else {
+    let Ok(conn) = Connection::new(stream) else {
         return;
     };
+    let mut conn = conn.with_client(client.clone());
     loop {
-        if !wait_for_request(&mut conn, limits, &*service).await {
+        if !wait_for_request(&mut conn, &client, limits, &*service).await {
             return;
         }
         let open = open.open();
         let limits = service.limits(limits);
         let read = conn.read_request_head(limits.max_head_bytes);
-        let read = monoio::time::timeout(limits.head_timeout, read).await;
-        let head = read.unwrap_or(Err(HttpError::TimedOut));
+        let read = client.wait(WaitKind::Request, limits.head_timeout, read);
+        let head = read.await.and_then(|head| head);
         let (mut exchange, error) = match head {
             Ok(head) => {
                 let framing = BodyReader::for_request(&head.headers);
-                let mut exchange = Exchange::new(conn, head, limits, open);
+                let mut exchange = Exchange::new(conn, client.clone(), head, limits, open);
                 match framing {
                     Ok(body) => {
                         exchange.body = body;
@@ -451,7 +518,10 @@
                 }
             }
             Err(HttpError::Closed | HttpError::Io(_)) => return,
-            Err(e) => (Exchange::new(conn, empty_head(), limits, open), Some(e)),
+            Err(e) => {
+                let exchange = Exchange::new(conn, client.clone(), empty_head(), limits, open);
+                (exchange, Some(e))
+            }
         };
         let call = match error {
             None => service.call(&mut exchange),
@@ -476,6 +546,7 @@
 /// timeout to the peer in the meantime.
 async fn wait_for_request(
     conn: &mut Connection,
+    client: &ClientSlot,
     limits: ServerLimits,
     service: &dyn Service,
 ) -> bool {
@@ -488,9 +559,11 @@
         else {
             return false;
         };
-        match monoio::time::timeout(remaining, conn.wait_readable()).await {
+        let readable = conn.wait_readable();
+        match client.wait(WaitKind::Request, remaining, readable).await {
             Ok(readable) => return matches!(readable, Ok(true)),
-            Err(_) => waited += remaining,
+            Err(HttpError::TimedOut) => waited += remaining,
+            Err(_) => return false,
         }
     }
 }
--- a/crates/notchwalk_relay/src/active_request.rs
+++ b/crates/notchwalk_relay/src/active_request.rs
@@ -2,8 +2,8 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use notchwalk_core::Instant;
+use notchwalk_http::Body;
 use notchwalk_quarantine::Fingerprint;
 use notchwalk_route::RequestKey;
 
@@ -24,7 +24,7 @@
     pub arrived_at: Instant,
     /// When the timeout of the caller or of the route ends, whichever is first.
     pub deadline: Instant,
-    pub body: Bytes,
+    pub body: Body,
     /// Whether the response is a stream.
     pub streaming: bool,
     /// The name of the peer that forwarded the request, if any.
--- a/crates/notchwalk_relay/src/attempt.rs
+++ b/crates/notchwalk_relay/src/attempt.rs
@@ -245,15 +245,13 @@
         let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
         let length = Some(req.body.len());
-        let mut buf = encode_request_head(&head.method, path, host, &headers, length);
-        buf.extend_from_slice(&req.body);
+        let buf = encode_request_head(&head.method, path, host, &headers, length);
         let origin = ResponseOrigin {
             server: to.server(),
             addr: to.addr(),
             sent_at: shell.now(),
         };
-        let written = conn.write_all(&buf).await;
-        drop(buf);
+        let written = conn.write_message(buf, &req.body).await;
         let receive = receive_response(shell, req, &head.method, origin, conn);
         let Err(e) = written else {
             return receive.await.map(Some);
--- a/crates/notchwalk_relay/src/config_watch.rs
+++ b/crates/notchwalk_relay/src/config_watch.rs
@@ -43,7 +43,7 @@
             site.routes.len(),
             site.services.len()
         );
-        self.shell.limits.set(site.limits);
+        self.shell.set_limits(site.limits);
         self.shell.metrics.config_version.set(site.version as i64);
         self.shell.step(Event::Configured(site));
         LogEvent::new(LogEventKind::ConfigActivated, facts).emit();
--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -4,8 +4,10 @@
 
 use monoio::net::{udp::UdpSocket, TcpListener};
 use notchwalk_core::{Clock, LogEvent, LogEventKind};
-use notchwalk_daemon::{bind, block_on, boot_number, log_sink, DaemonError, Signals, StallWatch};
-use notchwalk_http::{serve, serve_counted, Client, ServerLimits, Service};
+use notchwalk_daemon::{
+    bind, block_on, boot_number, log_sink, DaemonError, Signals, StallWatch,
+};
+use notchwalk_http::{Client, Server, ServerLimits, Service};
 use notchwalk_platform::RowStore;
 use notchwalk_route::{Event, Router, RouterConfig};
 
@@ -84,6 +86,54 @@
             forwarded,
         })
     }
+
+    /// Serves all listeners; returns the socket for messages of peers. The connections that the
+    /// listeners leave over are for servers, peers and the store.
+    fn serve(self, shell: &Rc<Shell>) -> UdpSocket {
+        const CALLERS_PART: usize = 2;
+        const PEERS_PART: usize = 8;
+        const DIRECTORY_PART: usize = 2;
+        const QUERIES_PART: usize = 2;
+        let sockets = shell.settings.max_descriptors;
+        let server = |part, service: Rc<dyn Service>| {
+            Server::new(server_limits(sockets, part), service).with_clients(shell.clients.clone())
+        };
+        let open = &shell.open_exchanges;
+        let callers = server(CALLERS_PART, Rc::new(Front::for_callers(shell.clone())));
+        let callers = callers.with_open_exchanges(open.clone());
+        monoio::spawn(callers.serve(self.caller));
+        let forward_limits = ServerLimits {
+            // Longer than connections stay in the pool of the peer that opened them.
+            idle_timeout: Duration::from_secs(60),
+            ..server_limits(sockets, PEERS_PART)
+        };
+        let for_peers = Rc::new(Front::for_peers(shell.clone()));
+        let peers = Server::new(forward_limits, for_peers)
+            .with_clients(shell.clients.clone())
+            .with_open_exchanges(open.clone());
+        monoio::spawn(peers.serve(self.forwarded));
+        let directory = Rc::new(Directory::new(shell.clone()));
+        monoio::spawn(server(QUERIES_PART, directory.clone()).serve(self.ready));
+        monoio::spawn(server(DIRECTORY_PART, directory).serve(self.directory));
+        let operator = server(QUERIES_PART, Rc::new(Operator::new(shell.clone())));
+        monoio::spawn(operator.serve(self.operator));
+        self.peer
+    }
+}
+
+/// Limits of the connections to one listener. `descriptors` are those of the process for sockets;
+/// the listener's part of them is given as a divisor.
+fn server_limits(descriptors: usize, part: usize) -> ServerLimits {
+    /// Enough to serve clients in turn on a machine with few descriptors.
+    const MIN_CONNECTIONS: usize = 4;
+    ServerLimits {
+        max_connections: (descriptors / part).max(MIN_CONNECTIONS),
+        max_head_bytes: notchwalk_http::MAX_HEAD_BYTES,
+        idle_timeout: Duration::from_secs(20),
+        head_timeout: Duration::from_secs(3),
+        body_read_timeout: Duration::from_secs(5),
+        write_timeout: Duration::from_secs(10),
+    }
 }
 
 /// Binds the UDP and the TCP port of the peer address, which have the same number. If the
@@ -114,10 +164,6 @@
     settings_file: PathBuf,
 }
 
-fn serve_at(listener: TcpListener, limits: ServerLimits, service: impl Service) {
-    monoio::spawn(serve(listener, limits, Rc::new(service)));
-}
-
 impl Daemon {
     fn start(mut settings: RelaySettings, environment: Environment) -> Result<Self, DaemonError> {
         let listeners = Listeners::bind(&mut settings)?;
@@ -143,33 +189,10 @@
             Box::new(EffectDispatcher),
         );
         let shell = Rc::new(shell.with_clock(environment.clock));
-        let limits = ServerLimits {
-            max_connections: shell.settings.max_descriptors / 2,
-            max_head_bytes: notchwalk_http::MAX_HEAD_BYTES,
-            idle_timeout: Duration::from_secs(20),
-            head_timeout: Duration::from_secs(3),
-            body_read_timeout: Duration::from_secs(5),
-            write_timeout: Duration::from_secs(10),
-        };
-        let open = shell.open_exchanges.clone();
-        let for_callers = Rc::new(Front::for_callers(shell.clone()));
-        let callers = serve_counted(listeners.caller, limits, for_callers, open.clone());
-        monoio::spawn(callers);
-        let forward_limits = ServerLimits {
-            max_connections: shell.settings.max_descriptors / 8,
-            // Longer than connections stay in the pool of the peer that opened them.
-            idle_timeout: Duration::from_secs(60),
-            ..limits
-        };
-        let for_peers = Rc::new(Front::for_peers(shell.clone()));
-        let peers = serve_counted(listeners.forwarded, forward_limits, for_peers, open);
-        monoio::spawn(peers);
-        serve_at(listeners.ready, limits, Directory::new(shell.clone()));
-        serve_at(listeners.directory, limits, Directory::new(shell.clone()));
-        serve_at(listeners.operator, limits, Operator::new(shell.clone()));
+        let socket = listeners.serve(&shell);
         Ok(Self {
             shell,
-            socket: Rc::new(listeners.peer),
+            socket: Rc::new(socket),
             settings_file: environment.settings_file,
         })
     }
--- a/crates/notchwalk_relay/src/front/accept.rs
+++ b/crates/notchwalk_relay/src/front/accept.rs
@@ -2,11 +2,10 @@
 
 use std::{future::Future, pin::pin, rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use futures_util::future::{select, Either};
 use http::StatusCode;
 use notchwalk_core::Instant;
-use notchwalk_http::prelude::*;
+use notchwalk_http::{prelude::*, Body};
 use notchwalk_quarantine::{Fingerprint, FingerprintBuilder, RequestHead};
 use notchwalk_route::{
     host_name, DrainSchedule, RequestFacts, RequestKey, RouteLookup, WorkspaceShortId,
@@ -20,6 +19,8 @@
 /// `Retry-After` while no configuration is active yet. Reading it takes a few milliseconds
 /// once the store responds.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// `Retry-After` when messages of others occupy the memory. Clients that stall give way sooner.
+const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// How long before the route's timeout a request fails, so that the final response
 /// arrives in time.
 const TIMEOUT_MARGIN: Duration = Duration::from_millis(20);
@@ -37,32 +38,53 @@
     /// The caller disconnected.
     CallerDisconnected,
     /// A response is sent at once.
-    Respond {
-        id: String,
-        status: StatusCode,
-        reason: &'static str,
-        retry_after: Option<Duration>,
-    },
+    Respond(RejectionResponse),
 }
 
-impl Rejection {
-    fn new(id: &str, status: StatusCode, reason: &'static str) -> Self {
-        Self::Respond {
+/// The response to a request that was rejected before it reached the router.
+pub(super) struct RejectionResponse {
+    /// The request id; empty if it was not read.
+    pub id: String,
+    pub status: StatusCode,
+    pub reason: &'static str,
+    pub retry_after: Option<Duration>,
+    /// Why the request was refused, for a peer that forwarded it.
+    pub label: &'static str,
+}
+
+impl RejectionResponse {
+    pub fn new(id: &str, status: StatusCode, reason: &'static str) -> Self {
+        Self {
             id: id.to_owned(),
             status,
             reason,
             retry_after: None,
+            label: "rejected",
         }
     }
 
-    fn with_retry_after(mut self, after: Duration) -> Self {
-        if let Self::Respond { retry_after, .. } = &mut self {
-            *retry_after = Some(after);
+    /// Creates the response to a request for which there is no memory.
+    pub fn overloaded(id: &str) -> Self {
+        let reason = "other requests occupy the memory";
+        Self {
+            label: "peer_busy",
+            ..Self::new(id, StatusCode::SERVICE_UNAVAILABLE, reason)
+                .with_retry_after(OVERLOADED_RETRY_AFTER)
         }
+    }
+
+    fn with_retry_after(mut self, retry_after: Duration) -> Self {
+        self.retry_after = Some(retry_after);
         self
     }
 }
 
+impl From<RejectionResponse> for Rejection {
+    fn from(response: RejectionResponse) -> Self {
+        Self::Respond(response)
+    }
+}
+
 impl Front {
     /// Reads a request within its limits and finds its route and workspace.
     pub(super) async fn accept(
@@ -73,24 +95,26 @@
     ) -> Result<Accepted, Rejection> {
         let caller = self.shell.dialect.caller_request(&exchange.head.headers);
         let caller =
-            caller.map_err(|reason| Rejection::new("", StatusCode::BAD_REQUEST, reason))?;
+            caller.map_err(|reason| RejectionResponse::new("", StatusCode::BAD_REQUEST, reason))?;
         let id = caller.id.to_str().unwrap_or("unreadable").to_owned();
-        let rejected = |status, reason| Rejection::new(&id, status, reason);
+        let rejected = |status, reason| RejectionResponse::new(&id, status, reason);
         if self.shell.router.borrow().version() == 0 {
             let reason = "no configuration is in force yet";
             let rejection = rejected(StatusCode::SERVICE_UNAVAILABLE, reason);
-            return Err(rejection.with_retry_after(NO_CONFIG_RETRY_AFTER));
+            return Err(rejection.with_retry_after(NO_CONFIG_RETRY_AFTER).into());
         }
         let limits = self.shell.limits.get();
         if head_bytes(exchange) > limits.head_bytes {
             exchange.close_after();
             let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-            return Err(rejected(status, "the head is too large"));
+            return Err(rejected(status, "the head is too large").into());
         }
         let (route, workspace) = match self.look_up_route(exchange, &caller) {
-            RouteLookup::NoRoute => return Err(rejected(StatusCode::NOT_FOUND, "no such route")),
+            RouteLookup::NoRoute => {
+                return Err(rejected(StatusCode::NOT_FOUND, "no such route").into());
+            }
             RouteLookup::InvalidKey => {
-                return Err(rejected(StatusCode::UNAUTHORIZED, "the key is not known"));
+                return Err(rejected(StatusCode::UNAUTHORIZED, "the key is not known").into());
             }
             RouteLookup::Found { route, workspace } => (route, workspace),
         };
@@ -102,14 +126,15 @@
             exchange.close_after();
             let reason = "this node is shutting down";
             let rejection = rejected(StatusCode::SERVICE_UNAVAILABLE, reason);
-            return Err(rejection.with_retry_after(self.shutdown_retry_after()));
+            return Err(rejection
+                .with_retry_after(self.shutdown_retry_after())
+                .into());
         };
         let (body, content) = match read {
             Ok(read) => read,
-            Err(None) => return Err(Rejection::CallerDisconnected),
-            Err(Some((status, reason))) => {
+            Err(e) => {
                 exchange.close_after();
-                return Err(rejected(status, reason));
+                return Err(reject_body(&id, &e));
             }
         };
         let default_output_tokens =
@@ -179,37 +204,34 @@
             .lookup(host(exchange), exchange.path(), caller.api_key.as_deref())
     }
 
-    /// Reads the body and computes the request's fingerprint along the way. An error
-    /// without a status means that the caller disconnected.
+    /// Reads the body and computes the request's fingerprint along the way.
     async fn read_body(
         &self,
         exchange: &mut Exchange,
         limit: usize,
         request_timeout: Duration,
         workspace: Option<&str>,
-    ) -> Result<(Bytes, Fingerprint), Option<(StatusCode, &'static str)>> {
+    ) -> Result<(Body, Fingerprint), HttpError> {
         let mut content = start_fingerprint(exchange, workspace);
         let read = exchange.read_body_with(limit, |chunk| content.update(chunk));
         let read = monoio::time::timeout(request_timeout, read).await;
-        match read {
-            Ok(Ok(body)) => Ok((body, content.finish())),
-            Ok(Err(HttpError::BodyTooLarge(_))) => Err(Some((
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "the body is too large",
-            ))),
-            Ok(Err(HttpError::Framing)) => Err(Some((
-                StatusCode::BAD_REQUEST,
-                "the body's framing is malformed",
-            ))),
-            Ok(Err(HttpError::TimedOut)) | Err(_) => Err(Some((
-                StatusCode::REQUEST_TIMEOUT,
-                "the body came too slowly",
-            ))),
-            Ok(Err(_)) => Err(None),
-        }
+        let body = read.unwrap_or(Err(HttpError::TimedOut))?;
+        Ok((body, content.finish()))
     }
 }
 
+/// Returns the rejection of a request whose body could not be read.
+fn reject_body(id: &str, error: &HttpError) -> Rejection {
+    let (status, reason) = match error {
+        HttpError::BodyTooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+        HttpError::Framing => (StatusCode::BAD_REQUEST, "the body's framing is malformed"),
+        HttpError::TimedOut => (StatusCode::REQUEST_TIMEOUT, "the body came too slowly"),
+        HttpError::Overloaded => return RejectionResponse::overloaded(id).into(),
+        _ => return Rejection::CallerDisconnected,
+    };
+    RejectionResponse::new(id, status, reason).into()
+}
+
 /// Returns the host of a request; empty if it has none.
 fn host(exchange: &Exchange) -> &str {
     let named = exchange.header("host").or(exchange.head.uri.host());
--- a/crates/notchwalk_relay/src/front/mod.rs
+++ b/crates/notchwalk_relay/src/front/mod.rs
@@ -18,7 +18,7 @@
     relay_response::Delivery,
     shell::{Inbox, Shell},
 };
-use accept::Rejection;
+use accept::{Rejection, RejectionResponse};
 use record::Outcome;
 
 /// Who sends the requests to a [`Front`].
@@ -47,14 +47,14 @@
     }
 
     /// Responds to a request that was rejected before it reached the router.
-    async fn reject(
-        &self,
-        exchange: &mut Exchange,
-        id: &str,
-        status: StatusCode,
-        reason: &'static str,
-        retry_after: Option<Duration>,
-    ) {
+    async fn reject(&self, exchange: &mut Exchange, response: RejectionResponse) {
+        let RejectionResponse {
+            id,
+            status,
+            reason,
+            retry_after,
+            label,
+        } = response;
         let facts = format!("request={id} status={} reason={reason:?}", status.as_u16());
         LogEvent::new(LogEventKind::RequestRejected, facts).emit();
         let counter = self
@@ -70,7 +70,7 @@
         }
         let plain = HeaderValue::from_static("text/plain; charset=utf-8");
         headers.insert(header::CONTENT_TYPE, plain);
-        self.mark_refused(&mut headers, "rejected");
+        self.mark_refused(&mut headers, label);
         exchange
             .respond(status, headers, format!("{reason}\n").as_bytes())
             .await;
@@ -113,16 +113,7 @@
         let accepted = match self.accept(exchange, arrived_at, forwarded).await {
             Ok(accepted) => accepted,
             Err(Rejection::CallerDisconnected) => return exchange.abort(),
-            Err(Rejection::Respond {
-                id,
-                status,
-                reason,
-                retry_after,
-            }) => {
-                return self
-                    .reject(exchange, &id, status, reason, retry_after)
-                    .await;
-            }
+            Err(Rejection::Respond(response)) => return self.reject(exchange, response).await,
         };
         let (key, inbox) = self.shell.open_request();
         let req = ActiveRequest {
@@ -355,15 +346,19 @@
         exchange: &'a mut Exchange,
         error: HttpError,
     ) -> LocalBoxFuture<'a, ()> {
-        let (status, reason) = match error {
-            HttpError::HeadTooLarge(_) => (
+        let response = |status, reason| RejectionResponse::new("", status, reason);
+        let response = match error {
+            HttpError::HeadTooLarge(_) => response(
                 StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
                 "the head is too large",
             ),
-            HttpError::TimedOut => (StatusCode::REQUEST_TIMEOUT, "the head came too slowly"),
-            _ => (StatusCode::BAD_REQUEST, "the request is malformed"),
+            HttpError::Overloaded => RejectionResponse::overloaded(""),
+            HttpError::TimedOut => {
+                response(StatusCode::REQUEST_TIMEOUT, "the head came too slowly")
+            }
+            _ => response(StatusCode::BAD_REQUEST, "the request is malformed"),
         };
-        Box::pin(async move { self.reject(exchange, "", status, reason, None).await })
+        Box::pin(async move { self.reject(exchange, response).await })
     }
 
     fn limits(&self, started_with: ServerLimits) -> ServerLimits {
--- a/crates/notchwalk_relay/src/relay_response.rs
+++ b/crates/notchwalk_relay/src/relay_response.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use notchwalk_core::Instant;
-use notchwalk_http::{encode_chunk, prelude::*};
+use notchwalk_http::{encode_chunk, prelude::*, Reservation};
 use notchwalk_quarantine::SURVIVAL_TIME;
 use notchwalk_route::{AttemptEnd, Event};
 
@@ -26,6 +26,8 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// What the body occupies of the memory for clients.
+    _memory: Reservation,
 }
 
 /// Progress of the delivery of a response to the caller.
@@ -116,7 +118,8 @@
 ) -> AttemptOutcome {
     let status = response.status;
     let headers = end_to_end_headers(&mut response.headers);
-    let read = response.collect(MAX_BUFFERED_RESPONSE_BYTES);
+    let mut memory = exchange.reservation();
+    let read = response.collect_within(MAX_BUFFERED_RESPONSE_BYTES, &mut memory);
     let wait = ServerWait {
         server: to.server(),
         idle_timeout: None,
@@ -136,6 +139,7 @@
             status,
             headers,
             body,
+            _memory: memory,
         });
         return AttemptOutcome::Ended(AttemptEnd::ServerError);
     }
--- a/crates/notchwalk_relay/src/settings.rs
+++ b/crates/notchwalk_relay/src/settings.rs
@@ -6,6 +6,9 @@
 use notchwalk_core::Findings;
 use notchwalk_daemon::{settings, DaemonError};
 
+/// Memory of the VM if the settings name none, in megabytes.
+const DEFAULT_MEMORY_MB: usize = 160;
+
 /// The settings of one process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RelaySettings {
@@ -37,6 +40,8 @@
     pub stop_grace: Duration,
     /// Maximum number of open file descriptors.
     pub max_descriptors: usize,
+    /// The memory of the VM, in bytes. A part of it may hold messages of clients.
+    pub memory_bytes: usize,
 }
 
 impl RelaySettings {
@@ -71,6 +76,7 @@
     let directory_ttl_ms = entry.in_range("directory_ttl_ms", 2_000, 100, 600_000);
     let stop_grace_s = entry.in_range("stop_grace_s", 8.0, 1.0, 600.0);
     let max_descriptors = entry.in_range("max_descriptors", 4_200, 64, 1_000_000);
+    let memory_mb = entry.in_range("memory_mb", DEFAULT_MEMORY_MB, 32, 1_000_000);
     let store = ini.section("store");
     let store_addr = store.required::<SocketAddr>("address");
     let retries = ini.section("retries");
@@ -92,5 +98,6 @@
         retry_window: Duration::from_secs_f64(retry_window_s),
         stop_grace: Duration::from_secs_f64(stop_grace_s),
         max_descriptors,
+        memory_bytes: memory_mb * 1_000_000,
     })
 }
--- a/crates/notchwalk_relay/src/shell.rs
+++ b/crates/notchwalk_relay/src/shell.rs
@@ -6,7 +6,7 @@
 use local_sync::mpsc::unbounded;
 use notchwalk_core::{Clock, Instant, LogEvent, LogEventKind};
 use notchwalk_daemon::{SuspensionWatch, Wake};
-use notchwalk_http::{Client, OpenExchanges};
+use notchwalk_http::{Client, ClientTable, OpenExchanges};
 use notchwalk_platform::{RowPage, RowStore, StoreVersion};
 use notchwalk_route::{CallerLimits, DrainSchedule, Effect, Event, RequestKey, Router, ServerKey};
 use slotmap::SecondaryMap;
@@ -54,6 +54,8 @@
     pub draining: std::cell::Cell<Option<DrainSchedule>>,
     /// The requests of callers and peers that have no complete response.
     pub open_exchanges: OpenExchanges,
+    /// The clients of all listeners, and the memory that their messages occupy.
+    pub clients: ClientTable,
     /// Whether the last poll of the store succeeded.
     pub store_up: std::cell::Cell<bool>,
     /// When the store last responded to a query for rows; `None` if it never did.
@@ -89,6 +91,13 @@
     effects: Box<dyn EffectDriver>,
 }
 
+/// Returns how many bytes of the VM's memory messages of clients may occupy. The rest is for
+/// connections, requests in progress, the state of the process and the allocator.
+fn message_memory_bytes(settings: &RelaySettings) -> usize {
+    const MESSAGE_PART: usize = 4;
+    settings.memory_bytes / MESSAGE_PART
+}
+
 impl Shell {
     pub fn new(
         settings: RelaySettings,
@@ -102,6 +111,7 @@
         let clock = Clock::new();
         Self {
             peers: RefCell::new(Peers::new(&settings.name)),
+            clients: ClientTable::new(message_memory_bytes(&settings)),
             settings,
             boot,
             suspension: SuspensionWatch::new(&clock),
@@ -139,6 +149,15 @@
         self
     }
 
+    /// Sets the limits on callers' requests. The memory for messages holds at least one of the
+    /// largest size.
+    pub fn set_limits(&self, limits: CallerLimits) {
+        self.limits.set(limits);
+        let largest = limits.body_bytes.max(2 * limits.head_bytes);
+        let memory = message_memory_bytes(&self.settings);
+        self.clients.set_max_bytes(memory, largest);
+    }
+
     /// Returns how often the machine resumed from a suspension so far.
     pub fn resume_count(&self) -> u64 {
         self.suspension.resume_count()
--- a/crates/notchwalk_standin/tests/misbehaving_clients.rs
+++ b/crates/notchwalk_standin/tests/misbehaving_clients.rs
@@ -159,6 +159,97 @@
     ClientScript::new(head).with_repeated(vec![b'x'; 64 << 10], body_bytes - 1)
 }
 
+#[test]
+fn bodies_in_one_chunk_that_stop_short_stay_within_memory() {
+    let mut machine = Machine::start();
+    let script = one_unfinished_chunk(&completion_head(CHUNKED), MAX_BODY_BYTES);
+    machine.assert_withstands(machine.caller(), CLIENTS, script);
+}
+
+#[test]
+fn bodies_in_large_chunks_that_stop_short_stay_within_memory() {
+    let mut machine = Machine::start();
+    let script = unfinished_chunks(&completion_head(CHUNKED), 64 << 10, MAX_BODY_BYTES);
+    machine.assert_withstands(machine.caller(), CLIENTS, script);
+}
+
+#[test]
+fn bodies_in_small_chunks_that_stop_short_stay_within_memory() {
+    let mut machine = Machine::start();
+    let script = unfinished_chunks(&completion_head(CHUNKED), 16, MAX_BODY_BYTES);
+    machine.assert_withstands(machine.caller(), CLIENTS, script);
+}
+
+#[test]
+fn bodies_with_a_length_that_stop_short_stay_within_memory() {
+    let mut machine = Machine::start();
+    let head = completion_head(&format!("content-length: {MAX_BODY_BYTES}\r\n"));
+    let script = ClientScript::new(head).with_repeated(vec![b'x'; 64 << 10], MAX_BODY_BYTES - 1);
+    machine.assert_withstands(machine.caller(), CLIENTS, script);
+}
+
+#[test]
+fn bodies_far_over_the_limit_stay_within_memory() {
+    let mut machine = Machine::start();
+    let sent = 4 * MAX_BODY_BYTES;
+    let announced = completion_head("content-length: 4294967296\r\n");
+    let large_chunk = completion_head(CHUNKED) + "100000000\r\n";
+    for head in [announced, large_chunk] {
+        let script = ClientScript::new(head).with_repeated(vec![b'x'; 64 << 10], sent);
+        machine.assert_withstands(machine.caller(), CLIENTS, script);
+    }
+    let endless = unfinished_chunks(&completion_head(CHUNKED), 64 << 10, sent);
+    machine.assert_withstands(machine.caller(), CLIENTS, endless);
+}
+
+#[test]
+fn crowds_in_turn_stay_within_memory() {
+    let mut machine = Machine::start();
+    let head = completion_head(CHUNKED);
+    for script in [
+        one_unfinished_chunk(&head, MAX_BODY_BYTES),
+        unfinished_chunks(&head, 64 << 10, MAX_BODY_BYTES),
+        unfinished_chunks(&head, 16, MAX_BODY_BYTES),
+        one_unfinished_chunk(&head, MAX_BODY_BYTES),
+    ] {
+        drop(machine.crowd(machine.caller(), CLIENTS, script));
+        machine.assert_request_is_answered();
+        machine.assert_within_bounds();
+    }
+}
+
+#[test]
+fn bodies_of_service_calls_stay_within_memory() {
+    /// Just under the size of a body that is buffered for a call.
+    const BODY_BYTES: usize = 1_000_000;
+    const MANY_CLIENTS: usize = 290;
+    let mut machine = Machine::start();
+    let streamed = request_head("PUT /v1/services/bookdesk/plots/7", CHUNKED);
+    let buffered = request_head(
+        "PUT /v1/services/bookdesk/plots/7",
+        &format!("idempotency-key: one\r\n{CHUNKED}"),
+    );
+    for head in [streamed, buffered] {
+        let script = one_unfinished_chunk(&head, BODY_BYTES);
+        machine.assert_withstands(machine.caller(), MANY_CLIENTS, script);
+    }
+}
+
+/// Guards against bodies that are read and buffered only to keep a connection open.
+#[test]
+fn bodies_that_no_handler_reads_stay_within_memory() {
+    const DISCARDED_BYTES: usize = 250 << 10;
+    const MANY_CLIENTS: usize = 890;
+    let mut machine = Machine::start_with("max_connections = 900\n", |config| config);
+    for (addr, path) in [
+        (machine.caller(), "GET /v1/entries"),
+        (machine.operator(), "GET /metrics"),
+    ] {
+        let script = one_unfinished_chunk(&request_head(path, CHUNKED), DISCARDED_BYTES);
+        machine.assert_withstands(addr, MANY_CLIENTS, script);
+    }
+}
+
 /// Guards against parameters whose decoded form is many times as large as the body.
 #[test]
 fn nested_parameters_of_waiting_requests_stay_within_memory() {
@@ -179,3 +270,36 @@
     machine.assert_request_is_answered();
     machine.assert_within_bounds();
 }
+
+#[test]
+fn unread_streams_stay_within_memory() {
+    const CLIENTS: usize = 60;
+    let mut machine = Machine::start_with(LIMITS, |config| config.with_time_scale(500.0));
+    let body = r#"{"model":"lampwise","prompt":"x","max_tokens":300000,"stream":true}"#;
+    let script = ClientScript::new(completion(body)).without_reading();
+    let mut crowd = machine.crowd(machine.caller(), CLIENTS, script);
+    // The responses are generated in the meantime.
+    for _ in 0..5 {
+        crowd.send(&mut machine.watch);
+        machine.assert_within_bounds();
+    }
+    drop(crowd);
+    machine.assert_request_is_answered();
+    machine.assert_within_bounds();
+}
+
+#[test]
+fn unfinished_heads_stay_within_memory() {
+    const CLIENTS: usize = 4_500;
+    const HEAD_BYTES: usize = 32_000;
+    let mut machine = Machine::start_with("", |config| config);
+    let start = "GET /v1/models HTTP/1.1\r\nx-long: ";
+    let script =
+        ClientScript::new(start).with_repeated(vec![b'x'; 16 << 10], HEAD_BYTES - start.len());
+    let crowd = machine.crowd(machine.caller(), CLIENTS, script);
+    let peak = machine.watch.peak_memory().expect("the process ended");
+    assert!(peak <= MACHINE_MEMORY_BYTES, "{peak} bytes of memory");
+    machine.assert_request_is_answered();
+    drop(crowd);
+    machine.assert_request_is_answered();
+}
--- a/crates/notchwalkd/src/api_error.rs
+++ b/crates/notchwalkd/src/api_error.rs
@@ -50,11 +50,22 @@
                 "headers_too_large",
             ),
             HttpError::TimedOut => (StatusCode::REQUEST_TIMEOUT, "request_too_slow"),
+            HttpError::Overloaded => return Self::overloaded(),
             _ => (StatusCode::BAD_REQUEST, "malformed_http"),
         };
         Self::not_run(status, code, error.to_string())
     }
 
+    /// Creates the error of a request for which there is no memory.
+    pub fn overloaded() -> Self {
+        /// Clients that stall give way sooner.
+        const RETRY_AFTER_MS: u64 = 500;
+        let message = "other requests occupy the memory of this entry";
+        let mut failure = Self::not_run(StatusCode::SERVICE_UNAVAILABLE, "overloaded", message);
+        failure.retry_after_ms = Some(RETRY_AFTER_MS);
+        failure
+    }
+
     /// Creates the error of a request that the reducer refused or failed.
     pub fn from_failure(failure: Failure) -> Self {
         let (status, code, message) = describe(failure.code);
--- a/crates/notchwalkd/src/channel.rs
+++ b/crates/notchwalkd/src/channel.rs
@@ -1,9 +1,10 @@
-//! Channel from the shell to the task that serves a caller; counts the bytes of unread tokens.
+//! Channel from the shell to the task that serves a caller; bounds the memory of unread tokens.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::RefCell, rc::Rc};
 
 use local_sync::mpsc::unbounded;
 use notchwalk_decide::{Completion, Dispatch, Failure};
+use notchwalk_http::Reservation;
 
 /// An event for a caller's task.
 #[derive(Debug)]
@@ -22,10 +23,41 @@
     },
 }
 
-fn token_bytes(event: &CallerEvent) -> usize {
-    match event {
-        CallerEvent::Tokens(tokens) => tokens.iter().map(String::len).sum(),
-        _ => 0,
+/// Returns the bytes of text in an event, and what they occupy in memory.
+fn token_bytes(event: &CallerEvent) -> (usize, usize) {
+    /// Smallest block of the allocator, in bytes.
+    const MIN_ALLOCATION_BYTES: usize = 32;
+    let CallerEvent::Tokens(tokens) = event else {
+        return (0, 0);
+    };
+    let text = tokens.iter().map(String::len).sum();
+    let allocated = tokens
+        .iter()
+        .map(|token| token.len().max(MIN_ALLOCATION_BYTES));
+    let memory = allocated.sum::<usize>() + tokens.len() * size_of::<String>();
+    (text, memory)
+}
+
+/// The tokens that were sent and not yet received.
+struct Unread {
+    text_bytes: usize,
+    memory_bytes: usize,
+    /// The memory for clients that is reserved for them.
+    memory: Reservation,
+}
+
+impl Unread {
+    fn add(&mut self, event: &CallerEvent) {
+        let (text, memory) = token_bytes(event);
+        self.text_bytes += text;
+        self.memory_bytes += memory;
+    }
+
+    fn remove(&mut self, event: &CallerEvent) {
+        let (text, memory) = token_bytes(event);
+        self.text_bytes -= text;
+        self.memory_bytes -= memory;
+        self.memory.shrink_to(self.memory_bytes);
     }
 }
 
@@ -33,37 +65,45 @@
 #[derive(Clone)]
 pub struct CallerTx {
     tx: unbounded::Tx<CallerEvent>,
-    unread_bytes: Rc<Cell<usize>>,
+    unread: Rc<RefCell<Unread>>,
 }
 
 /// The receiving half, held by the task that serves the caller.
 pub struct CallerRx {
     rx: unbounded::Rx<CallerEvent>,
-    unread_bytes: Rc<Cell<usize>>,
+    unread: Rc<RefCell<Unread>>,
 }
 
-/// Creates a channel.
-pub fn caller_channel() -> (CallerTx, CallerRx) {
+/// Creates a channel whose unread tokens are reserved in `memory`.
+pub fn caller_channel(memory: Reservation) -> (CallerTx, CallerRx) {
     let (tx, rx) = unbounded::channel();
-    let unread_bytes = Rc::new(Cell::new(0));
+    let unread = Rc::new(RefCell::new(Unread {
+        text_bytes: 0,
+        memory_bytes: 0,
+        memory,
+    }));
     let tx = CallerTx {
         tx,
-        unread_bytes: unread_bytes.clone(),
+        unread: unread.clone(),
     };
-    (tx, CallerRx { rx, unread_bytes })
+    (tx, CallerRx { rx, unread })
 }
 
 impl CallerTx {
     /// Sends an event. The event is dropped if the task has ended.
     pub fn send(&self, event: CallerEvent) {
-        self.unread_bytes
-            .set(self.unread_bytes.get() + token_bytes(&event));
+        self.unread.borrow_mut().add(&event);
         let _ = self.tx.send(event);
     }
 
-    /// Returns the bytes of tokens sent and not yet received.
-    pub fn unread_bytes(&self) -> usize {
-        self.unread_bytes.get()
+    /// Returns whether the unread tokens have at most `max_bytes` and there is memory for them.
+    pub fn is_within(&self, max_bytes: usize) -> bool {
+        /// Callers that are this little behind don't pay for others.
+        const MIN_UNREAD_BYTES: usize = 64 * 1024;
+        let mut unread = self.unread.borrow_mut();
+        let memory_bytes = unread.memory_bytes;
+        let has_memory = unread.memory.grow_or_evict_to(memory_bytes);
+        unread.text_bytes <= max_bytes && (has_memory || memory_bytes <= MIN_UNREAD_BYTES)
     }
 }
 
@@ -71,16 +111,14 @@
     /// Waits for the next event. Returns `None` once the shell has dropped the request.
     pub async fn recv(&mut self) -> Option<CallerEvent> {
         let event = self.rx.recv().await?;
-        self.unread_bytes
-            .set(self.unread_bytes.get() - token_bytes(&event));
+        self.unread.borrow_mut().remove(&event);
         Some(event)
     }
 
     /// Returns the next event if one is queued.
     pub fn try_recv(&mut self) -> Option<CallerEvent> {
         let event = self.rx.try_recv().ok()?;
-        self.unread_bytes
-            .set(self.unread_bytes.get() - token_bytes(&event));
+        self.unread.borrow_mut().remove(&event);
         Some(event)
     }
 }
--- a/crates/notchwalkd/src/completion_request.rs
+++ b/crates/notchwalkd/src/completion_request.rs
@@ -35,6 +35,22 @@
     pub sampling: SamplingParams,
 }
 
+impl ParsedRequest {
+    /// Returns the approximate number of bytes that the request occupies.
+    pub fn kept_bytes(&self) -> usize {
+        let prompt = match &self.prompt {
+            Prompt::Text(text) => text.capacity(),
+            Prompt::Tokens(tokens) => tokens.capacity() * size_of::<u32>(),
+        };
+        let stop = self
+            .stop
+            .iter()
+            .map(|text| size_of::<String>() + text.len());
+        let sampling = self.sampling.values().map(|value| value.get().len());
+        prompt + stop.sum::<usize>() + sampling.sum::<usize>()
+    }
+}
+
 /// Parses a request body.
 ///
 /// # Errors
--- a/crates/notchwalkd/src/completions.rs
+++ b/crates/notchwalkd/src/completions.rs
@@ -2,11 +2,10 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use http::{header, HeaderMap, HeaderValue, StatusCode};
 use notchwalk_bundle::{Bundle, Model};
 use notchwalk_decide::{block_hashes, Arrival, CallerKey, Event, GenerateWork, RequestKey, Work};
-use notchwalk_http::{encode_chunk, Exchange};
+use notchwalk_http::{encode_chunk, Body, Exchange, Reservation};
 use notchwalk_quarantine::{Fingerprint, FingerprintBuilder, RequestHead};
 use notchwalk_wire::Prompt;
 
@@ -91,9 +90,11 @@
 ) -> Result<(), ApiFailure> {
     check_early_refusal(shell, caller)?;
     let body = read_body(shell, exchange).await?;
-    let parsed = completion_request::parse(dialect, &body)?;
     let content = content_fingerprint(exchange, caller, &body);
+    let (body, memory) = body.into_contiguous();
+    let parsed = completion_request::parse(dialect, &body)?;
     drop(body);
+    let memory = reserve_payload(memory, &parsed).await?;
     let variant = resolve_model(&caller.bundle, caller, &parsed.model)?;
     let max_tokens = parsed.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
     if max_tokens == 0 {
@@ -106,8 +107,9 @@
     }
     let (stream, include_usage) = (parsed.stream, parsed.include_usage);
     let name = parsed.model.clone();
-    let (work, payload) = build_work(shell, parsed, &variant, max_tokens);
-    let (tx, rx) = caller_channel();
+    let (work, mut payload) = build_work(shell, parsed, &variant, max_tokens);
+    payload.memory = memory;
+    let (tx, rx) = caller_channel(exchange.reservation());
     let arrival = |key: CallerKey| Arrival {
         caller: key,
         workspace: caller.workspace,
@@ -133,7 +135,7 @@
 }
 
 /// Returns a fingerprint that is equal for repeats of a request.
-fn content_fingerprint(exchange: &Exchange, caller: &Caller, body: &[u8]) -> Fingerprint {
+fn content_fingerprint(exchange: &Exchange, caller: &Caller, body: &Body) -> Fingerprint {
     let workspace = caller.bundle.workspace(caller.workspace);
     let mut builder = FingerprintBuilder::new(&RequestHead {
         workspace: Some(&workspace.name),
@@ -141,10 +143,26 @@
         host: "",
         target: exchange.path(),
     });
-    builder.update(body);
+    for piece in body.pieces() {
+        builder.update(piece);
+    }
     builder.finish()
 }
 
+/// Adapts the memory that is reserved for the body to what is kept of it.
+async fn reserve_payload(
+    mut memory: Option<Reservation>,
+    parsed: &ParsedRequest,
+) -> Result<Option<Reservation>, ApiFailure> {
+    if let Some(memory) = &mut memory {
+        let kept = parsed.kept_bytes();
+        memory.shrink_to(kept);
+        let grown = memory.grow_to(kept).await;
+        grown.map_err(|e| ApiFailure::from_http(&e))?;
+    }
+    Ok(memory)
+}
+
 /// Refuses requests that can be refused without reading their bodies, so that
 /// refusals stay cheap under overload.
 fn check_early_refusal(shell: &Shell, caller: &Caller) -> Result<(), ApiFailure> {
@@ -156,9 +174,9 @@
     }
 }
 
-async fn read_body(shell: &Shell, exchange: &mut Exchange) -> Result<Bytes, ApiFailure> {
+async fn read_body(shell: &Shell, exchange: &mut Exchange) -> Result<Body, ApiFailure> {
     let limit = shell.settings.max_body_bytes;
-    exchange.read_body(limit).await.map_err(|e| {
+    exchange.read_body_with(limit, |_| {}).await.map_err(|e| {
         exchange.close_after();
         ApiFailure::from_http(&e)
     })
@@ -199,6 +217,7 @@
         sampling: parsed.sampling,
         prompt: parsed.prompt,
         text_bytes,
+        memory: None,
     };
     (work, payload)
 }
--- a/crates/notchwalkd/src/daemon.rs
+++ b/crates/notchwalkd/src/daemon.rs
@@ -10,9 +10,11 @@
 
 use monoio::net::TcpListener;
 use notchwalk_core::{BootNumber, LogEvent, LogEventKind};
-use notchwalk_daemon::{bind, block_on, boot_number, log_sink, DaemonError, Signals, StallWatch};
+use notchwalk_daemon::{
+    bind, block_on, boot_number, log_sink, DaemonError, Signals, StallWatch,
+};
 use notchwalk_decide::Event;
-use notchwalk_http::{serve, serve_counted, Client, OpenExchanges, ServerLimits, Service};
+use notchwalk_http::{Client, OpenExchanges, Server, ServerLimits, Service};
 use notchwalk_platform::HttpPlatform;
 
 use crate::{
@@ -110,18 +112,17 @@
     );
     let listener = |std| TcpListener::from_std(std).map_err(DaemonError::Runtime);
     let serve_on = |std, service: Rc<dyn Service>| -> Result<(), DaemonError> {
-        notchwalk_http::spawn(serve(listener(std)?, limits, service));
+        let server = Server::new(limits, service).with_clients(shell.clients.clone());
+        notchwalk_http::spawn(server.serve(listener(std)?));
         Ok(())
     };
     let open = OpenExchanges::default();
     let callers = Rc::new(CallerApi::new(shell.clone()));
     let caller_listener = listener(listeners.caller)?;
-    notchwalk_http::spawn(serve_counted(
-        caller_listener,
-        limits,
-        callers,
-        open.clone(),
-    ));
+    let callers = Server::new(limits, callers)
+        .with_clients(shell.clients.clone())
+        .with_open_exchanges(open.clone());
+    notchwalk_http::spawn(callers.serve(caller_listener));
     serve_on(listeners.operator, Rc::new(OperatorApi::new(shell.clone())))?;
     notchwalk_http::spawn(peer_link::accept(shell.clone(), listener(listeners.peer)?));
     notchwalk_http::spawn(vm_watch::watch(shell.clone()));
--- a/crates/notchwalkd/src/service_proxy.rs
+++ b/crates/notchwalkd/src/service_proxy.rs
@@ -3,14 +3,13 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use http::{header, HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use notchwalk_core::RequestId;
 use notchwalk_decide::{
     claim_key, Arrival, AttemptEnd, CallWork, CallerKey, Dispatch, Event, RequestKey, Work,
 };
 use notchwalk_http::{
-    encode_chunk, encode_request_head, Connection, ConnectionReuse, Exchange, HttpError,
+    encode_chunk, encode_request_head, Body, Connection, ConnectionReuse, Exchange, HttpError,
     StreamedResponse, CHUNK_END,
 };
 use notchwalk_quarantine::{Fingerprint, FingerprintBuilder, RequestHead};
@@ -32,8 +31,6 @@
 const MAX_STORED_BODY_BYTES: usize = 64 * 1024;
 /// Maximum length of an idempotency key, in bytes.
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
-/// Maximum size of a chunk of a streamed body, in bytes.
-const MAX_CHUNK_BYTES: usize = 1 << 20;
 /// Headers that are not forwarded: hop-by-hop headers and those addressed to the node.
 const UNFORWARDED_HEADERS: [&str; 10] = [
     "connection",
@@ -49,9 +46,9 @@
 ];
 
 /// The request body of a call.
-enum Body {
+enum CallBody {
     /// Read completely before the call is submitted.
-    Buffered(Bytes),
+    Buffered(Body),
     /// Forwarded from the caller chunk by chunk.
     Streamed,
 }
@@ -64,7 +61,7 @@
     target: String,
     method: Method,
     headers: HeaderMap,
-    body: Body,
+    body: CallBody,
     repeatable: bool,
     /// Table key and fingerprint of the claim, if the call has an idempotency key.
     claim: Option<(String, String)>,
@@ -102,7 +99,7 @@
         .iter()
         .any(|m| m == method.as_str());
     let repeatable =
-        is_repeatable_method && matches!(body, Body::Buffered(_)) && idempotency_key.is_none();
+        is_repeatable_method && matches!(body, CallBody::Buffered(_)) && idempotency_key.is_none();
     let target = service_target(exchange, name);
     let fingerprint = call_fingerprint(&method, &target, &body);
     let content = content_fingerprint(&workspace.name, &method, &target, &body);
@@ -110,7 +107,7 @@
         let key = claim_key(&workspace.name, name, idempotency_key);
         (key, fingerprint.clone())
     });
-    let (tx, rx) = caller_channel();
+    let (tx, rx) = caller_channel(exchange.reservation());
     let arrival = |caller_key: CallerKey| Arrival {
         caller: caller_key,
         workspace: caller.workspace,
@@ -163,16 +160,19 @@
 }
 
 /// Buffers the body if it is empty, small or `required` before the call is sent.
-async fn read_body(exchange: &mut Exchange, required: bool) -> Result<Body, ApiFailure> {
+async fn read_body(exchange: &mut Exchange, required: bool) -> Result<CallBody, ApiFailure> {
     const SMALL_BODY_BYTES: u64 = 64 * 1024;
     let is_small = exchange
         .declared_length()
         .is_some_and(|n| n <= SMALL_BODY_BYTES);
     if !exchange.body_is_done() && !required && !is_small {
-        return Ok(Body::Streamed);
+        return Ok(CallBody::Streamed);
     }
-    match exchange.read_body(MAX_BUFFERED_BODY_BYTES).await {
-        Ok(body) => Ok(Body::Buffered(body)),
+    match exchange
+        .read_body_with(MAX_BUFFERED_BODY_BYTES, |_| {})
+        .await
+    {
+        Ok(body) => Ok(CallBody::Buffered(body)),
         Err(e) => {
             exchange.close_after();
             Err(ApiFailure::from_http(&e))
@@ -202,9 +202,9 @@
     workspace: &str,
     method: &Method,
     target: &str,
-    body: &Body,
+    body: &CallBody,
 ) -> Option<Fingerprint> {
-    let Body::Buffered(body) = body else {
+    let CallBody::Buffered(body) = body else {
         return None;
     };
     let mut builder = FingerprintBuilder::new(&RequestHead {
@@ -213,20 +213,24 @@
         host: "",
         target,
     });
-    builder.update(body);
+    for piece in body.pieces() {
+        builder.update(piece);
+    }
     Some(builder.finish())
 }
 
 /// Returns the digest that is stored with a call's claim. It distinguishes a repeat of
 /// the call from a different one under the same idempotency key.
-fn call_fingerprint(method: &Method, target: &str, body: &Body) -> String {
+fn call_fingerprint(method: &Method, target: &str, body: &CallBody) -> String {
     let mut hasher = blake3::Hasher::new();
     hasher.update(method.as_str().as_bytes());
     hasher.update(b"\n");
     hasher.update(target.as_bytes());
     hasher.update(b"\n");
-    if let Body::Buffered(body) = body {
-        hasher.update(body);
+    if let CallBody::Buffered(body) = body {
+        for piece in body.pieces() {
+            hasher.update(piece);
+        }
     }
     hasher.finalize().to_hex().to_string()
 }
@@ -377,21 +381,21 @@
         };
         let mut conn = self.shell.client.connection(addr, reuse).await?;
         let length = match &self.body {
-            Body::Buffered(body) => Some(body.len()),
-            Body::Streamed => None,
+            CallBody::Buffered(body) => Some(body.len()),
+            CallBody::Streamed => None,
         };
         let mut headers = self.headers.clone();
         if let Ok(id) = HeaderValue::from_str(&self.id.to_string()) {
             headers.insert(HeaderName::from_static("x-notchwalk-request"), id);
         }
         let host = addr.to_string();
-        let mut head = encode_request_head(&self.method, &self.target, &host, &headers, length);
-        if let Body::Buffered(body) = &self.body {
-            head.extend_from_slice(body);
-        }
-        conn.write_all(&head).await?;
-        if matches!(self.body, Body::Streamed) {
-            forward_body(exchange, &mut conn).await?;
+        let head = encode_request_head(&self.method, &self.target, &host, &headers, length);
+        match &self.body {
+            CallBody::Buffered(body) => conn.write_message(head, body).await?,
+            CallBody::Streamed => {
+                conn.write_all(&head).await?;
+                forward_body(exchange, &mut conn).await?;
+            }
         }
         let client = &self.shell.client;
         client.receive(addr, conn, &self.method, reuse).await
@@ -482,7 +486,7 @@
 
 /// Forwards the caller's body in chunks.
 async fn forward_body(exchange: &mut Exchange, conn: &mut Connection) -> Result<(), HttpError> {
-    while let Some(chunk) = exchange.next_piece(MAX_CHUNK_BYTES).await? {
+    while let Some(chunk) = exchange.next_piece().await? {
         let mut framed = Vec::with_capacity(chunk.len() + 16);
         encode_chunk(&mut framed, &chunk);
         conn.write_all(&framed).await?;
--- a/crates/notchwalkd/src/settings.rs
+++ b/crates/notchwalkd/src/settings.rs
@@ -9,6 +9,9 @@
 
 use crate::peer_auth::PeerKeys;
 
+/// Memory of the VM if the settings name none, in megabytes.
+const DEFAULT_MEMORY_MB: usize = 256;
+
 /// The addresses a daemon is to listen on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListenAddresses {
@@ -39,6 +42,8 @@
     pub max_body_bytes: usize,
     /// Maximum number of concurrent connections of each HTTP listener.
     pub max_connections: usize,
+    /// The memory of the VM, in bytes. A part of it may hold messages of clients.
+    pub memory_bytes: usize,
     /// Maximum bytes of a response buffered for a slow caller.
     pub max_unread_bytes: usize,
     /// How engine memory is reserved. Not read from the settings file.
@@ -63,6 +68,7 @@
             node_list_ttl: Duration::from_secs(5),
             max_body_bytes: 64 << 20,
             max_connections: 20_000,
+            memory_bytes: DEFAULT_MEMORY_MB * 1_000_000,
             max_unread_bytes: 1 << 20,
             reserve: ReserveMode::TopUp,
         }
@@ -117,6 +123,7 @@
     let limits = ini.section("limits");
     let max_body_bytes = limits.in_range("max_body_bytes", 64 << 20, 1_024, 1 << 30);
     let max_connections = limits.in_range("max_connections", 20_000, 1, 1_000_000);
+    let memory_mb = limits.in_range("memory_mb", DEFAULT_MEMORY_MB, 32, 1_000_000);
     let max_unread_bytes = limits.in_range("max_unread_bytes", 1 << 20, 4_096, 1 << 30);
     if limits.exists() && max_unread_bytes > max_body_bytes {
         limits.report("max_unread_bytes", "is more than max_body_bytes");
@@ -136,6 +143,7 @@
     settings.node_list_ttl = Duration::from_millis(node_list_ttl_ms);
     settings.max_body_bytes = max_body_bytes;
     settings.max_connections = max_connections;
+    settings.memory_bytes = memory_mb * 1_000_000;
     settings.max_unread_bytes = max_unread_bytes;
     Some(settings)
 }
--- a/crates/notchwalkd/src/shell.rs
+++ b/crates/notchwalkd/src/shell.rs
@@ -15,7 +15,7 @@
 use notchwalk_decide::{
     Arrival, CallerKey, Effect, Event, Failure, Node, NodeConfig, NodeDump, RequestKey,
 };
-use notchwalk_http::Client;
+use notchwalk_http::{Client, ClientTable, Reservation};
 use notchwalk_platform::Platform;
 use notchwalk_wire::{EngineFrame, Prompt};
 
@@ -29,7 +29,6 @@
 };
 
 /// The engine-facing contents of a generation request.
-#[derive(Debug)]
 pub struct GeneratePayload {
     /// Name of the model.
     pub model: String,
@@ -47,6 +46,8 @@
     pub prompt: Prompt,
     /// Length of a text prompt, in bytes.
     pub text_bytes: Option<usize>,
+    /// What the payload occupies of the memory for clients.
+    pub memory: Option<Reservation>,
 }
 
 /// The shell's state of an open request.
@@ -67,6 +68,16 @@
     fn handle(&self, shell: &Rc<Shell>, effect: Effect);
 }
 
+/// Creates the table of the daemon's clients. The memory that their messages may not occupy is
+/// for connections, requests in progress, the state of the daemon and the allocator.
+fn client_table(settings: &DaemonSettings) -> ClientTable {
+    const MESSAGE_PART: usize = 4;
+    let max_bytes = settings.memory_bytes / MESSAGE_PART;
+    let clients = ClientTable::new(max_bytes);
+    clients.set_max_bytes(max_bytes, settings.max_body_bytes);
+    clients
+}
+
 /// One running daemon.
 pub struct Shell {
     pub settings: DaemonSettings,
@@ -76,6 +87,8 @@
     /// HTTP client for backend servers and the platform.
     pub client: Client,
     pub platform: Rc<dyn Platform>,
+    /// The clients of all listeners, and the memory that their messages occupy.
+    pub clients: ClientTable,
     pub metrics: Metrics,
     /// Outgoing links to peers.
     pub links: PeerLinks,
@@ -123,6 +136,7 @@
         let clock = Clock::new();
         Rc::new(Self {
             suspension: SuspensionWatch::new(&clock),
+            clients: client_table(&settings),
             node: RefCell::new(Node::new(cfg)),
             settings,
             boot,
@@ -246,16 +260,17 @@
         };
         *self.frame_tokens.borrow_mut() = frame.tokens;
         self.step(event);
-        if self.unread_bytes(request) > self.settings.max_unread_bytes {
+        if self.reads_too_slowly(request) {
             self.step(Event::CallerDisconnected(request));
         }
     }
 
-    fn unread_bytes(&self, request: RequestKey) -> usize {
-        self.open_requests
-            .borrow()
-            .get(&request)
-            .map_or(0, |open| open.tx.unread_bytes())
+    /// Returns whether the caller of a request has left too many tokens unread.
+    fn reads_too_slowly(&self, request: RequestKey) -> bool {
+        let open = self.open_requests.borrow();
+        let max_unread_bytes = self.settings.max_unread_bytes;
+        open.get(&request)
+            .is_some_and(|open| !open.tx.is_within(max_unread_bytes))
     }
 
     /// Returns the address of a listed server.
