HTTP server: idle connections give way to new ones

Callers saw their connections closed unread while a node was full of idle ones, and a node could open more sockets than its machine has.

Why it works: a full listener closes the connection that has kept it waiting the longest for bytes of a request (or, for a second, for a response to be read) in favour of the new one; connections whose request is being served stay. The listeners' parts add up to two thirds of the descriptors for sockets. NW1010 says how many connections gave way.

--- a/crates/notchwalk_core/src/log_event.rs
+++ b/crates/notchwalk_core/src/log_event.rs
@@ -42,6 +42,7 @@
     SettingsReloaded = 1006, Info, "the settings file was reloaded";
     MachineResumed = 1008, Info, "the machine resumed from suspension";
     ProcessStalled = 1009, Warn, "the process did not run for a while";
+    ClientsEvicted = 1010, Warn, "connections were closed in favour of others: memory or connections ran out";
     LogLinesDropped = 1007, Warn, "log lines were dropped";
     BundleActivated = 2001, Info, "a bundle version was activated";
     BundleRejected = 2002, Warn, "a bundle was rejected: outdated, unsigned or invalid";
--- a/crates/notchwalk_daemon/src/lib.rs
+++ b/crates/notchwalk_daemon/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod backoff;
 mod error;
+mod eviction_log;
 mod file_limit;
 mod listen;
 pub mod log_sink;
@@ -32,6 +33,7 @@
 
 pub use backoff::Backoff;
 pub use error::DaemonError;
+pub use eviction_log::EvictionLog;
 pub use file_limit::raise_file_limit;
 pub use listen::bind;
 pub use log_sink::start_logging;
--- a/crates/notchwalk_http/src/clients.rs
+++ b/crates/notchwalk_http/src/clients.rs
@@ -16,7 +16,7 @@
 
 use slotmap::SlotMap;
 
-use crate::HttpError;
+use crate::{tasks::yield_now, HttpError};
 
 /// How long the process has waited for bytes of a client before the client's memory may go to
 /// others.
@@ -174,6 +174,19 @@
         clients.collect()
     }
 
+    /// Evicts the client of a server that has kept it waiting the longest; returns whether there
+    /// was one.
+    fn evict_for_connection(&mut self, server: ServerId) -> bool {
+        let now = Instant::now();
+        let may_be_replaced =
+            |client: &Client, wait: Wait| client.server == server && wait.may_be_replaced(now);
+        let Some(key) = self.longest_waiting(may_be_replaced) else {
+            return false;
+        };
+        self.evict(key);
+        true
+    }
+
     fn release(&mut self, key: ClientKey, bytes: usize) {
         self.reserved_bytes -= bytes;
         if let Some(client) = self.clients.get_mut(key) {
@@ -248,11 +261,19 @@
         ServerId(table.open.len() - 1)
     }
 
-    /// Admits a connection to a server that may have `max` connections; `None` if they are all
-    /// open.
+    /// Admits a connection to a server that may have `max` connections. When they are all open,
+    /// one that waits for its client is closed in its favour; `None` if there is none.
     pub async fn admit(&self, server: ServerId, max: usize) -> Option<ClientSlot> {
-        let has_room = self.0.borrow().open[server.0] < max;
-        has_room.then(|| self.open(server))
+        for _ in 0..MAX_YIELDS {
+            if self.0.borrow().open[server.0] < max {
+                return Some(self.open(server));
+            }
+            if !self.0.borrow_mut().evict_for_connection(server) {
+                return None;
+            }
+            yield_now().await;
+        }
+        None
     }
 
     fn open(&self, server: ServerId) -> ClientSlot {
@@ -452,16 +473,3 @@
         self.shrink_to(0);
     }
 }
-
-/// Lets the other tasks of this thread run.
-async fn yield_now() {
-    let mut yielded = false;
-    std::future::poll_fn(|cx| {
-        if std::mem::replace(&mut yielded, true) {
-            return Poll::Ready(());
-        }
-        cx.waker().wake_by_ref();
-        Poll::Pending
-    })
-    .await;
-}
--- a/crates/notchwalk_http/src/tasks.rs
+++ b/crates/notchwalk_http/src/tasks.rs
@@ -4,7 +4,7 @@
 //! and the sockets of the task open. Threads that end before their process therefore start
 //! tasks with [`spawn`] and call [`abort_all`] at the end.
 
-use std::{cell::RefCell, future::Future, time::Duration};
+use std::{cell::RefCell, future::Future, task::Poll, time::Duration};
 
 use futures_util::future::{AbortHandle, Abortable};
 use slotmap::{DefaultKey, SlotMap};
@@ -35,3 +35,16 @@
         monoio::time::sleep(POLL_INTERVAL).await;
     }
 }
+
+/// Lets the other tasks of this thread run.
+pub(crate) async fn yield_now() {
+    let mut yielded = false;
+    std::future::poll_fn(|cx| {
+        if std::mem::replace(&mut yielded, true) {
+            return Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
--- a/crates/notchwalk_relay/src/daemon.rs
+++ b/crates/notchwalk_relay/src/daemon.rs
@@ -5,7 +5,7 @@
 use monoio::net::{udp::UdpSocket, TcpListener};
 use notchwalk_core::{Clock, LogEvent, LogEventKind};
 use notchwalk_daemon::{
-    bind, block_on, boot_number, log_sink, DaemonError, Signals, StallWatch,
+    bind, block_on, boot_number, log_sink, DaemonError, EvictionLog, Signals, StallWatch,
 };
 use notchwalk_http::{Client, Server, ServerLimits, Service};
 use notchwalk_platform::RowStore;
@@ -92,9 +92,10 @@
     fn serve(self, shell: &Rc<Shell>) -> UdpSocket {
         const CALLERS_PART: usize = 2;
         const PEERS_PART: usize = 8;
-        const DIRECTORY_PART: usize = 2;
-        const QUERIES_PART: usize = 2;
-        let sockets = shell.settings.max_descriptors;
+        const DIRECTORY_PART: usize = 32;
+        // Few clients connect to the others, and only for short queries.
+        const QUERIES_PART: usize = 64;
+        let sockets = socket_descriptors(shell.settings.max_descriptors);
         let server = |part, service: Rc<dyn Service>| {
             Server::new(server_limits(sockets, part), service).with_clients(shell.clients.clone())
         };
@@ -136,6 +137,13 @@
     }
 }
 
+/// Returns how many of a process's descriptors are for sockets.
+fn socket_descriptors(max_descriptors: usize) -> usize {
+    /// Descriptors that are left to files.
+    const FILE_DESCRIPTORS: usize = 200;
+    max_descriptors - FILE_DESCRIPTORS.min(max_descriptors / 2)
+}
+
 /// Binds the UDP and the TCP port of the peer address, which have the same number. If the
 /// system chooses it, another program may have the TCP port: then further ones are tried.
 fn bind_peer_ports(addr: &mut SocketAddr) -> Result<(UdpSocket, TcpListener), DaemonError> {
@@ -228,12 +236,14 @@
             shell.clone(),
             self.socket.clone(),
         ));
+        let evictions = EvictionLog::default();
         loop {
             let stall = StallWatch::start(&shell.clock);
             monoio::time::sleep(TICK_INTERVAL).await;
             stall.finish(&shell.clock, TICK_INTERVAL);
             shell.check_suspension();
             shell.step(Event::Tick);
+            evictions.report(shell.clients.evictions(), shell.now());
             log_sink::flush();
             if signals.take_reload_request() {
                 self.reload();
--- a/crates/notchwalk_standin/tests/misbehaving_clients.rs
+++ b/crates/notchwalk_standin/tests/misbehaving_clients.rs
@@ -303,3 +303,19 @@
     drop(crowd);
     machine.assert_request_is_answered();
 }
+
+/// Guards against callers whose connections are closed unread while idle ones stay open.
+#[test]
+fn idle_connections_give_way_to_requests() {
+    const CLIENTS: usize = 500;
+    let mut machine = Machine::start();
+    for message in ["", "GET /v1/models HTTP/1.1\r\nx-long: "] {
+        let addrs = [machine.peer(), machine.operator(), machine.caller()];
+        let crowds = addrs.map(|addr| machine.crowd(addr, CLIENTS, ClientScript::new(message)));
+        machine.assert_within_bounds();
+        machine.assert_request_is_answered();
+        drop(crowds);
+        machine.assert_request_is_answered();
+        machine.assert_within_bounds();
+    }
+}
--- a/crates/notchwalkd/src/daemon.rs
+++ b/crates/notchwalkd/src/daemon.rs
@@ -11,7 +11,7 @@
 use monoio::net::TcpListener;
 use notchwalk_core::{BootNumber, LogEvent, LogEventKind};
 use notchwalk_daemon::{
-    bind, block_on, boot_number, log_sink, DaemonError, Signals, StallWatch,
+    bind, block_on, boot_number, log_sink, DaemonError, EvictionLog, Signals, StallWatch,
 };
 use notchwalk_decide::Event;
 use notchwalk_http::{Client, OpenExchanges, Server, ServerLimits, Service};
@@ -148,6 +148,7 @@
 
 async fn tick_until_stopped(shell: &Rc<Shell>, signals: &Signals) {
     let mut draining = false;
+    let evictions = EvictionLog::default();
     while !shell.is_stopped() && !signals.kill_requested() {
         if !draining && signals.stop_requested() {
             draining = true;
@@ -155,6 +156,7 @@
         }
         shell.check_suspension();
         shell.step(Event::Tick);
+        evictions.report(shell.clients.evictions(), shell.now());
         log_sink::flush();
         let stall = StallWatch::start(&shell.clock);
         monoio::time::sleep(TICK_INTERVAL).await;
