Peer links: unauthenticated connections read at most 16 KiB

A daemon ran out of memory under messages to its peer address: anybody could send 32 MiB before authenticating, on 1,024 connections.

Cause: the largest message, a bundle's, was allowed before the handshake, and buffers of 256 KB were allocated for each connection.

Why it works: the stream fails once an unauthenticated peer has sent 16 KiB. At most 128 connections may be unauthenticated; the longest waiting gives way.

--- a/crates/notchwalk_standin/tests/misbehaving_clients.rs
+++ b/crates/notchwalk_standin/tests/misbehaving_clients.rs
@@ -288,6 +288,24 @@
     machine.assert_within_bounds();
 }
 
+/// Guards against large messages from connections that have not authenticated.
+#[test]
+fn messages_of_unauthenticated_peers_stay_within_memory() {
+    const MESSAGE_BYTES: usize = 30 << 20;
+    const CLIENTS: usize = 20;
+    let mut machine = Machine::start();
+    let upgrade = "GET / HTTP/1.1\r\nhost: x\r\nupgrade: websocket\r\nconnection: upgrade\r\n\
+                   sec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\nsec-websocket-version: 13\r\n\r\n";
+    // A binary frame with a length of 64 bits and a mask of zeros.
+    let mut frame_head = vec![0x82, 0xff];
+    frame_head.extend_from_slice(&(MESSAGE_BYTES as u64).to_be_bytes());
+    frame_head.extend_from_slice(&[0; 4]);
+    let script = ClientScript::new(upgrade)
+        .then(&frame_head)
+        .with_repeated(vec![b'x'; 64 << 10], MESSAGE_BYTES - 1);
+    machine.assert_withstands(machine.peer(), CLIENTS, script);
+}
+
 #[test]
 fn unfinished_heads_stay_within_memory() {
     const CLIENTS: usize = 4_500;
--- a/crates/notchwalkd/src/lib.rs
+++ b/crates/notchwalkd/src/lib.rs
@@ -16,6 +16,7 @@
 mod effects;
 mod engine_driver;
 mod engine_poll;
+mod limited_stream;
 mod metrics;
 mod operator_api;
 mod order_driver;
--- a/crates/notchwalkd/src/peer_link.rs
+++ b/crates/notchwalkd/src/peer_link.rs
@@ -7,10 +7,11 @@
 use futures_util::{SinkExt, StreamExt};
 use monoio::{
     io::IntoPollIo,
-    net::{tcp::stream_poll::TcpStreamPoll, TcpListener, TcpStream},
+    net::{TcpListener, TcpStream},
 };
 use notchwalk_core::{LogEvent, LogEventKind, VmId};
 use notchwalk_decide::Event;
+use notchwalk_http::WaitKind;
 use notchwalk_wire::{from_cbor, to_cbor, PeerMessage};
 use serde::{de::DeserializeOwned, Serialize};
 use tokio_tungstenite::{
@@ -21,6 +22,7 @@
 
 use crate::{
     bundle_watch,
+    limited_stream::{LimitedStream, ReadLimit},
     peer_auth::{self, Challenge, Hello, Proof, KEY_BYTES},
     peer_links::Outbox,
     shell::Shell,
@@ -34,10 +36,16 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Timeout of sending one frame.
 const SEND_TIMEOUT: Duration = Duration::from_secs(3);
-/// Maximum number of concurrent incoming links.
+/// Maximum number of concurrent incoming links that are authenticated.
 const MAX_INCOMING_LINKS: usize = 1_024;
+/// Maximum number of concurrent incoming connections that are not authenticated yet.
+const MAX_HANDSHAKES: usize = 128;
+/// Maximum number of bytes of a connection until it is authenticated.
+const MAX_HANDSHAKE_BYTES: usize = 16 * 1024;
+/// Size of the buffers of a connection, in bytes.
+const BUFFER_BYTES: usize = 8 * 1024;
 
-type Socket = WebSocketStream<TcpStreamPoll>;
+type Socket = WebSocketStream<LimitedStream>;
 
 /// Opens links to new peers and closes those to peers that are no longer listed.
 pub fn sync_links(shell: &Rc<Shell>, peers: HashMap<VmId, SocketAddr>) {
@@ -73,6 +81,8 @@
 
 fn ws_config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
         .max_message_size(Some(MAX_MESSAGE_BYTES))
         .max_frame_size(Some(MAX_MESSAGE_BYTES))
 }
@@ -80,7 +90,7 @@
 async fn open_link(shell: &Shell, addr: SocketAddr) -> Option<(Socket, [u8; KEY_BYTES])> {
     let stream = TcpStream::connect_addr(addr).await.ok()?;
     stream.set_nodelay(true).ok()?;
-    let io = stream.into_poll_io().ok()?;
+    let io = LimitedStream::new(stream.into_poll_io().ok()?, ReadLimit::default());
     let url = format!("ws://{addr}/");
     let client = client_async_with_config(url, io, Some(ws_config())).await;
     let (mut socket, _) = client.ok()?;
@@ -137,31 +147,38 @@
 
 /// Accepts links from peers.
 pub async fn accept(shell: Rc<Shell>, listener: TcpListener) {
+    let server = shell.clients.add_server();
     let open_links = Rc::new(Cell::new(0_usize));
     loop {
         let Ok((stream, from)) = listener.accept().await else {
             monoio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        if open_links.get() >= MAX_INCOMING_LINKS {
+        let Some(handshake) = shell.clients.admit(server, MAX_HANDSHAKES).await else {
             continue;
-        }
-        open_links.set(open_links.get() + 1);
+        };
         let (shell, open_links) = (shell.clone(), open_links.clone());
         notchwalk_http::spawn(async move {
-            serve_link(&shell, stream, from).await;
+            let authenticate = authenticate(&shell, stream);
+            let authenticated = handshake.wait(WaitKind::Request, HANDSHAKE_TIMEOUT, authenticate);
+            let authenticated = authenticated.await;
+            drop(handshake);
+            let Ok(Some((socket, session, vm))) = authenticated else {
+                LogEvent::new(LogEventKind::PeerRejected, format!("from={from}")).emit();
+                return;
+            };
+            if open_links.get() >= MAX_INCOMING_LINKS {
+                return;
+            }
+            open_links.set(open_links.get() + 1);
+            receive_all(&shell, socket, session, vm).await;
             open_links.set(open_links.get() - 1);
         });
     }
 }
 
-/// Authenticates an incoming link and feeds its messages to the reducer.
-async fn serve_link(shell: &Rc<Shell>, stream: TcpStream, from: SocketAddr) {
-    let authenticated = monoio::time::timeout(HANDSHAKE_TIMEOUT, authenticate(shell, stream)).await;
-    let Ok(Some((mut socket, session, vm))) = authenticated else {
-        LogEvent::new(LogEventKind::PeerRejected, format!("from={from}")).emit();
-        return;
-    };
+/// Feeds the messages of an authenticated link to the reducer.
+async fn receive_all(shell: &Rc<Shell>, mut socket: Socket, session: [u8; KEY_BYTES], vm: VmId) {
     let mut sequence = 0;
     loop {
         let next = monoio::time::timeout(IDLE_TIMEOUT, socket.next()).await;
@@ -191,7 +208,8 @@
 /// Authenticates the connecting side. Returns its session key and VM.
 async fn authenticate(shell: &Shell, stream: TcpStream) -> Option<(Socket, [u8; KEY_BYTES], VmId)> {
     stream.set_nodelay(true).ok()?;
-    let io = stream.into_poll_io().ok()?;
+    let limit = ReadLimit::new(MAX_HANDSHAKE_BYTES);
+    let io = LimitedStream::new(stream.into_poll_io().ok()?, limit.clone());
     let mut socket = accept_async_with_config(io, Some(ws_config())).await.ok()?;
     let hello: Hello = receive(&mut socket).await?;
     let challenge = Challenge {
@@ -202,6 +220,7 @@
     for key in shell.settings.peer_keys.all() {
         let session = peer_auth::session_key(*key, &hello, &challenge);
         if peer_auth::macs_equal(&peer_auth::session_proof(&session).mac, &proof.mac) {
+            limit.remove();
             return Some((socket, session, hello.vm));
         }
     }
