--- a/crates/notchwalk_http/src/clients.rs
+++ b/crates/notchwalk_http/src/clients.rs
@@ -132,6 +132,14 @@
         }
     }
 
+    fn cancel_eviction(&mut self, key: ClientKey) {
+        let evicted = self.clients.get_mut(key).filter(|client| client.is_evicted);
+        if let Some(client) = evicted {
+            client.is_evicted = false;
+            self.evicted_bytes -= client.reserved_bytes;
+        }
+    }
+
     /// Evicts stalled clients until a message of `requester` that holds `held` bytes may hold
     /// `more`. Evicts none and returns `false` if that would not suffice.
     fn evict_for(&mut self, requester: ClientKey, held: usize, more: usize) -> bool {
@@ -325,6 +333,10 @@
         }
     }
 
+    fn cancel_eviction(&self) {
+        self.0.table.0.borrow_mut().cancel_eviction(self.0.key);
+    }
+
     fn poll_evicted(&self, cx: &Context<'_>) -> Poll<()> {
         let mut table = self.0.table.0.borrow_mut();
         match table.clients.get_mut(self.0.key) {
@@ -350,7 +362,14 @@
         let _guard = WaitGuard::new(self, kind);
         let mut future = pin!(monoio::time::timeout(timeout, future));
         std::future::poll_fn(|cx| match future.as_mut().poll(cx) {
-            Poll::Ready(result) => Poll::Ready(result.map_err(|_| HttpError::TimedOut)),
+            Poll::Ready(Ok(result)) => {
+                if kind == WaitKind::Request {
+                    // What the client sent just now must not be lost.
+                    self.cancel_eviction();
+                }
+                Poll::Ready(Ok(result))
+            }
+            Poll::Ready(Err(_)) => Poll::Ready(Err(HttpError::TimedOut)),
             Poll::Pending => self.poll_evicted(cx).map(|()| Err(HttpError::Overloaded)),
         })
         .await
