HTTP server: a task reads 16 KiB from one connection until others run

A precaution, not a fault that was shown: the socket of a fast sender may be ready at every read, and then neither other tasks nor the task's own timeout would run.

--- a/crates/notchwalk_http/src/connection.rs
+++ b/crates/notchwalk_http/src/connection.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     clients::{ClientSlot, Reservation},
+    tasks::yield_now,
     Body, BodyReader, HttpError,
 };
 
@@ -27,6 +28,8 @@
 const MIN_READ_CAPACITY_BYTES: usize = 4 * 1024;
 /// Read buffers up to this size are not reserved: the maximum number of connections bounds them.
 const UNRESERVED_BUFFER_BYTES: usize = 2 * MIN_READ_CAPACITY_BYTES;
+/// Number of bytes that a task reads from one connection until others run.
+const MAX_READ_IN_TURN_BYTES: usize = 16 * 1024;
 /// Maximum number of bytes buffered from a peer while its request is being handled.
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 
@@ -37,6 +40,8 @@
     received_bytes: Rc<Cell<u64>>,
     /// The client of a server's connection, and what its read buffer occupies.
     client: Option<(ClientSlot, Reservation)>,
+    /// Bytes read since other tasks last ran.
+    read_in_turn: usize,
 }
 
 impl Connection {
@@ -52,6 +57,7 @@
             rbuf: BytesMut::new(),
             received_bytes: Rc::default(),
             client: None,
+            read_in_turn: 0,
         })
     }
 
@@ -101,8 +107,14 @@
     ///
     /// Fails on socket errors.
     pub async fn read_more(&mut self) -> io::Result<usize> {
+        // The socket of a fast sender is always ready, so that reading never suspends the task.
+        if self.read_in_turn >= MAX_READ_IN_TURN_BYTES {
+            self.read_in_turn = 0;
+            yield_now().await;
+        }
         self.rbuf.reserve(MIN_READ_CAPACITY_BYTES);
         let n = self.io.read_buf(&mut self.rbuf).await?;
+        self.read_in_turn += n;
         self.received_bytes
             .set(self.received_bytes.get() + n as u64);
         Ok(n)
