HTTP client: a connection's failure is not the end of a body

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response, with a length; a stream that was cut between two events looked complete and was not resumed.

Cause: a socket reports its error once. The write of the upload had received it, and the response was then read from the same connection: what had arrived, and the end of the stream, which ends a body without a length. The same holds for a peer that closes its half first: reads then return the end of the stream even if a reset follows; only a write reports it.

`broken_connections` got `Ok("part")` for a request of 1,000 bytes whose server had closed its half and then reset.

Now the connection remembers that a read or write failed, and a body that ends with the connection is complete only if none has, nor a write of no bytes does. All readers share this: buffered, streamed, resumed, early and forwarded responses, notchwalkd's services and engines, the clients of the stores.

--- a/crates/notchwalk_http/src/connection.rs
+++ b/crates/notchwalk_http/src/connection.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, future::Future, io, pin::Pin, rc::Rc, task::Poll};
 
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
 use monoio::{
     io::IntoPollIo,
     net::{tcp::stream_poll::TcpStreamPoll, TcpStream},
@@ -42,6 +43,9 @@
     client: Option<(ClientSlot, Reservation)>,
     /// Bytes read since other tasks last ran.
     read_in_turn: usize,
+    /// Whether a read or write failed. The socket reports its error only once; later reads
+    /// return the end of the stream.
+    failed: bool,
 }
 
 impl Connection {
@@ -58,6 +62,7 @@
             received_bytes: Rc::default(),
             client: None,
             read_in_turn: 0,
+            failed: false,
         })
     }
 
@@ -113,7 +118,9 @@
             yield_now().await;
         }
         self.rbuf.reserve(MIN_READ_CAPACITY_BYTES);
-        let n = self.io.read_buf(&mut self.rbuf).await?;
+        let read = self.io.read_buf(&mut self.rbuf).await;
+        self.failed |= read.is_err();
+        let n = read?;
         self.read_in_turn += n;
         self.received_bytes
             .set(self.received_bytes.get() + n as u64);
@@ -182,7 +189,8 @@
     ///
     /// # Errors
     ///
-    /// Fails on malformed framing and closed connections.
+    /// Fails on malformed framing, on closed connections, and if a body that ends with the
+    /// connection was cut by a failure of it.
     pub async fn read_piece(&mut self, body: &mut BodyReader) -> Result<Bytes, HttpError> {
         loop {
             if let Some(piece) = body.decode(&mut self.rbuf)? {
@@ -191,14 +199,21 @@
             if self.read_more().await? > 0 {
                 continue;
             }
-            if matches!(body, BodyReader::UntilClose) {
-                *body = BodyReader::Done;
-                return Ok(Bytes::new());
+            if !matches!(body, BodyReader::UntilClose) || self.has_failed() {
+                return Err(HttpError::Closed);
             }
-            return Err(HttpError::Closed);
+            *body = BodyReader::Done;
+            return Ok(Bytes::new());
         }
     }
 
+    /// Returns whether a read or write has failed, or the next write would.
+    fn has_failed(&mut self) -> bool {
+        // A reset by a peer that closed its half before is reported to writes only, even to
+        // those of no bytes.
+        self.failed || matches!(self.io.write(&[]).now_or_never(), Some(Err(_)))
+    }
+
     /// Returns the next piece of a body if it is already buffered.
     ///
     /// # Errors
@@ -247,7 +262,9 @@
     ///
     /// Fails on socket errors.
     pub async fn write_all(&mut self, data: &[u8]) -> io::Result<()> {
-        self.io.write_all(data).await
+        let written = self.io.write_all(data).await;
+        self.failed |= written.is_err();
+        written
     }
 
     /// Writes a head and a body. Small bodies are written in one call with the head.
@@ -262,10 +279,10 @@
                 head.extend_from_slice(piece);
             }
         }
-        self.io.write_all(&head).await?;
+        self.write_all(&head).await?;
         drop(head);
         for piece in pieces {
-            self.io.write_all(piece).await?;
+            self.write_all(piece).await?;
         }
         Ok(())
     }
