Tests: malformed statuses and header names are no response

What users saw on other systems: responses with the status 000, and responses whose head has a header name with a blank or a control byte, reach callers, with that line or with a body that isn't the server's.

Both were handled before; nothing else changes for them. The client of all HTTP connections, so that of notchwalkd and the stores too, rejects every byte that no header name may hold.

--- /dev/null
+++ b/crates/notchwalk_http/tests/response_heads.rs
@@ -0,0 +1,97 @@
+//! A malformed response head is an error.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener},
+};
+
+use http::Method;
+use notchwalk_http::{BufferedResponse, Client, HttpError, OutgoingRequest};
+
+/// Starts a server that sends these bytes in response to one request and closes the connection.
+fn serve_once(bytes: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut buf = [0; 4096];
+        let _ = stream.read(&mut buf).expect("a request");
+        stream.write_all(&bytes).expect("a write");
+    });
+    addr
+}
+
+fn receive(bytes: impl Into<Vec<u8>>) -> Result<BufferedResponse, HttpError> {
+    let addr = serve_once(bytes.into());
+    let builder = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer();
+    let mut runtime = builder.build().expect("a runtime");
+    runtime.block_on(async {
+        let req = OutgoingRequest::new(Method::GET, "/");
+        Client::new().stream(addr, req).await?.collect(10_000).await
+    })
+}
+
+#[track_caller]
+fn assert_rejected(bytes: impl Into<Vec<u8>>) {
+    let bytes = bytes.into();
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    let received = receive(bytes).map(|response| (response.status, response.body));
+    assert!(received.is_err(), "{text:?}: {received:?}");
+}
+
+#[test]
+fn malformed_statuses_are_rejected() {
+    for status in ["000", "099", "001", "20", "2000", "2x0", "+20", " 200", ""] {
+        assert_rejected(format!("HTTP/1.1 {status} X\r\nContent-Length: 1\r\n\r\na"));
+    }
+}
+
+/// Returns whether a header name may hold this byte (`tchar` of RFC 9110, section 5.6.2).
+fn is_token_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+#[test]
+fn bytes_that_no_header_name_may_hold_are_rejected() {
+    let is_separator = |byte: u8| matches!(byte, b':' | b'\n');
+    for byte in (0..=u8::MAX).filter(|&byte| !is_token_byte(byte) && !is_separator(byte)) {
+        for name in [[byte, b'n', b'n'], [b'n', byte, b'n'], [b'n', b'n', byte]] {
+            let head = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n";
+            assert_rejected([&head[..], &name[..], b": 1\r\n\r\na"].concat());
+        }
+    }
+}
+
+#[test]
+fn malformed_header_lines_are_rejected() {
+    for line in [
+        ": empty name",
+        "no-colon",
+        "Folded: a\r\n b",
+        "Folded: a\r\n\tb",
+        "Value: a\rb",
+        "Value: a\0b",
+        "Value: a\x7fb",
+        "Content-Length : 1",
+        "Content-Length: 1\r\nContent-Length: 1",
+        "Content-Length: 1, 1",
+        "Content-Length: +1",
+        "Content-Length: -1",
+        "Content-Length: 0x1",
+        "Content-Length:",
+        "Content-Length: 1\r\nTransfer-Encoding: chunked",
+    ] {
+        assert_rejected(format!("HTTP/1.1 200 OK\r\n{line}\r\n\r\na"));
+    }
+}
+
+#[test]
+fn malformed_interim_response_is_rejected() {
+    let response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+    for interim in ["HTTP/1.1 103 Early\r\nbad name: 1", "HTTP/1.1 1030 Early"] {
+        assert_rejected(format!("{interim}\r\n\r\n{response}"));
+    }
+    assert_rejected(format!(
+        "HTTP/1.1 103 Early\r\nContent-Length: 2\r\n\r\nab{response}"
+    ));
+}
