HTTP: a head that ends with a bare line feed is malformed

What callers saw: a response without a length whose last lines of the head end with LF alone, and whose body holds a blank line, arrived as a complete 200 without the body up to that line; of a stream the first events were missing. A request with such a head and a length of 13 reached a handler with the next 13 bytes after a later CRLF pair as its body, bytes of the next request included.

Cause: two readers disagreed about the end of a head. monoio-http's decoder splits the buffer at the first pair of CRLFs; httparse then ends the head at the first blank line, also one of bare line feeds, and the rest of the split was dropped. For the same reason blank lines before a message were dropped as a head of their own, and the buffered message was not looked at until more bytes arrived.

`head_reader` finds the end of the head itself and gives the decoder exactly these bytes: a blank line that isn't CRLF CRLF is an error (502; 400 for callers), so both readers agree. Lines that end with LF inside a head are accepted as before (RFC 9112, section 2.2), and blank lines before a message are skipped within the limit of a head. Callers' requests, responses, and those of notchwalkd and the stores have the same reader.

--- a/crates/notchwalk_http/src/connection.rs
+++ b/crates/notchwalk_http/src/connection.rs
@@ -8,7 +8,7 @@
     io::IntoPollIo,
     net::{tcp::stream_poll::TcpStreamPoll, TcpStream},
 };
-use monoio_codec::{Decoded, Decoder};
+use monoio_codec::Decoder;
 use monoio_http::{
     common::{request::RequestHead, response::ResponseHead},
     h1::codec::decoder::{DecodeError, RequestHeadDecoder, ResponseHeadDecoder},
@@ -17,6 +17,7 @@
 
 use crate::{
     clients::{ClientSlot, Reservation},
+    head_reader::{skip_blank_lines, take_head},
     tasks::yield_now,
     Body, BodyReader, HttpError,
 };
@@ -168,13 +169,13 @@
     where
         D: Decoder<Error = DecodeError>,
     {
+        let mut skipped = 0;
         loop {
-            match decoder.decode(&mut self.rbuf) {
-                Ok(Decoded::Some(head)) => return Ok(head),
-                Ok(_) => {}
-                Err(e) => return Err(HttpError::Head(e.to_string())),
+            skipped += skip_blank_lines(&mut self.rbuf);
+            if let Some(head) = take_head(&mut decoder, &mut self.rbuf)? {
+                return Ok(head);
             }
-            if self.rbuf.len() > max_bytes {
+            if skipped + self.rbuf.len() > max_bytes {
                 return Err(HttpError::HeadTooLarge(max_bytes));
             }
             self.reserve_buffer(self.rbuf.len() + MIN_READ_CAPACITY_BYTES)
--- a/crates/notchwalk_http/src/lib.rs
+++ b/crates/notchwalk_http/src/lib.rs
@@ -13,6 +13,7 @@
 mod error;
 mod event_scanner;
 mod head;
+mod head_reader;
 mod open_exchanges;
 mod server;
 mod tasks;
--- a/crates/notchwalk_http/tests/response_heads.rs
+++ b/crates/notchwalk_http/tests/response_heads.rs
@@ -1,4 +1,4 @@
-//! A malformed response head is an error.
+//! A malformed response head is an error, and a well-formed one ends where its body begins.
 
 use std::{
     io::{Read, Write},
@@ -39,6 +39,13 @@
     assert!(received.is_err(), "{text:?}: {received:?}");
 }
 
+#[track_caller]
+fn assert_received(bytes: &str, status: u16, body: &str) {
+    let response = receive(bytes).unwrap_or_else(|e| panic!("{bytes:?}: {e}"));
+    let received = (response.status.as_u16(), &response.body[..]);
+    assert_eq!(received, (status, body.as_bytes()), "{bytes:?}");
+}
+
 #[test]
 fn malformed_statuses_are_rejected() {
     for status in ["000", "099", "001", "20", "2000", "2x0", "+20", " 200", ""] {
@@ -95,3 +102,45 @@
         "HTTP/1.1 103 Early\r\nContent-Length: 2\r\n\r\nab{response}"
     ));
 }
+
+/// Guards against the loss of a body's first lines when lines of the head end with LF alone.
+#[test]
+fn head_that_ends_with_a_bare_line_feed_is_rejected() {
+    for head in [
+        "HTTP/1.1 200 OK\r\nA: b\n\r\n",
+        "HTTP/1.1 200 OK\r\nA: b\r\n\n",
+        "HTTP/1.1 200 OK\r\nA: b\n\n",
+        "HTTP/1.1 200 OK\nA: b\n\n",
+        "HTTP/1.1 200 OK\n\n",
+        "HTTP/1.1 200 OK\n\r\n",
+    ] {
+        for body in ["first", "first\r\n\r\nsecond", "a: b\r\n\r\nsecond"] {
+            assert_rejected(format!("{head}{body}"));
+        }
+    }
+}
+
+#[test]
+fn blank_lines_in_a_body_belong_to_it() {
+    for body in [
+        "\r\n\r\nsecond",
+        "\n\nsecond",
+        "first\r\n\r\nsecond",
+        "\n\r\n",
+    ] {
+        assert_received(&format!("HTTP/1.1 200 OK\r\n\r\n{body}"), 200, body);
+        assert_received(
+            &format!("HTTP/1.1 200 OK\r\nA: b\nC: d\r\n\r\n{body}"),
+            200,
+            body,
+        );
+    }
+}
+
+#[test]
+fn blank_lines_before_a_response_are_skipped() {
+    let response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+    for blank in ["\r\n", "\r\n\r\n", "\n"] {
+        assert_received(&format!("{blank}{response}"), 200, "a");
+    }
+}
