HTTP: all Transfer-Encoding headers of a message count

What callers saw: a response with `Transfer-Encoding: chunked` and a second header `Transfer-Encoding: gzip` arrived as a complete 200, although its body is still in the second coding. Requests to our servers were read the same way.

Cause: only the first header was looked at. Several headers are one list (RFC 9110, section 5.2), and lists other than "chunked" were rejected before.

Evidence: on the code before, `transfer_coding_other_than_chunked_is_rejected` failed for responses and requests, and the entry test got a 200 with "from the server". Now any second header is malformed framing: 502, or 400 for a request. All three pass.

--- a/crates/notchwalk_http/src/body.rs
+++ b/crates/notchwalk_http/src/body.rs
@@ -137,10 +137,12 @@
     }
 
     fn from_headers(headers: &HeaderMap) -> Result<Option<Self>, HttpError> {
-        let chunked = match headers.get(header::TRANSFER_ENCODING) {
-            None => false,
-            Some(coding) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => true,
-            Some(_) => return Err(HttpError::Framing),
+        // A message may list its codings in several headers.
+        let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+        let chunked = match (codings.next(), codings.next()) {
+            (None, _) => false,
+            (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => true,
+            _ => return Err(HttpError::Framing),
         };
         let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
         let Some(length) = lengths.next() else {
--- a/crates/notchwalk_http/tests/request_heads.rs
+++ b/crates/notchwalk_http/tests/request_heads.rs
@@ -78,6 +78,26 @@
     }
 }
 
+#[test]
+fn transfer_coding_other_than_chunked_is_rejected() {
+    let addr = start_server();
+    for codings in [
+        "gzip",
+        "chunked, gzip",
+        "chunked\r\ntransfer-encoding: gzip",
+        "gzip\r\ntransfer-encoding: chunked",
+        "chunked\r\ntransfer-encoding: chunked",
+    ] {
+        let head = format!("POST /first HTTP/1.1\r\nhost: a\r\ntransfer-encoding: {codings}");
+        let responses = send(addr, &format!("{head}\r\n\r\n1\r\na\r\n0\r\n\r\n"));
+        assert!(
+            responses.starts_with("HTTP/1.1 400"),
+            "{codings:?}: {responses}"
+        );
+        assert!(!responses.contains('<'), "{codings:?}: {responses}");
+    }
+}
+
 #[test]
 fn well_formed_requests_follow_each_other() {
     let addr = start_server();
--- a/crates/notchwalk_http/tests/response_heads.rs
+++ b/crates/notchwalk_http/tests/response_heads.rs
@@ -144,3 +144,25 @@
         assert_received(&format!("{blank}{response}"), 200, "a");
     }
 }
+
+/// Guards against a body in another coding that passes as chunked.
+#[test]
+fn transfer_coding_other_than_chunked_is_rejected() {
+    for codings in [
+        "gzip",
+        "chunked, gzip",
+        "gzip, chunked",
+        "chunked, chunked",
+        "identity",
+        "",
+        "chunked\r\nTransfer-Encoding: gzip",
+        "gzip\r\nTransfer-Encoding: chunked",
+        "chunked\r\nTransfer-Encoding: chunked",
+        "chunked\r\nTransfer-Encoding:",
+    ] {
+        let head = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: {codings}\r\n");
+        assert_rejected(format!("{head}\r\n1\r\na\r\n0\r\n\r\n"));
+    }
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n1\r\na\r\n0\r\n\r\n";
+    assert_received(chunked, 200, "a");
+}
