HTTP client: a protocol switch that was not requested is malformed

What callers saw: after a 101 that nobody asked for, the bytes that followed were read as a response, and reached the caller as the server's 200.

Cause: 101 was skipped with the interim responses. It is the last head in this protocol (RFC 9110, section 15.2.2); what follows belongs to another one, and our requests ask for none.

--- a/crates/notchwalk_http/src/connection.rs
+++ b/crates/notchwalk_http/src/connection.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
+use http::StatusCode;
 use monoio::{
     io::IntoPollIo,
     net::{tcp::stream_poll::TcpStreamPoll, TcpStream},
@@ -35,6 +36,19 @@
 /// Maximum number of bytes buffered from a peer while its request is being handled.
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 
+/// Returns whether a response with this status is the final one to its request.
+///
+/// # Errors
+///
+/// Fails on a protocol switch: bytes of another protocol follow, which no request asks for.
+fn is_final(status: StatusCode) -> Result<bool, HttpError> {
+    match status.as_u16() {
+        101 => Err(HttpError::Head("unrequested protocol switch".to_owned())),
+        100..=199 => Ok(false),
+        _ => Ok(true),
+    }
+}
+
 /// A connection and its read buffer.
 pub struct Connection {
     io: TcpStreamPoll,
@@ -157,7 +171,7 @@
         const MAX_INTERIM_RESPONSES: usize = 32;
         for _ in 0..=MAX_INTERIM_RESPONSES {
             let head = self.read_head(ResponseHeadDecoder, MAX_HEAD_BYTES).await?;
-            if !head.status.is_informational() {
+            if is_final(head.status)? {
                 return Ok(head);
             }
         }
--- a/crates/notchwalk_http/tests/response_heads.rs
+++ b/crates/notchwalk_http/tests/response_heads.rs
@@ -166,3 +166,15 @@
     let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n1\r\na\r\n0\r\n\r\n";
     assert_received(chunked, 200, "a");
 }
+
+/// Guards against a protocol switch that is skipped like an interim response.
+#[test]
+fn protocol_switch_that_was_not_requested_is_rejected() {
+    let switch = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n";
+    let response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+    assert_rejected(switch);
+    assert_rejected(format!("{switch}{response}"));
+    for status in [100, 102, 103, 199] {
+        assert_received(&format!("HTTP/1.1 {status} X\r\n\r\n{response}"), 200, "a");
+    }
+}
