HTTP client: a status outside 200 to 599 is malformed

What callers saw: a response with the status 600 or 999 arrived as it was, signature included. It belongs to no class, so a caller can't tell success from failure; a 000 was a 502 already.

Cause: the decoder accepts any status from 100 to 999. Statuses outside 100 to 599 are invalid (RFC 9110, section 15); other programs use them for failures of their own.

Evidence: on the code before, `statuses_outside_the_valid_range_are_rejected` got `(600, "a")` and the entry test a 600 with the server's signature and body. They are malformed heads now, a 502 for callers. Both pass; 200, 299, 302, 418, 499, 500 and 599 are still delivered.

--- a/crates/notchwalk_http/src/connection.rs
+++ b/crates/notchwalk_http/src/connection.rs
@@ -40,12 +40,14 @@
 ///
 /// # Errors
 ///
-/// Fails on a protocol switch: bytes of another protocol follow, which no request asks for.
+/// Fails on statuses outside the range of valid ones (RFC 9110, section 15), and on a protocol
+/// switch: bytes of another protocol follow, which no request of ours asks for.
 fn is_final(status: StatusCode) -> Result<bool, HttpError> {
     match status.as_u16() {
         101 => Err(HttpError::Head("unrequested protocol switch".to_owned())),
         100..=199 => Ok(false),
-        _ => Ok(true),
+        200..=599 => Ok(true),
+        code => Err(HttpError::Head(format!("invalid status {code}"))),
     }
 }
 
--- a/crates/notchwalk_http/tests/response_heads.rs
+++ b/crates/notchwalk_http/tests/response_heads.rs
@@ -178,3 +178,14 @@
         assert_received(&format!("HTTP/1.1 {status} X\r\n\r\n{response}"), 200, "a");
     }
 }
+
+#[test]
+fn statuses_outside_the_valid_range_are_rejected() {
+    for status in [600, 666, 700, 999] {
+        assert_rejected(format!("HTTP/1.1 {status} X\r\nContent-Length: 1\r\n\r\na"));
+    }
+    for status in [200, 299, 302, 418, 499, 500, 599] {
+        let bytes = format!("HTTP/1.1 {status} X\r\nContent-Length: 1\r\n\r\na");
+        assert_received(&bytes, status, "a");
+    }
+}
