--- a/crates/notchwalk_standin/src/service.rs
+++ b/crates/notchwalk_standin/src/service.rs
@@ -17,7 +17,7 @@
 const MAX_BODY_BYTES: usize = 64 << 20;
 
 /// Faults injected into a service.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct ServiceFault {
     /// Delay of each call, in milliseconds.
@@ -27,16 +27,10 @@
     /// Every nth call is executed, but its response is dropped; 0 disables.
     #[serde(rename = "lose_every")]
     pub drop_response_every: u64,
-    /// Responses are event streams without a length or chunks; the connection is closed
-    /// inside their second event.
-    #[serde(default)]
-    pub truncate_streams: bool,
+    /// Sent as the response to a call before its body is read; the connection is then closed.
+    pub raw_response: Option<String>,
 }
 
-/// An event stream without a length or chunks that ends inside its second event.
-const TRUNCATED_STREAM: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
-    connection: close\r\n\r\ndata: first\n\ndata: sec";
-
 /// Execution counts of calls, keyed by the `x-call` header or by path.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceRuns {
@@ -48,7 +42,7 @@
 struct State {
     name: String,
     runs: RefCell<ServiceRuns>,
-    fault: Cell<ServiceFault>,
+    fault: RefCell<ServiceFault>,
     total_calls: Cell<u64>,
 }
 
@@ -76,7 +70,16 @@
     async fn route(&self, exchange: &mut Exchange) {
         let state = &self.0;
         let path = exchange.path().to_owned();
-        if state.fault.get().dead && !path.starts_with("/standin/") {
+        let fault = match path.starts_with("/standin/") {
+            true => ServiceFault::default(),
+            false => state.fault.borrow().clone(),
+        };
+        if let Some(response) = fault.raw_response {
+            // A failed write closes the connection as well.
+            let _ = exchange.write_chunks(response.as_bytes()).await;
+            return exchange.abort();
+        }
+        if fault.dead {
             return exchange.abort();
         }
         let Ok(body) = exchange.read_body(MAX_BODY_BYTES).await else {
@@ -89,7 +92,7 @@
             }
             "/standin/fault" => {
                 let fault = serde_json::from_slice(&body).unwrap_or_default();
-                state.fault.set(fault);
+                state.fault.replace(fault);
                 return exchange.respond_text(StatusCode::OK, "set\n").await;
             }
             _ => {}
@@ -102,7 +105,6 @@
             *run
         };
         state.total_calls.set(state.total_calls.get() + 1);
-        let fault = state.fault.get();
         if fault.slow_ms > 0 {
             monoio::time::sleep(Duration::from_millis(fault.slow_ms)).await;
         }
@@ -110,11 +112,6 @@
         {
             return exchange.abort();
         }
-        if fault.truncate_streams {
-            // A failed write closes the connection as well.
-            let _ = exchange.write_chunks(TRUNCATED_STREAM).await;
-            return exchange.abort();
-        }
         let response = serde_json::json!({
             "service": state.name, "method": exchange.head.method.as_str(),
             "path": path, "body_bytes": body.len(), "run": run,
