Tests: a response's body is whole or its head is rejected

256 seeded heads with line ends of LF, CRLF and CR in any order, each followed by a body that holds such blank lines.

--- a/crates/notchwalk_http/tests/response_heads.rs
+++ b/crates/notchwalk_http/tests/response_heads.rs
@@ -7,6 +7,7 @@
 
 use http::Method;
 use notchwalk_http::{BufferedResponse, Client, HttpError, OutgoingRequest};
+use proptest::prelude::*;
 
 /// Starts a server that sends these bytes in response to one request and closes the connection.
 fn serve_once(bytes: Vec<u8>) -> SocketAddr {
@@ -189,3 +190,23 @@
         assert_received(&bytes, status, "a");
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(66), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against bytes that are dropped between a head and its body.
+    #[test]
+    fn body_is_whole_or_the_head_is_rejected_for_any_line_ends(
+        status_end in "\r?\n",
+        lines in prop::collection::vec("[A-C]: [a-c]{0,3}(\r\n|\n|\r)", 0..4),
+        blank in "(\r\n|\n|\r)",
+        body in "([a: ]|\r\n|\n|\r){0,12}",
+    ) {
+        let bytes = format!("HTTP/1.1 200 OK{status_end}{}{blank}{body}", lines.concat());
+        if let Ok(response) = receive(bytes.clone()) {
+            let (head, body) = bytes.split_once("\r\n\r\n").expect("the end of a head");
+            prop_assert_eq!(&response.body[..], body.as_bytes(), "{:?}", bytes);
+            prop_assert!(!head.contains("\n\n") && !head.contains("\n\r\n"), "{bytes:?}");
+        }
+    }
+}
