Relay: NW5102 says why a buffered response failed

The error of a body that is buffered before it is relayed was dropped, so that `error=` in NW5102 was empty for it: a response that a reset had cut could not be told from one with malformed framing. Streams and heads had theirs already.

--- a/crates/notchwalk_relay/src/relay_response.rs
+++ b/crates/notchwalk_relay/src/relay_response.rs
@@ -127,9 +127,11 @@
     };
     let body = match await_server(shell, exchange, req, wait, read).await {
         Awaited::Done(Ok(response)) => response.body,
-        Awaited::Done(Err(_)) | Awaited::ServerIdle => {
-            return AttemptOutcome::Ended(AttemptEnd::ConnectionLost)
+        Awaited::Done(Err(e)) => {
+            delivery.last_error = Some(e.to_string());
+            return AttemptOutcome::Ended(AttemptEnd::ConnectionLost);
         }
+        Awaited::ServerIdle => return AttemptOutcome::Ended(AttemptEnd::ConnectionLost),
         Awaited::CallerDisconnected => return AttemptOutcome::CallerDisconnected,
         Awaited::DeadlinePassed => return AttemptOutcome::DeadlinePassed,
         Awaited::NodeStops => return AttemptOutcome::NodeStops,
