HTTP client: a reset that follows the end of a stream is waited for

A server that has read all bytes that arrived, responds without a length and closes while the rest of an upload is on its way, ends its stream first and resets the connection a round trip later, when that rest arrives. In between, the part of its body looks complete.

Cause: the connection was checked at the moment its stream ended, before the failure could be known.

Evidence: `unframed_body_is_truncated_by_a_reset_shortly_after...` got `Ok("part")` before (a reset 50 ms after the end, an upload of 100,000 bytes).

After a request larger than what is sent without an acknowledgement (14,600 bytes), the end of a body without a length or chunks waits 50 ms, then checks the connection. Other responses, and those to smaller requests, don't wait. Such a reset after a longer time stays unseen.

--- a/crates/notchwalk_http/src/client.rs
+++ b/crates/notchwalk_http/src/client.rs
@@ -15,8 +15,8 @@
 use serde::{de::DeserializeOwned, Serialize};
 
 use crate::{
-    connection::MAX_COALESCED_BODY_BYTES, encode_request_head, BodyFraming, BodyReader, Connection,
-    EventScanner, HttpError, Reservation,
+    connection::{MAX_COALESCED_BODY_BYTES, RESET_TIMEOUT},
+    encode_request_head, BodyFraming, BodyReader, Connection, EventScanner, HttpError, Reservation,
 };
 
 /// Maximum number of idle connections per address.
@@ -125,6 +125,7 @@
 pub struct Client {
     pool: Pool,
     connect_timeout: Duration,
+    reset_timeout: Duration,
     received_bytes: Rc<Cell<u64>>,
 }
 
@@ -133,6 +134,7 @@
         Self {
             pool: Pool::default(),
             connect_timeout: CONNECT_TIMEOUT,
+            reset_timeout: RESET_TIMEOUT,
             received_bytes: Rc::default(),
         }
     }
@@ -150,6 +152,13 @@
         self
     }
 
+    /// Sets how long a body that ends with its connection waits for a reset, if its request was
+    /// large.
+    pub fn with_reset_timeout(mut self, timeout: Duration) -> Self {
+        self.reset_timeout = timeout;
+        self
+    }
+
     /// Returns the number of bytes that all connections of this client and its clones
     /// have received.
     pub fn received_bytes(&self) -> u64 {
@@ -164,7 +173,9 @@
             Err(_) => return Err(HttpError::Connect(std::io::ErrorKind::TimedOut.into())),
         };
         let conn = Connection::new(stream).map_err(HttpError::Connect)?;
-        Ok(conn.with_received_counter(self.received_bytes.clone()))
+        Ok(conn
+            .with_received_counter(self.received_bytes.clone())
+            .with_reset_timeout(self.reset_timeout))
     }
 
     /// Removes a usable connection from the pool and returns it.
@@ -173,6 +184,7 @@
             let idle = self.pool.borrow_mut().get_mut(&addr)?.pop();
             let mut idle = idle?;
             if Instant::now() < idle.expires_at && !idle.conn.is_stale().await {
+                idle.conn.begin_request();
                 return Some(idle.conn);
             }
         }
@@ -505,8 +517,7 @@
         while self.next().await?.is_some() {}
         let client = Client {
             pool: self.pool,
-            connect_timeout: CONNECT_TIMEOUT,
-            received_bytes: Rc::default(),
+            ..Client::default()
         };
         let reuse = if self.reusable {
             ConnectionReuse::Pooled
--- a/crates/notchwalk_http/src/connection.rs
+++ b/crates/notchwalk_http/src/connection.rs
@@ -1,6 +1,6 @@
 //! A TCP connection that carries HTTP messages, with a bounded read buffer.
 
-use std::{cell::Cell, future::Future, io, pin::Pin, rc::Rc, task::Poll};
+use std::{cell::Cell, future::Future, io, pin::Pin, rc::Rc, task::Poll, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
@@ -35,6 +35,10 @@
 const MAX_READ_IN_TURN_BYTES: usize = 16 * 1024;
 /// Maximum number of bytes buffered from a peer while its request is being handled.
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
+/// Number of bytes that are sent before any is acknowledged (the initial window of RFC 6928).
+const INITIAL_WINDOW_BYTES: usize = 10 * 1_460;
+/// How long a reset may take to arrive: longer than a round trip between regions nearby.
+pub(crate) const RESET_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Returns whether a response with this status is the final one to its request.
 ///
@@ -63,6 +67,9 @@
     /// Whether a read or write failed. The socket reports its error only once; later reads
     /// return the end of the stream.
     failed: bool,
+    /// Bytes written since the connection was made or taken from a pool.
+    written_bytes: usize,
+    reset_timeout: Duration,
 }
 
 impl Connection {
@@ -80,6 +87,8 @@
             client: None,
             read_in_turn: 0,
             failed: false,
+            written_bytes: 0,
+            reset_timeout: RESET_TIMEOUT,
         })
     }
 
@@ -122,6 +131,17 @@
         self
     }
 
+    /// Sets how long to wait for a reset after the end of a body that ends with the connection.
+    pub(crate) fn with_reset_timeout(mut self, timeout: Duration) -> Self {
+        self.reset_timeout = timeout;
+        self
+    }
+
+    /// Prepares a connection that was idle for the next request.
+    pub(crate) fn begin_request(&mut self) {
+        self.written_bytes = 0;
+    }
+
     /// Reads more bytes into the buffer and returns their number, 0 at the end of the
     /// stream. Cancel safe.
     ///
@@ -216,7 +236,7 @@
             if self.read_more().await? > 0 {
                 continue;
             }
-            if !matches!(body, BodyReader::UntilClose) || self.has_failed() {
+            if !matches!(body, BodyReader::UntilClose) || !self.ended_in_order().await {
                 return Err(HttpError::Closed);
             }
             *body = BodyReader::Done;
@@ -224,6 +244,17 @@
         }
     }
 
+    /// Returns whether the peer closed the connection in order, after a read has returned the
+    /// end of the stream.
+    async fn ended_in_order(&mut self) -> bool {
+        // A peer that closed before all of a request has arrived resets the connection only when
+        // the rest of it does.
+        if self.written_bytes > INITIAL_WINDOW_BYTES && !self.has_failed() {
+            monoio::time::sleep(self.reset_timeout).await;
+        }
+        !self.has_failed()
+    }
+
     /// Returns whether a read or write has failed, or the next write would.
     fn has_failed(&mut self) -> bool {
         // A reset by a peer that closed its half before is reported to writes only, even to
@@ -279,6 +310,7 @@
     ///
     /// Fails on socket errors.
     pub async fn write_all(&mut self, data: &[u8]) -> io::Result<()> {
+        self.written_bytes += data.len();
         let written = self.io.write_all(data).await;
         self.failed |= written.is_err();
         written
--- a/crates/notchwalk_http/tests/broken_connections.rs
+++ b/crates/notchwalk_http/tests/broken_connections.rs
@@ -4,6 +4,7 @@
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpListener},
     sync::mpsc,
+    time::Duration,
 };
 
 use http::Method;
@@ -58,3 +59,27 @@
         }
     }
 }
+
+/// Guards against a part of a body that passes as complete while the reset is on its way.
+#[test]
+fn unframed_body_is_truncated_by_a_reset_shortly_after_the_end_of_the_stream() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        stream.read_exact(&mut [0; 20]).expect("a request");
+        let response = b"HTTP/1.1 200 OK\r\n\r\npart";
+        stream.write_all(response).expect("a write");
+        stream.shutdown(Shutdown::Write).expect("closed");
+        std::thread::sleep(Duration::from_millis(50));
+    });
+    let builder = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer();
+    let mut runtime = builder.build().expect("a runtime");
+    let received = runtime.block_on(async {
+        let req = OutgoingRequest::new(Method::POST, "/").with_body(vec![b'x'; 100_000]);
+        let client = Client::new().with_reset_timeout(Duration::from_secs(2));
+        client.stream(addr, req).await?.collect(1_000).await
+    });
+    let received = received.map(|response| response.body);
+    assert!(received.is_err(), "{received:?}");
+}
