--- a/crates/notchwalk_http/src/connection.rs
+++ b/crates/notchwalk_http/src/connection.rs
@@ -4,7 +4,6 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
-use http::StatusCode;
 use monoio::{
     io::IntoPollIo,
     net::{tcp::stream_poll::TcpStreamPoll, TcpStream},
@@ -18,7 +17,7 @@
 
 use crate::{
     clients::{ClientSlot, Reservation},
-    head_reader::{skip_blank_lines, take_head},
+    head_reader::{is_final, skip_blank_lines, take_head},
     tasks::yield_now,
     Body, BodyReader, HttpError,
 };
@@ -37,24 +36,9 @@
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 /// Number of bytes that are sent before any is acknowledged (the initial window of RFC 6928).
 const INITIAL_WINDOW_BYTES: usize = 10 * 1_460;
-/// How long a reset may take to arrive: longer than a round trip between regions nearby.
+/// How long a reset may take to arrive, more than a round trip between nearby regions.
 pub(crate) const RESET_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Returns whether a response with this status is the final one to its request.
-///
-/// # Errors
-///
-/// Fails on statuses outside the range of valid ones (RFC 9110, section 15), and on a protocol
-/// switch: bytes of another protocol follow, which no request of ours asks for.
-fn is_final(status: StatusCode) -> Result<bool, HttpError> {
-    match status.as_u16() {
-        101 => Err(HttpError::Head("unrequested protocol switch".to_owned())),
-        100..=199 => Ok(false),
-        200..=599 => Ok(true),
-        code => Err(HttpError::Head(format!("invalid status {code}"))),
-    }
-}
-
 /// A connection and its read buffer.
 pub struct Connection {
     io: TcpStreamPoll,
@@ -247,8 +231,8 @@
     /// Returns whether the peer closed the connection in order, after a read has returned the
     /// end of the stream.
     async fn ended_in_order(&mut self) -> bool {
-        // A peer that closed before all of a request has arrived resets the connection only when
-        // the rest of it does.
+        // A peer that closed before the whole request arrived resets the connection when it
+        // receives the rest.
         if self.written_bytes > INITIAL_WINDOW_BYTES && !self.has_failed() {
             monoio::time::sleep(self.reset_timeout).await;
         }
@@ -257,8 +241,8 @@
 
     /// Returns whether a read or write has failed, or the next write would.
     fn has_failed(&mut self) -> bool {
-        // A reset by a peer that closed its half before is reported to writes only, even to
-        // those of no bytes.
+        // After the peer has closed its half, a reset is reported to writes only, even to those
+        // of no bytes.
         self.failed || matches!(self.io.write(&[]).now_or_never(), Some(Err(_)))
     }
 
--- a/crates/notchwalk_http/src/head_reader.rs
+++ b/crates/notchwalk_http/src/head_reader.rs
@@ -1,6 +1,7 @@
-//! Splits message heads off a read buffer and decodes them.
+//! Splits message heads off a read buffer, decodes them and checks the status of responses.
 
 use bytes::{Buf, BytesMut};
+use http::StatusCode;
 use memchr::memchr_iter;
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::DecodeError;
@@ -50,8 +51,10 @@
 
 /// Returns the size of the head at the start of `buf`, with the blank line that ends it.
 ///
-/// A head that ends with a bare line feed is rejected: the decoder would parse it to there, but
-/// drop all bytes up to the next pair of CRLFs, which are bytes of the body.
+/// # Errors
+///
+/// Fails if the head ends with a bare line feed: the decoder would drop the bytes from there up to
+/// the next pair of CRLFs, which belong to the body.
 fn head_length(buf: &[u8]) -> Result<Option<usize>, HttpError> {
     for line_feed in memchr_iter(LF, buf) {
         let (line, next_line) = buf.split_at(line_feed + 1);
@@ -64,3 +67,18 @@
     }
     Ok(None)
 }
+
+/// Returns whether a response with this status is the final one to its request.
+///
+/// # Errors
+///
+/// Fails on statuses outside the range of valid ones (RFC 9110, section 15), and on a protocol
+/// switch: bytes of another protocol follow, which no request here asks for.
+pub(crate) fn is_final(status: StatusCode) -> Result<bool, HttpError> {
+    match status.as_u16() {
+        101 => Err(HttpError::Head("unrequested protocol switch".to_owned())),
+        100..=199 => Ok(false),
+        200..=599 => Ok(true),
+        code => Err(HttpError::Head(format!("invalid status {code}"))),
+    }
+}
