HTTP client: the timer of the wait for a reset is boxed

Cause: the timer was a part of the future that reads a body, and that of every task that may read one, connections of callers included.

--- a/crates/notchwalk_http/src/connection.rs
+++ b/crates/notchwalk_http/src/connection.rs
@@ -234,7 +234,8 @@
         // A peer that closed before the whole request arrived resets the connection when it
         // receives the rest.
         if self.written_bytes > INITIAL_WINDOW_BYTES && !self.has_failed() {
-            monoio::time::sleep(self.reset_timeout).await;
+            // Boxed: every task that reads a body would hold the timer otherwise.
+            Box::pin(monoio::time::sleep(self.reset_timeout)).await;
         }
         !self.has_failed()
     }
